--- /dev/null
+++ b/Source/Core/Common/Ids.h
@@ -0,0 +1,63 @@
+#ifndef SYCAMOREREACH_COMMON_IDS_H
+#define SYCAMOREREACH_COMMON_IDS_H
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <utility>
+
+namespace Common {
+
+/// A textual identifier that cannot be mixed up with one of another kind.
+template <typename Tag> class StrongId {
+public:
+  StrongId() = default;
+  explicit StrongId(std::string Text) : Text(std::move(Text)) {}
+
+  const std::string &str() const { return this->Text; }
+  bool empty() const { return this->Text.empty(); }
+
+  auto operator<=>(const StrongId &) const = default;
+  bool operator==(const StrongId &) const = default;
+
+  template <class Archive> void serialize(Archive &Ar) { Ar(this->Text); }
+
+private:
+  std::string Text;
+};
+
+/// A counted quantity that cannot be mixed up with one of another unit.
+template <typename Tag> struct StrongNumber {
+  std::uint64_t Value = 0;
+
+  auto operator<=>(const StrongNumber &) const = default;
+  bool operator==(const StrongNumber &) const = default;
+
+  template <class Archive> void serialize(Archive &Ar) { Ar(this->Value); }
+};
+
+using HostId = StrongId<struct HostIdTag>;
+using DataCentreId = StrongId<struct DataCentreIdTag>;
+using BackendServerId = StrongId<struct BackendServerIdTag>;
+using CallerId = StrongId<struct CallerIdTag>;
+using ServiceName = StrongId<struct ServiceNameTag>;
+using ModelName = StrongId<struct ModelNameTag>;
+using PriorityName = StrongId<struct PriorityNameTag>;
+using CommandId = StrongId<struct CommandIdTag>;
+/// Chosen by a caller to make a repeat of a call recognizable.
+using IdempotencyKey = StrongId<struct IdempotencyKeyTag>;
+/// A process of the system, stable over restarts.
+using DaemonId = StrongId<struct DaemonIdTag>;
+
+/// Rises each time a process or a backend server starts.
+using Incarnation = StrongNumber<struct IncarnationTag>;
+/// Version of the declared configuration; 0 means none was received.
+using ConfigurationVersion = StrongNumber<struct ConfigurationVersionTag>;
+/// Rises with each grant of a lease; receivers refuse lower numbers.
+using FencingNumber = StrongNumber<struct FencingNumberTag>;
+/// One request inside one entry daemon.
+using RequestId = StrongNumber<struct RequestIdTag>;
+
+} // namespace Common
+
+#endif
--- /dev/null
+++ b/Source/Core/Common/Time.h
@@ -0,0 +1,64 @@
+#ifndef SYCAMOREREACH_COMMON_TIME_H
+#define SYCAMOREREACH_COMMON_TIME_H
+
+#include <chrono>
+#include <concepts>
+#include <cstdint>
+
+namespace Common {
+
+using Duration = std::chrono::microseconds;
+
+/// Tag of the monotonic time line that every decision is made on.
+struct MonotonicTimeline {
+  using duration = Duration;
+  using rep = Duration::rep;
+  using period = Duration::period;
+  using time_point = std::chrono::time_point<MonotonicTimeline>;
+};
+
+using TimePoint = MonotonicTimeline::time_point;
+
+/// Wall-clock milliseconds since 1970; used for retention only, never for
+/// leases or leadership.
+struct WallTime {
+  std::uint64_t Milliseconds = 0;
+
+  auto operator<=>(const WallTime &) const = default;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(this->Milliseconds);
+  }
+};
+
+/// A source of monotonic time.
+template <typename T>
+concept Clock = requires(const T &Source) {
+  { Source.now() } -> std::same_as<TimePoint>;
+};
+
+/// A clock that stands still until it is advanced; for tests and benches.
+class ManualClock {
+public:
+  TimePoint now() const { return this->Current; }
+  void advance(Duration By) { this->Current += By; }
+  void advanceTo(TimePoint To) {
+    if (To > this->Current)
+      this->Current = To;
+  }
+
+private:
+  TimePoint Current{};
+};
+
+inline double toSeconds(Duration Span) {
+  return std::chrono::duration<double>(Span).count();
+}
+
+inline Duration fromSeconds(double Seconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(Seconds));
+}
+
+} // namespace Common
+
+#endif
--- /dev/null
+++ b/Source/Core/Telemetry/Metrics.cpp
@@ -0,0 +1,102 @@
+#include "Telemetry/Metrics.h"
+
+#include <absl/strings/str_cat.h>
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+#include <vector>
+
+namespace Telemetry {
+
+namespace {
+
+namespace acc = boost::accumulators;
+
+constexpr std::array<double, 3> Probabilities = {0.5, 0.95, 0.99};
+
+void appendLine(std::string &Text, const std::string &Name,
+                const std::string &Labels, double Value) {
+  absl::StrAppend(&Text, "sycamore_", Name, Labels, " ", Value, "\n");
+}
+
+void appendType(std::string &Text, const std::string &Name, const char *Type) {
+  absl::StrAppend(&Text, "# TYPE sycamore_", Name, " ", Type, "\n");
+}
+
+void appendSummary(std::string &Text, const std::string &Name,
+                   const LatencySummary &Summary) {
+  appendType(Text, Name, "summary");
+  appendLine(Text, Name, "{quantile=\"0.5\"}", Summary.median());
+  appendLine(Text, Name, "{quantile=\"0.95\"}", Summary.p95());
+  appendLine(Text, Name, "{quantile=\"0.99\"}", Summary.p99());
+  appendLine(Text, Name + "_sum", "", Summary.sum());
+  appendLine(Text, Name + "_count", "", static_cast<double>(Summary.count()));
+}
+
+} // namespace
+
+struct LatencySummary::Accumulators {
+  acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum,
+                                          acc::tag::extended_p_square>>
+      Set{acc::extended_p_square_probabilities = Probabilities};
+};
+
+LatencySummary::LatencySummary() : Held(std::make_unique<Accumulators>()) {}
+LatencySummary::~LatencySummary() = default;
+LatencySummary::LatencySummary(LatencySummary &&) noexcept = default;
+
+void LatencySummary::add(Common::Duration Sample) {
+  this->Held->Set(Common::toSeconds(Sample));
+}
+
+std::uint64_t LatencySummary::count() const {
+  return acc::count(this->Held->Set);
+}
+
+double LatencySummary::sum() const { return acc::sum(this->Held->Set); }
+
+double LatencySummary::median() const {
+  return this->count() == 0 ? 0 : acc::extended_p_square(this->Held->Set)[0];
+}
+
+double LatencySummary::p95() const {
+  return this->count() == 0 ? 0 : acc::extended_p_square(this->Held->Set)[1];
+}
+
+double LatencySummary::p99() const {
+  return this->count() == 0 ? 0 : acc::extended_p_square(this->Held->Set)[2];
+}
+
+std::string Metrics::render() const {
+  std::string Text;
+  appendType(Text, "refusals_total", "counter");
+  for (std::size_t I = 0; I < this->Refusals.size(); ++I) {
+    const auto &Info =
+        Common::refusalInfo(static_cast<Common::RefusalReason>(I));
+    appendLine(Text, "refusals_total",
+               absl::StrCat("{reason=\"", Info.Name, "\"}"),
+               static_cast<double>(this->Refusals[I]));
+  }
+  appendType(Text, "retries_total", "counter");
+  for (std::size_t I = 0; I < this->Retries.size(); ++I) {
+    const char *Name =
+        Common::retryReasonName(static_cast<Common::RetryReason>(I));
+    appendLine(Text, "retries_total", absl::StrCat("{reason=\"", Name, "\"}"),
+               static_cast<double>(this->Retries[I]));
+  }
+  for (const auto &[Name, Value] : this->Counters) {
+    appendType(Text, Name, "counter");
+    appendLine(Text, Name, "", static_cast<double>(Value));
+  }
+  for (const auto &[Name, Value] : this->Gauges) {
+    appendType(Text, Name, "gauge");
+    appendLine(Text, Name, "", Value);
+  }
+  for (const auto &[Name, Summary] : this->Summaries)
+    appendSummary(Text, Name, Summary);
+  return Text;
+}
+
+} // namespace Telemetry
