Routing: Membership, admission and routing parts

Cause: entry daemons must decide who runs, where, and in which order. Ruled out: queueing in the engines (no preemption, no fairness there). Conclusion: pure parts that take time and events and return orders.

--- /dev/null
+++ b/Source/Core/Routing/Dispatcher.h
@@ -0,0 +1,183 @@
+#ifndef SYCAMOREREACH_ROUTING_DISPATCHER_H
+#define SYCAMOREREACH_ROUTING_DISPATCHER_H
+
+#include "Admission/FairQueue.h"
+#include "Admission/PriorityScheduler.h"
+#include "Admission/RateEstimator.h"
+#include "Common/Refusal.h"
+#include "Routing/Quarantine.h"
+#include "Routing/RetryBudget.h"
+#include "Routing/ServerChoice.h"
+#include "Routing/ServerPool.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <variant>
+#include <vector>
+
+namespace Routing {
+
+/// A request as the dispatcher sees it.
+struct WorkRequest {
+  Common::RequestId Id;
+  Common::CallerId Caller;
+  double CallerWeight = 1;
+  Common::PriorityName Priority;
+  /// Time from arrival to the first token or the answer.
+  Common::Duration Target{};
+  Routing::Fingerprint Fingerprint = 0;
+  std::vector<BlockHash> Blocks;
+  std::uint64_t AffinityKey = 0;
+  std::uint64_t PromptTokens = 0;
+  std::uint64_t ExpectedTokens = 1;
+  /// A stream that can be cancelled and resumed.
+  bool Resumable = false;
+};
+
+/// Send the request to the server.
+struct StartOrder {
+  Common::RequestId Id;
+  Common::BackendServerId Server;
+};
+/// Cancel the request's stream; it waits again and will be resumed.
+struct PreemptOrder {
+  Common::RequestId Id;
+  Common::BackendServerId Server;
+};
+/// Tell the caller; the request is forgotten.
+struct RefuseOrder {
+  Common::RequestId Id;
+  Common::RefusalReason Reason = Common::RefusalReason::QueueFull;
+};
+using Order = std::variant<StartOrder, PreemptOrder, RefuseOrder>;
+
+/// What went wrong with a request at a server.
+enum class Failure {
+  /// No byte was sent.
+  ConnectFailed,
+  /// The connection broke before any part of the answer.
+  ConnectionLost,
+  /// The connection broke within the answer; it can be resumed.
+  StreamBroken,
+  /// The server answered with an error and did not run the request.
+  ServerError,
+};
+
+/// Whether parts of the policy are used; for comparisons.
+struct DispatchRules {
+  ChoiceRules Choice;
+  bool Preempt = true;
+  bool RefuseEarly = true;
+  /// Requests that one service may have waiting.
+  std::size_t MaxWaiting = 10'000;
+  /// Servers that are tried for one request.
+  std::size_t MaxAttempts = 4;
+  /// An urgent request that has waited this share of its target makes a less
+  /// urgent stream give way.
+  double PreemptAfter = 0.3;
+  /// Expected waits above this share of the target are refused at arrival.
+  double RefuseAbove = 0.9;
+  Common::Duration QuarantineLength = std::chrono::minutes(10);
+};
+
+/// Decides for one service at one entry daemon which request runs where and
+/// when. It does no I/O: callers report events and carry out the orders.
+class Dispatcher {
+public:
+  explicit Dispatcher(DispatchRules Rules) : Rules(Rules) {}
+
+  void configure(
+      const std::map<Common::PriorityName, Admission::PriorityRule> &Rules);
+  ServerPool &pool() { return this->Servers; }
+  const ServerPool &pool() const { return this->Servers; }
+
+  /// Takes a request in, or says why not. Nothing was run in that case.
+  std::optional<Common::RefusalReason> arrive(WorkRequest Request,
+                                              Common::TimePoint Now);
+  /// Takes a request back in that was accepted before; it is never refused.
+  void readmit(WorkRequest Request, Common::TimePoint Now);
+  /// Decides what to do now. Part is this daemon's part of all windows.
+  std::vector<Order> poll(double Part, std::uint64_t DaemonSalt,
+                          Common::TimePoint Now);
+
+  void firstToken(Common::RequestId Id, Common::TimePoint Now);
+  /// Tokens of the answer that have arrived in all.
+  void progress(Common::RequestId Id, std::uint64_t Tokens);
+  void finished(Common::RequestId Id, Common::TimePoint Now);
+  /// The request waits for another server, or a RefuseOrder follows.
+  void failed(Common::RequestId Id, Failure What, Common::TimePoint Now);
+  /// The caller went away, or the request ended otherwise.
+  void forget(Common::RequestId Id);
+  /// A server failed while it ran these for some daemon.
+  std::vector<Fingerprint> serverFailed(const ServerLife &Server,
+                                        const std::vector<Fingerprint> &Ran,
+                                        Common::TimePoint Now);
+  /// Fingerprints of what this daemon runs at a server.
+  std::vector<Fingerprint>
+  runningAt(const Common::BackendServerId &Server) const;
+  /// Use of a caller at other daemons.
+  void chargeElsewhere(const Common::CallerId &Caller, Admission::Cost Used,
+                       Common::TimePoint Now);
+
+  /// Waiting and running requests.
+  std::size_t demand() const { return this->Requests.size(); }
+  std::size_t waiting() const;
+  /// Cost served to each caller since the last call.
+  std::map<Common::CallerId, Admission::Cost> takeUse();
+  const Quarantine &quarantine() const { return this->Suspects; }
+  /// The reasons of the retries since the last call.
+  std::vector<Common::RetryReason> takeRetries();
+
+private:
+  struct Tracked {
+    WorkRequest Work;
+    Common::TimePoint Deadline;
+    Common::TimePoint ArrivedAt;
+    Common::TimePoint StartedAt;
+    /// Empty while it waits.
+    Common::BackendServerId Server;
+    Admission::Cost Cost;
+    std::uint64_t Uncached = 0;
+    std::uint64_t TokensDone = 0;
+    std::size_t Attempts = 0;
+    bool FirstTokenSeen = false;
+    std::set<Common::BackendServerId> FailedAt;
+    bool running() const { return !this->Server.empty(); }
+  };
+
+  Admission::Cost costOf(const WorkRequest &Work) const;
+  Tracked &track(WorkRequest Request, Common::TimePoint Now);
+  std::vector<Common::PriorityName> waitingPriorities() const;
+  void enqueue(const Tracked &Each, bool First);
+  bool canMeetTarget(const WorkRequest &Request, Common::TimePoint Now);
+  void expire(std::vector<Order> &Orders, Common::TimePoint Now);
+  bool startNext(std::vector<Order> &Orders, Common::TimePoint Now);
+  bool start(Tracked &Each, std::vector<Order> &Orders,
+             Common::TimePoint Now);
+  std::set<Common::BackendServerId>
+  serversWithSuspects(Common::TimePoint Now) const;
+  void startSetAside(std::vector<Order> &Orders, Common::TimePoint Now);
+  void preempt(std::vector<Order> &Orders, Common::TimePoint Now);
+  Tracked *preemptionVictim(std::uint64_t UrgentRank, Common::TimePoint Now);
+  void leaveServer(Tracked &Each);
+
+  DispatchRules Rules;
+  ServerPool Servers;
+  Admission::PriorityScheduler Scheduler;
+  Admission::RateEstimator Rate;
+  std::map<Common::PriorityName, Admission::FairQueue> Queues;
+  std::map<Common::PriorityName, RetryBudget> Budgets;
+  std::map<Common::RequestId, Tracked> Requests;
+  /// Requests that no open server may take now; tried first.
+  std::vector<Common::RequestId> SetAside;
+  Quarantine Suspects;
+  std::map<Common::CallerId, Admission::Cost> Use;
+  std::vector<Common::RetryReason> Retries;
+  /// Refusals that the next poll gives out.
+  std::vector<RefuseOrder> Pending;
+};
+
+} // namespace Routing
+
+#endif
--- /dev/null
+++ b/Source/Core/Routing/RetryBudget.h
@@ -0,0 +1,35 @@
+#ifndef SYCAMOREREACH_ROUTING_RETRYBUDGET_H
+#define SYCAMOREREACH_ROUTING_RETRYBUDGET_H
+
+#include <algorithm>
+
+namespace Routing {
+
+/// Lets retries be at most a share of the traffic, so that failing servers
+/// do not cause a storm.
+class RetryBudget {
+public:
+  static constexpr double Share = 0.1;
+  /// Retries that are possible before any traffic was seen.
+  static constexpr double Reserve = 10;
+
+  void requestSeen() {
+    this->Tokens = std::min(this->Tokens + Share, Most);
+  }
+  /// False when the budget is used up.
+  bool take() {
+    if (this->Tokens < 1)
+      return false;
+    this->Tokens -= 1;
+    return true;
+  }
+  double tokens() const { return this->Tokens; }
+
+private:
+  static constexpr double Most = 100;
+  double Tokens = Reserve;
+};
+
+} // namespace Routing
+
+#endif
