--- /dev/null
+++ b/Scripts/setup.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Installs what sycamorereach is built with. Does nothing on a machine that
+# has it already.
+set -euo pipefail
+Packages=(g++ cmake ninja-build pkg-config ccache curl clang-format clang-tidy
+  libevent-dev libcereal-dev libboost-dev libboost-log-dev libboost-test-dev
+  libdocopt-dev libabsl-dev nlohmann-json3-dev libxxhash-dev libssl-dev)
+Missing=()
+for Package in "${Packages[@]}"; do
+  dpkg-query -W -f='${Status}' "$Package" 2>/dev/null |
+    grep -q 'ok installed' || Missing+=("$Package")
+done
+[ ${#Missing[@]} -eq 0 ] && exit 0
+apt-get update -qq
+DEBIAN_FRONTEND=noninteractive apt-get install -y -qq "${Missing[@]}" >/dev/null
--- a/Source/Core/Admission/FairQueue.cpp
+++ b/Source/Core/Admission/FairQueue.cpp
@@ -76,8 +76,7 @@
       Queue.CreditAt = Now;
       if (Queue.Credit > 0)
         return &Queue.Waiting.front();
-      this->Round.splice(this->Round.end(), this->Round,
-                         this->Round.begin());
+      this->Round.splice(this->Round.end(), this->Round, this->Round.begin());
     }
     this->giveCredit();
   }
@@ -108,9 +107,9 @@
 
 bool FairQueue::remove(Common::RequestId Id) {
   for (auto &[Caller, Queue] : this->Callers) {
-    const auto Found = std::find_if(
-        Queue.Waiting.begin(), Queue.Waiting.end(),
-        [&](const WaitingRequest &Each) { return Each.Id == Id; });
+    const auto Found =
+        std::find_if(Queue.Waiting.begin(), Queue.Waiting.end(),
+                     [&](const WaitingRequest &Each) { return Each.Id == Id; });
     if (Found == Queue.Waiting.end())
       continue;
     Queue.Queued.Value -= Found->Cost.Value;
--- a/Source/Core/Admission/FairQueue.h
+++ b/Source/Core/Admission/FairQueue.h
@@ -49,8 +49,7 @@
   /// Takes out what can no longer begin in time.
   std::vector<WaitingRequest> takeExpired(Common::TimePoint Now);
   /// Counts use of other daemons against a caller.
-  void charge(const Common::CallerId &Caller, Cost Used,
-              Common::TimePoint Now);
+  void charge(const Common::CallerId &Caller, Cost Used, Common::TimePoint Now);
 
   /// Work that is served before a new request of Caller with this cost, when
   /// each caller gets its fair turn.
--- a/Source/Core/Admission/PriorityScheduler.cpp
+++ b/Source/Core/Admission/PriorityScheduler.cpp
@@ -28,9 +28,8 @@
 void PriorityScheduler::decay(Common::TimePoint Now) {
   if (Now <= this->DecayedAt)
     return;
-  const double Factor =
-      std::exp2(-Common::toSeconds(Now - this->DecayedAt) /
-                Common::toSeconds(ServiceHalfLife));
+  const double Factor = std::exp2(-Common::toSeconds(Now - this->DecayedAt) /
+                                  Common::toSeconds(ServiceHalfLife));
   for (auto &Each : this->Priorities)
     Each.second.Served *= Factor;
   this->DecayedAt = Now;
@@ -43,8 +42,9 @@
   return Sum;
 }
 
-std::optional<Common::PriorityName> PriorityScheduler::choose(
-    const std::vector<Common::PriorityName> &Waiting, Common::TimePoint Now) {
+std::optional<Common::PriorityName>
+PriorityScheduler::choose(const std::vector<Common::PriorityName> &Waiting,
+                          Common::TimePoint Now) {
   this->decay(Now);
   const double Sum = std::max(this->total(), 1.0);
   const Common::PriorityName *Urgent = nullptr;
@@ -71,8 +71,8 @@
   return Urgent ? std::optional(*Urgent) : std::nullopt;
 }
 
-void PriorityScheduler::served(const Common::PriorityName &Priority,
-                               Cost Work, Common::TimePoint Now) {
+void PriorityScheduler::served(const Common::PriorityName &Priority, Cost Work,
+                               Common::TimePoint Now) {
   this->decay(Now);
   const auto Found = this->Priorities.find(Priority);
   if (Found != this->Priorities.end())
@@ -88,9 +88,10 @@
   return Found->second.Served / std::max(this->total(), 1.0);
 }
 
-double PriorityScheduler::available(
-    const Common::PriorityName &Priority,
-    const std::vector<Common::PriorityName> &Waiting, Common::TimePoint Now) {
+double
+PriorityScheduler::available(const Common::PriorityName &Priority,
+                             const std::vector<Common::PriorityName> &Waiting,
+                             Common::TimePoint Now) {
   this->decay(Now);
   const auto Found = this->Priorities.find(Priority);
   if (Found == this->Priorities.end())
@@ -104,8 +105,8 @@
         std::find(Waiting.begin(), Waiting.end(), Name) != Waiting.end();
     // More urgent work goes on as lately; less urgent work has its floor.
     if (Each.Rule.Rank < Own.Rank)
-      Share -= std::max(this->recentShare(Name, Now),
-                        Waits ? Each.Rule.Floor : 0.0);
+      Share -=
+          std::max(this->recentShare(Name, Now), Waits ? Each.Rule.Floor : 0.0);
     else if (Waits)
       Share -= Each.Rule.Floor;
   }
--- a/Source/Core/Admission/PriorityScheduler.h
+++ b/Source/Core/Admission/PriorityScheduler.h
@@ -24,8 +24,7 @@
 class PriorityScheduler {
 public:
   /// Time in which past service counts half.
-  static constexpr Common::Duration ServiceHalfLife =
-      std::chrono::seconds(2);
+  static constexpr Common::Duration ServiceHalfLife = std::chrono::seconds(2);
 
   /// Keeps what was measured of priorities that stay.
   void configure(const std::map<Common::PriorityName, PriorityRule> &Rules);
--- a/Source/Core/Admission/RateEstimator.cpp
+++ b/Source/Core/Admission/RateEstimator.cpp
@@ -9,9 +9,7 @@
 /// Weight of a new sample in the running means.
 constexpr double Gain = 0.05;
 
-double mix(double Mean, double Sample) {
-  return Mean + Gain * (Sample - Mean);
-}
+double mix(double Mean, double Sample) { return Mean + Gain * (Sample - Mean); }
 
 } // namespace
 
@@ -19,9 +17,8 @@
   if (!this->FirstTokenKnown)
     this->FirstToken = AfterDispatch;
   this->FirstTokenKnown = true;
-  this->FirstToken = Common::fromSeconds(
-      mix(Common::toSeconds(this->FirstToken),
-          Common::toSeconds(AfterDispatch)));
+  this->FirstToken = Common::fromSeconds(mix(
+      Common::toSeconds(this->FirstToken), Common::toSeconds(AfterDispatch)));
 }
 
 void RateEstimator::finished(Cost Work, Common::Duration AfterDispatch) {
--- a/Source/Core/Common/Refusal.h
+++ b/Source/Core/Common/Refusal.h
@@ -17,6 +17,7 @@
   MissingCallerKey,
   UnknownCallerKey,
   WrongOperatorToken,
+  WrongBackendToken,
   BodyTooLarge,
   BadJson,
   BadField,
--- a/Source/Core/Journal/JournalCommand.h
+++ b/Source/Core/Journal/JournalCommand.h
@@ -76,14 +76,16 @@
   RequestState State = RequestState::Accepted;
   Journal::Owner Owner;
   Journal::Attempt Attempt;
+  /// Which call of the owner made the claim.
+  Common::RequestId Runner;
   Common::BackendServerId BackendServer;
   std::string Fingerprint;
   /// Present while a completed answer is kept.
   std::optional<Network::HttpAnswer> Answer;
 
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(this->State, this->Owner, this->Attempt, this->BackendServer,
-       this->Fingerprint, this->Answer);
+    Ar(this->State, this->Owner, this->Attempt, this->Runner,
+       this->BackendServer, this->Fingerprint, this->Answer);
   }
 };
 
@@ -107,10 +109,13 @@
   Journal::Owner Owner;
   /// The attempt that this claim starts.
   Journal::Attempt Attempt;
+  /// Tells two calls of one owner apart, of which only one may send.
+  Common::RequestId Runner;
   Common::BackendServerId BackendServer;
 
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(this->Key, this->Owner, this->Attempt, this->BackendServer);
+    Ar(this->Key, this->Owner, this->Attempt, this->Runner,
+       this->BackendServer);
   }
 };
 
--- a/Source/Core/Journal/RequestJournal.cpp
+++ b/Source/Core/Journal/RequestJournal.cpp
@@ -112,6 +112,7 @@
   const bool SameOwner = View.Owner == Command.Owner;
   const bool Repeat = View.State == RequestState::Claimed && SameOwner &&
                       View.Attempt == Command.Attempt &&
+                      View.Runner == Command.Runner &&
                       View.BackendServer == Command.BackendServer;
   if (Repeat)
     return this->done(*Found);
@@ -120,6 +121,7 @@
     return this->conflict(*Found);
   View.State = RequestState::Claimed;
   View.Attempt = Command.Attempt;
+  View.Runner = Command.Runner;
   View.BackendServer = Command.BackendServer;
   return this->done(*Found);
 }
--- a/Source/Core/Membership/Announcement.cpp
+++ b/Source/Core/Membership/Announcement.cpp
@@ -36,8 +36,9 @@
     if (!Value)
       return 0;
     if (!Value->is_number_unsigned()) {
-      this->fail(absl::StrCat("'", Field, "' must be a whole number of at "
-                                          "least 0"));
+      this->fail(absl::StrCat("'", Field,
+                              "' must be a whole number of at "
+                              "least 0"));
       return 0;
     }
     return Value->get<std::uint64_t>();
@@ -126,8 +127,7 @@
     return absl::InvalidArgumentError("the body must be one JSON object");
   FieldReader Fields(Object);
   Announcement Result;
-  Result.BackendServer =
-      Common::BackendServerId(Fields.text("backend_server"));
+  Result.BackendServer = Common::BackendServerId(Fields.text("backend_server"));
   Result.Service = Common::ServiceName(Fields.text("service"));
   Result.Model = Common::ModelName(Fields.text("model", false));
   Result.ModelVersion = Fields.text("version", false);
@@ -170,8 +170,7 @@
   Object["datacentre"] = From.DataCentre.str();
   Object["incarnation"] = From.Life.Value;
   Object["sequence"] = From.Sequence;
-  Object["state"] =
-      From.State == ServerState::Serving ? "serving" : "leaving";
+  Object["state"] = From.State == ServerState::Serving ? "serving" : "leaving";
   Object["slots"] = From.Capacity.Slots;
   Object["cache_blocks"] = From.Capacity.CacheBlocks;
   Object["running"] = From.Load.Running;
--- a/Source/Core/Membership/Announcement.h
+++ b/Source/Core/Membership/Announcement.h
@@ -76,9 +76,9 @@
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(this->BackendServer, this->Service, this->Model, this->ModelVersion,
-       this->Address, this->Host, this->DataCentre, this->Life,
-       this->Sequence, this->State, this->Capacity, this->Load,
-       this->ChecksFencing, this->PricePerHour);
+       this->Address, this->Host, this->DataCentre, this->Life, this->Sequence,
+       this->State, this->Capacity, this->Load, this->ChecksFencing,
+       this->PricePerHour);
   }
 };
 
--- a/Source/Core/Membership/BackendRegistry.cpp
+++ b/Source/Core/Membership/BackendRegistry.cpp
@@ -82,8 +82,7 @@
 
 void BackendRegistry::expireAll(Common::TimePoint Now) {
   for (auto &Each : this->Entries)
-    Each.second.HeardAt =
-        std::min(Each.second.HeardAt, Now - LeaseLength);
+    Each.second.HeardAt = std::min(Each.second.HeardAt, Now - LeaseLength);
 }
 
 } // namespace Membership
--- a/Source/Core/Membership/BackendRegistry.h
+++ b/Source/Core/Membership/BackendRegistry.h
@@ -45,8 +45,8 @@
   /// Takes the server out until a later life announces itself.
   Change markLeaving(const Common::BackendServerId &Id);
   /// Takes out all servers of a host.
-  std::vector<Common::BackendServerId> markHostLeaving(
-      const Common::HostId &Host);
+  std::vector<Common::BackendServerId>
+  markHostLeaving(const Common::HostId &Host);
 
   /// Whether it may get new work now.
   bool usable(const Entry &Each, Common::TimePoint Now) const;
--- a/Source/Core/Membership/PeerTable.cpp
+++ b/Source/Core/Membership/PeerTable.cpp
@@ -59,8 +59,7 @@
   }
 }
 
-std::vector<LivingDaemon>
-PeerTable::livingLocal(Common::TimePoint Now) const {
+std::vector<LivingDaemon> PeerTable::livingLocal(Common::TimePoint Now) const {
   std::vector<LivingDaemon> Result;
   for (const Peer &Each : this->Local)
     if (this->living(Each.Daemon, Now))
@@ -71,8 +70,7 @@
 bool PeerTable::living(const Common::DaemonId &Daemon,
                        Common::TimePoint Now) const {
   const auto Found = this->Heard.find(Daemon);
-  return Found != this->Heard.end() &&
-         Now - Found->second.HeardAt < DeadAfter;
+  return Found != this->Heard.end() && Now - Found->second.HeardAt < DeadAfter;
 }
 
 std::size_t PeerTable::livingCount(Common::TimePoint Now) const {
@@ -82,11 +80,10 @@
 }
 
 bool PeerTable::isRelay(Common::TimePoint Now) const {
-  return std::none_of(this->Local.begin(), this->Local.end(),
-                      [&](const Peer &Each) {
-                        return Each.Daemon < this->Self &&
-                               this->living(Each.Daemon, Now);
-                      });
+  return std::none_of(
+      this->Local.begin(), this->Local.end(), [&](const Peer &Each) {
+        return Each.Daemon < this->Self && this->living(Each.Daemon, Now);
+      });
 }
 
 std::vector<LivingDaemon> PeerTable::newlyDead(Common::TimePoint Now) {
@@ -101,8 +98,7 @@
 }
 
 double PeerTable::share(const Common::ServiceName &Service,
-                        std::uint64_t OwnDemand,
-                        Common::TimePoint Now) const {
+                        std::uint64_t OwnDemand, Common::TimePoint Now) const {
   std::uint64_t Total = std::max<std::uint64_t>(OwnDemand, 1);
   const std::uint64_t Own = Total;
   bool Fresh = true;
--- a/Source/Core/Network/HttpClient.cpp
+++ b/Source/Core/Network/HttpClient.cpp
@@ -78,6 +78,8 @@
   HttpAnswer Answer;
 };
 
+HttpClient::HttpClient(EventLoop &Loop) : Loop(Loop) {}
+
 HttpClient::~HttpClient() {
   // Freeing a connection ends its requests; their callbacks must not run.
   for (auto &Each : this->Active)
--- a/Source/Core/Network/HttpClient.h
+++ b/Source/Core/Network/HttpClient.h
@@ -63,7 +63,7 @@
 /// Calls other servers through evhttp; it never sends a request again.
 class HttpClient {
 public:
-  explicit HttpClient(EventLoop &Loop) : Loop(Loop) {}
+  explicit HttpClient(EventLoop &Loop);
   ~HttpClient();
   HttpClient(const HttpClient &) = delete;
   HttpClient &operator=(const HttpClient &) = delete;
--- a/Source/Core/Routing/DispatchWindow.cpp
+++ b/Source/Core/Routing/DispatchWindow.cpp
@@ -32,8 +32,7 @@
       PerToken < this->BaseSeconds
           ? PerToken
           : this->BaseSeconds + Rise * (PerToken - this->BaseSeconds);
-  const double Next =
-      Late ? this->Size * Decrease : this->Size + Increase;
+  const double Next = Late ? this->Size * Decrease : this->Size + Increase;
   this->Size = std::clamp(Next, LeastSize, this->Slots);
 }
 
--- a/Source/Core/Routing/Dispatcher.cpp
+++ b/Source/Core/Routing/Dispatcher.cpp
@@ -46,14 +46,22 @@
   return Each;
 }
 
-std::optional<RefusalReason> Dispatcher::arrive(WorkRequest Request,
-                                                Common::TimePoint Now) {
+std::optional<RefusalReason> Dispatcher::refusalOf(const WorkRequest &Request,
+                                                   Common::TimePoint Now) {
   if (this->Suspects.refused(Request.Fingerprint, Now))
     return RefusalReason::Quarantined;
   if (this->waiting() >= this->Rules.MaxWaiting)
     return RefusalReason::QueueFull;
   if (this->Rules.RefuseEarly && !this->canMeetTarget(Request, Now))
     return RefusalReason::TargetUnreachable;
+  return std::nullopt;
+}
+
+std::optional<RefusalReason> Dispatcher::arrive(WorkRequest Request,
+                                                Common::TimePoint Now) {
+  const auto Reason = this->refusalOf(Request, Now);
+  if (Reason)
+    return Reason;
   this->Budgets[Request.Priority].requestSeen();
   this->enqueue(this->track(std::move(Request), Now), false);
   return std::nullopt;
@@ -73,8 +81,7 @@
       this->Scheduler.available(Request.Priority, Waiting, Now);
   Admission::Cost Before =
       this->Queues[Request.Priority].workBefore(Request.Caller, Own);
-  const Admission::PriorityRule *Rule =
-      this->Scheduler.find(Request.Priority);
+  const Admission::PriorityRule *Rule = this->Scheduler.find(Request.Priority);
   for (const Common::PriorityName &Other : Waiting) {
     const Admission::PriorityRule *Ahead = this->Scheduler.find(Other);
     if (Rule && Ahead && Ahead->Rank < Rule->Rank)
@@ -139,9 +146,9 @@
   const bool NoServers = !this->Servers.anyUsable();
   for (auto &Each : this->Queues)
     for (const auto &Late : Each.second.takeExpired(Now)) {
-      Orders.push_back(RefuseOrder{Late.Id,
-                                   NoServers ? RefusalReason::NoBackendServer
-                                             : RefusalReason::WaitedTooLong});
+      Orders.push_back(
+          RefuseOrder{Late.Id, NoServers ? RefusalReason::NoBackendServer
+                                         : RefusalReason::WaitedTooLong});
       this->Requests.erase(Late.Id);
     }
 }
@@ -150,8 +157,7 @@
 Dispatcher::serversWithSuspects(Common::TimePoint Now) const {
   std::set<Common::BackendServerId> Result;
   for (const auto &[Id, Each] : this->Requests)
-    if (Each.running() &&
-        this->Suspects.suspect(Each.Work.Fingerprint, Now))
+    if (Each.running() && this->Suspects.suspect(Each.Work.Fingerprint, Now))
       Result.insert(Each.Server);
   return Result;
 }
@@ -165,8 +171,7 @@
   Query.Suspect = this->Suspects.suspect(Each.Work.Fingerprint, Now);
   if (Query.Suspect)
     Query.RunsSuspects = this->serversWithSuspects(Now);
-  const auto Chosen =
-      chooseServer(this->Servers, Query, this->Rules.Choice);
+  const auto Chosen = chooseServer(this->Servers, Query, this->Rules.Choice);
   if (!Chosen)
     return false;
   PooledServer &Server = *this->Servers.find(Chosen->Server);
@@ -177,8 +182,8 @@
   Each.Server = Chosen->Server;
   Each.StartedAt = Now;
   Each.Uncached = Each.Work.PromptTokens - Cached;
-  Each.Cost = Admission::Cost{std::max<std::uint64_t>(
-      Each.Uncached + Each.Work.ExpectedTokens, 1)};
+  Each.Cost = Admission::Cost{
+      std::max<std::uint64_t>(Each.Uncached + Each.Work.ExpectedTokens, 1)};
   ++Each.Attempts;
   this->Scheduler.served(Each.Work.Priority, Each.Cost, Now);
   this->Use[Each.Work.Caller].Value += Each.Cost.Value;
@@ -206,10 +211,8 @@
   this->SetAside = std::move(Still);
 }
 
-bool Dispatcher::startNext(std::vector<Order> &Orders,
-                           Common::TimePoint Now) {
-  const auto Chosen =
-      this->Scheduler.choose(this->waitingPriorities(), Now);
+bool Dispatcher::startNext(std::vector<Order> &Orders, Common::TimePoint Now) {
+  const auto Chosen = this->Scheduler.choose(this->waitingPriorities(), Now);
   if (!Chosen)
     return false;
   Admission::FairQueue &Queue = this->Queues[*Chosen];
@@ -239,9 +242,8 @@
   return true;
 }
 
-Dispatcher::Tracked *
-Dispatcher::preemptionVictim(std::uint64_t UrgentRank,
-                             Common::TimePoint Now) {
+Dispatcher::Tracked *Dispatcher::preemptionVictim(std::uint64_t UrgentRank,
+                                                  Common::TimePoint Now) {
   Tracked *Victim = nullptr;
   std::uint64_t VictimRank = 0;
   for (auto &[Id, Each] : this->Requests) {
@@ -249,9 +251,8 @@
       continue;
     const Admission::PriorityRule *Rule =
         this->Scheduler.find(Each.Work.Priority);
-    const bool KeepsFloor =
-        Rule && this->Scheduler.recentShare(Each.Work.Priority, Now) >
-                    Rule->Floor;
+    const bool KeepsFloor = Rule && this->Scheduler.recentShare(
+                                        Each.Work.Priority, Now) > Rule->Floor;
     const PooledServer *Server = this->Servers.find(Each.Server);
     if (!Rule || Rule->Rank <= UrgentRank || !KeepsFloor || !Server ||
         !Server->Facts.Usable)
@@ -284,9 +285,8 @@
       return;
     Admission::FairQueue &Queue = this->Queues.at(*Urgent);
     Tracked &First = this->Requests.at(Queue.front(Now)->Id);
-    const auto Patience =
-        Common::fromSeconds(Common::toSeconds(First.Work.Target) *
-                            this->Rules.PreemptAfter);
+    const auto Patience = Common::fromSeconds(
+        Common::toSeconds(First.Work.Target) * this->Rules.PreemptAfter);
     if (Now - First.ArrivedAt < Patience)
       return;
     Tracked *Victim = this->preemptionVictim(UrgentRank, Now);
@@ -367,6 +367,14 @@
   this->enqueue(Each, true);
 }
 
+void Dispatcher::returned(Common::RequestId Id) {
+  const auto Found = this->Requests.find(Id);
+  if (Found == this->Requests.end() || !Found->second.running())
+    return;
+  this->leaveServer(Found->second);
+  this->enqueue(Found->second, true);
+}
+
 void Dispatcher::forget(Common::RequestId Id) {
   const auto Found = this->Requests.find(Id);
   if (Found == this->Requests.end())
@@ -388,8 +396,8 @@
     this->Servers.failed(Server.BackendServer);
   if (!Ran.empty())
     this->Retries.push_back(RetryReason::SuspectIsolated);
-  return this->Suspects.serverFailed(Server, Ran,
-                                     this->Rules.QuarantineLength, Now);
+  return this->Suspects.serverFailed(Server, Ran, this->Rules.QuarantineLength,
+                                     Now);
 }
 
 std::vector<Fingerprint>
@@ -402,8 +410,7 @@
 }
 
 void Dispatcher::chargeElsewhere(const Common::CallerId &Caller,
-                                 Admission::Cost Used,
-                                 Common::TimePoint Now) {
+                                 Admission::Cost Used, Common::TimePoint Now) {
   for (auto &Each : this->Queues)
     Each.second.charge(Caller, Used, Now);
 }
--- a/Source/Core/Routing/Dispatcher.h
+++ b/Source/Core/Routing/Dispatcher.h
@@ -92,6 +92,9 @@
   ServerPool &pool() { return this->Servers; }
   const ServerPool &pool() const { return this->Servers; }
 
+  /// Why the request would not be taken in now.
+  std::optional<Common::RefusalReason> refusalOf(const WorkRequest &Request,
+                                                 Common::TimePoint Now);
   /// Takes a request in, or says why not. Nothing was run in that case.
   std::optional<Common::RefusalReason> arrive(WorkRequest Request,
                                               Common::TimePoint Now);
@@ -107,6 +110,9 @@
   void finished(Common::RequestId Id, Common::TimePoint Now);
   /// The request waits for another server, or a RefuseOrder follows.
   void failed(Common::RequestId Id, Failure What, Common::TimePoint Now);
+  /// Nothing was sent for a reason that says nothing of the server; the
+  /// request waits again.
+  void returned(Common::RequestId Id);
   /// The caller went away, or the request ended otherwise.
   void forget(Common::RequestId Id);
   /// A server failed while it ran these for some daemon.
@@ -153,8 +159,7 @@
   bool canMeetTarget(const WorkRequest &Request, Common::TimePoint Now);
   void expire(std::vector<Order> &Orders, Common::TimePoint Now);
   bool startNext(std::vector<Order> &Orders, Common::TimePoint Now);
-  bool start(Tracked &Each, std::vector<Order> &Orders,
-             Common::TimePoint Now);
+  bool start(Tracked &Each, std::vector<Order> &Orders, Common::TimePoint Now);
   std::set<Common::BackendServerId>
   serversWithSuspects(Common::TimePoint Now) const;
   void startSetAside(std::vector<Order> &Orders, Common::TimePoint Now);
--- a/Source/Core/Routing/PrefixBlocks.cpp
+++ b/Source/Core/Routing/PrefixBlocks.cpp
@@ -7,8 +7,7 @@
 std::vector<BlockHash> prefixBlocks(std::string_view Prompt) {
   std::vector<BlockHash> Blocks;
   BlockHash Previous = 0;
-  for (std::size_t At = 0; At + BlockBytes <= Prompt.size();
-       At += BlockBytes) {
+  for (std::size_t At = 0; At + BlockBytes <= Prompt.size(); At += BlockBytes) {
     Previous = Common::hashBytes(Prompt.substr(At, BlockBytes), Previous);
     Blocks.push_back(Previous);
   }
--- a/Source/Core/Routing/PrefixIndex.cpp
+++ b/Source/Core/Routing/PrefixIndex.cpp
@@ -51,8 +51,7 @@
   this->DoubtfulEvents = 0;
 }
 
-std::size_t
-PrefixIndex::matched(const std::vector<BlockHash> &Blocks) const {
+std::size_t PrefixIndex::matched(const std::vector<BlockHash> &Blocks) const {
   if (this->doubtful())
     return 0;
   std::size_t Count = 0;
--- a/Source/Core/Routing/PrefixIndex.h
+++ b/Source/Core/Routing/PrefixIndex.h
@@ -16,8 +16,7 @@
 /// dropped as the server itself would.
 class PrefixIndex {
 public:
-  explicit PrefixIndex(std::size_t CapacityBlocks)
-      : Capacity(CapacityBlocks) {}
+  explicit PrefixIndex(std::size_t CapacityBlocks) : Capacity(CapacityBlocks) {}
 
   /// A prompt with these blocks was sent to the server.
   void sent(const std::vector<BlockHash> &Blocks);
--- a/Source/Core/Routing/Quarantine.h
+++ b/Source/Core/Routing/Quarantine.h
@@ -28,8 +28,7 @@
 public:
   static constexpr std::size_t FailuresToRefuse = 2;
   /// A suspicion without further failures ends after this time.
-  static constexpr Common::Duration SuspicionLength =
-      std::chrono::minutes(10);
+  static constexpr Common::Duration SuspicionLength = std::chrono::minutes(10);
   static constexpr std::size_t MaxTracked = 100'000;
 
   /// Returns the fingerprints that are refused from now on.
--- a/Source/Core/Routing/RetryBudget.h
+++ b/Source/Core/Routing/RetryBudget.h
@@ -13,9 +13,7 @@
   /// Retries that are possible before any traffic was seen.
   static constexpr double Reserve = 10;
 
-  void requestSeen() {
-    this->Tokens = std::min(this->Tokens + Share, Most);
-  }
+  void requestSeen() { this->Tokens = std::min(this->Tokens + Share, Most); }
   /// False when the budget is used up.
   bool take() {
     if (this->Tokens < 1)
--- a/Source/Core/Routing/ServerPool.cpp
+++ b/Source/Core/Routing/ServerPool.cpp
@@ -42,9 +42,8 @@
   Known.Facts = Facts;
 }
 
-void ServerPool::learnCache(
-    const Common::BackendServerId &Id,
-    const std::vector<Membership::CacheEvent> &Events) {
+void ServerPool::learnCache(const Common::BackendServerId &Id,
+                            const std::vector<Membership::CacheEvent> &Events) {
   if (PooledServer *Found = this->find(Id))
     Found->Cache.learn(Events);
 }
@@ -104,8 +103,7 @@
   return Found == this->Servers.end() ? nullptr : &Found->second;
 }
 
-const PooledServer *
-ServerPool::find(const Common::BackendServerId &Id) const {
+const PooledServer *ServerPool::find(const Common::BackendServerId &Id) const {
   const auto Found = this->Servers.find(Id);
   return Found == this->Servers.end() ? nullptr : &Found->second;
 }
@@ -119,11 +117,10 @@
 }
 
 bool ServerPool::anyUsable() const {
-  return std::any_of(this->Servers.begin(), this->Servers.end(),
-                     [](const auto &Each) {
-                       return Each.second.Facts.Usable &&
-                              !Each.second.FailedAtSequence;
-                     });
+  return std::any_of(
+      this->Servers.begin(), this->Servers.end(), [](const auto &Each) {
+        return Each.second.Facts.Usable && !Each.second.FailedAtSequence;
+      });
 }
 
 } // namespace Routing
--- /dev/null
+++ b/Source/EntryDaemon/EntryDaemon.cpp
@@ -0,0 +1,466 @@
+#include "EntryDaemon/EntryDaemon.h"
+
+#include "Common/Hash.h"
+#include "EntryDaemon/ModelCall.h"
+#include "EntryDaemon/PlainCall.h"
+#include "Network/Problem.h"
+#include "Telemetry/Log.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <nlohmann/json.hpp>
+
+namespace EntryDaemon {
+
+namespace {
+
+using Common::RefusalReason;
+using Network::HttpMethod;
+using Telemetry::logField;
+using Telemetry::LogLevel;
+
+constexpr Common::Duration RefreshPeriod = std::chrono::milliseconds(100);
+constexpr Common::Duration TakeOverLimit = std::chrono::seconds(5);
+constexpr Common::Duration FindLimit = std::chrono::seconds(3);
+constexpr std::size_t MaxKeyBytes = 128;
+/// A journaled request travels through the log whole.
+constexpr std::size_t MaxJournaledBody = 64u << 10;
+constexpr int StatusOk = 200;
+constexpr std::string_view ServicesPrefix = "/services/";
+constexpr std::string_view RequestsPrefix = "/v1/requests/";
+
+bool startsWith(const std::string &Text, std::string_view Prefix) {
+  return Text.compare(0, Prefix.size(), Prefix) == 0;
+}
+
+Network::HttpAnswer textAnswer(int Status, const std::string &Body,
+                               const char *Type = "text/plain") {
+  return {Status, {{"Content-Type", Type}}, Body};
+}
+
+bool isVisibleAscii(const std::string &Text) {
+  return std::all_of(Text.begin(), Text.end(),
+                     [](char C) { return C > ' ' && C < '\x7f'; });
+}
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<EntryDaemon>>
+EntryDaemon::create(Network::EventLoop &Loop, EntrySettings Settings) {
+  std::unique_ptr<EntryDaemon> Daemon(
+      new EntryDaemon(Loop, std::move(Settings)));
+  if (absl::Status Listening = Daemon->listen(); !Listening.ok())
+    return Listening;
+  return Daemon;
+}
+
+EntryDaemon::EntryDaemon(Network::EventLoop &Loop, EntrySettings Settings)
+    : Loop(Loop), Settings(std::move(Settings)), HttpClient(Loop) {}
+
+absl::Status EntryDaemon::listen() {
+  State::StateClient::Options ClientOptions;
+  ClientOptions.Daemons = this->Settings.State;
+  ClientOptions.Key = this->Settings.Key;
+  const Common::Incarnation Life{this->Loop.wallNow().Milliseconds};
+  this->StateClient = std::make_unique<State::StateClient>(
+      this->Loop, ClientOptions, this->Metrics);
+  this->Context.reset(new EntryContext{this->Loop,
+                                       this->Settings,
+                                       {this->Settings.Name, Life},
+                                       this->Metrics,
+                                       *this->StateClient,
+                                       this->HttpClient,
+                                       {},
+                                       {},
+                                       0});
+  this->Peers = std::make_unique<Membership::PeerTable>(this->Settings.Name,
+                                                        this->Settings.Peers);
+  this->Services = std::make_unique<Lanes>(*this->Context, *this->Peers);
+  Gossip::Handlers Handle;
+  Handle.OnNewerConfiguration = [this](const Common::DaemonId &Peer) {
+    this->Feed->fetchFrom(Peer);
+  };
+  Handle.OnDeath = [this](const Membership::LivingDaemon &Dead) {
+    this->takeOver(Dead.Daemon, Dead.Life);
+  };
+  auto Gossiping = Gossip::create(*this->Context, *this->Peers, *this->Services,
+                                  std::move(Handle));
+  if (!Gossiping.ok())
+    return Gossiping.status();
+  this->Gossiping = std::move(*Gossiping);
+  this->Services->onCrash([this](const Membership::CrashNotice &Notice) {
+    this->Gossiping->tellCrash(Notice);
+  });
+  auto Feed = ConfigurationFeed::create(
+      *this->Context, *this->Peers, [this] { this->configurationChanged(); });
+  if (!Feed.ok())
+    return Feed.status();
+  this->Feed = std::move(*Feed);
+  this->Endpoint = std::make_unique<Operator::OperatorEndpoint>(
+      this->Settings.OperatorToken, *this->StateClient, this->Context->Metrics,
+      [this](Operator::View Shown) {
+        return entryView(Shown, *this->Context, *this->Peers, *this->Services);
+      });
+  auto Server = Network::HttpServer::create(
+      this->Loop, this->Settings.Http, {},
+      [this](const ExchangePtr &Exchange) { this->handle(Exchange); });
+  if (!Server.ok())
+    return Server.status();
+  this->Server = std::move(*Server);
+  return absl::OkStatus();
+}
+
+int EntryDaemon::run() {
+  const auto Stop = [this] { this->shutDown(); };
+  this->Handles.push_back(this->Loop.onSignal(SIGTERM, Stop));
+  this->Handles.push_back(this->Loop.onSignal(SIGINT, Stop));
+  this->Handles.push_back(this->Loop.callEvery(
+      RefreshPeriod, [this] { this->Services->refresh(); }));
+  Telemetry::log(LogLevel::Info, "started",
+                 logField("http", this->Settings.Http.str()) +
+                     logField("peer", this->Settings.Peer.str()));
+  // What an earlier life of this daemon left behind.
+  const std::uint64_t Life = this->Context->Self.Life.Value;
+  this->takeOver(this->Settings.Name, Common::Incarnation{Life - 1});
+  this->Loop.run();
+  return 0;
+}
+
+void EntryDaemon::configurationChanged() {
+  this->Services->configure();
+  this->Gossiping->tellConfiguration();
+}
+
+void EntryDaemon::handle(const ExchangePtr &Exchange) {
+  struct FixedRoute {
+    const char *Path;
+    HttpMethod Method;
+    void (EntryDaemon::*Run)(const ExchangePtr &);
+  };
+  static constexpr std::array Routes = {
+      FixedRoute{"/healthz", HttpMethod::Get, &EntryDaemon::handleHealth},
+      FixedRoute{"/readyz", HttpMethod::Get, &EntryDaemon::handleReady},
+      FixedRoute{"/metrics", HttpMethod::Get, &EntryDaemon::handleMetrics},
+      FixedRoute{"/v1/operator", HttpMethod::Post,
+                 &EntryDaemon::handleOperator},
+      FixedRoute{"/v1/announce", HttpMethod::Post,
+                 &EntryDaemon::handleAnnounce},
+      FixedRoute{"/v1/reclaims", HttpMethod::Post, &EntryDaemon::handleReclaim},
+      FixedRoute{"/v1/backends", HttpMethod::Get, &EntryDaemon::handleBackends},
+      FixedRoute{"/v1/models", HttpMethod::Get, &EntryDaemon::handleModels},
+      FixedRoute{"/v1/chat/completions", HttpMethod::Post,
+                 &EntryDaemon::handleChat},
+      FixedRoute{"/v1/completions", HttpMethod::Post,
+                 &EntryDaemon::handleCompletions},
+  };
+  const std::string Path = Exchange->request().path();
+  for (const FixedRoute &Each : Routes) {
+    if (Path != Each.Path)
+      continue;
+    if (Exchange->request().Method != Each.Method)
+      this->refuse(
+          Exchange, RefusalReason::MethodNotAllowed,
+          absl::StrCat(Path, " takes ", Network::httpMethodName(Each.Method)));
+    else
+      (this->*Each.Run)(Exchange);
+    return;
+  }
+  if (startsWith(Path, ServicesPrefix))
+    this->handleService(Exchange);
+  else if (startsWith(Path, RequestsPrefix))
+    this->handleRequestState(Exchange);
+  else
+    this->refuse(Exchange, RefusalReason::UnknownRoute, "no route " + Path);
+}
+
+void EntryDaemon::refuse(const ExchangePtr &Exchange, RefusalReason Reason,
+                         const std::string &Particulars) {
+  this->refuse(Exchange, Common::Refusal{Reason, Particulars});
+}
+
+void EntryDaemon::refuse(const ExchangePtr &Exchange,
+                         const Common::Refusal &Refusal) {
+  this->Context->Metrics.refused(Refusal.Reason);
+  Exchange->reply(Network::problemAnswer(Refusal));
+}
+
+void EntryDaemon::handleHealth(const ExchangePtr &Exchange) {
+  Exchange->reply(textAnswer(StatusOk, "ok\n"));
+}
+
+void EntryDaemon::handleReady(const ExchangePtr &Exchange) {
+  constexpr int NotReady = 503;
+  if (this->ShuttingDown)
+    Exchange->reply(textAnswer(NotReady, "shutting down\n"));
+  else if (!this->Context->hasConfiguration())
+    Exchange->reply(textAnswer(NotReady, "no configuration yet\n"));
+  else
+    Exchange->reply(textAnswer(StatusOk, "ready\n"));
+}
+
+void EntryDaemon::handleMetrics(const ExchangePtr &Exchange) {
+  auto &Metrics = this->Context->Metrics;
+  Metrics.gauge("configuration_version",
+                double(this->Context->Declared.version().Value));
+  Metrics.gauge("journaled_calls_open", double(this->JournaledCalls));
+  Metrics.gauge("backends_known",
+                double(this->Context->Registry.entries().size()));
+  Exchange->reply(textAnswer(StatusOk, Metrics.render()));
+}
+
+void EntryDaemon::handleOperator(const ExchangePtr &Exchange) {
+  this->Endpoint->handle(Exchange);
+}
+
+void EntryDaemon::handleAnnounce(const ExchangePtr &Exchange) {
+  const auto Token = Network::bearerToken(Exchange->request().Headers);
+  if (!Token ||
+      !Common::equalInConstantTime(*Token, this->Settings.BackendToken)) {
+    this->refuse(Exchange, RefusalReason::WrongBackendToken);
+    return;
+  }
+  const auto Said = Membership::parseAnnouncement(Exchange->request().Body);
+  if (!Said.ok()) {
+    this->refuse(Exchange, RefusalReason::BadAnnouncement,
+                 std::string(Said.status().message()));
+    return;
+  }
+  using Change = Membership::BackendRegistry::Change;
+  const Change Result =
+      this->Context->Registry.learn(*Said, this->Loop.now(), true);
+  if (Result == Change::Nothing) {
+    this->refuse(Exchange, RefusalReason::StaleAnnouncement,
+                 "a later announcement of " + Said->BackendServer.str() +
+                     " is known");
+    return;
+  }
+  this->Gossiping->announced(*Said);
+  this->Services->learnCache(*Said);
+  if (Result == Change::BecameLeaving)
+    this->Gossiping->tellLeaving({Said->BackendServer});
+  if (Result != Change::Refreshed)
+    this->Services->refresh();
+  Exchange->reply(textAnswer(StatusOk, "{}", "application/json"));
+}
+
+void EntryDaemon::handleReclaim(const ExchangePtr &Exchange) {
+  if (!this->Endpoint->authorized(Exchange->request())) {
+    this->refuse(Exchange, RefusalReason::WrongOperatorToken);
+    return;
+  }
+  const auto Object =
+      nlohmann::json::parse(Exchange->request().Body, nullptr, false);
+  if (!Object.is_object() || !Object.contains("host") ||
+      !Object["host"].is_string()) {
+    this->refuse(Exchange, RefusalReason::BadField, "'host' must be a string");
+    return;
+  }
+  const Common::HostId Host(Object["host"].get<std::string>());
+  const auto Marked = this->Context->Registry.markHostLeaving(Host);
+  this->Gossiping->tellLeaving(Marked);
+  this->Services->refresh();
+  this->Context->Metrics.count("reclaim_notices_total");
+  Telemetry::log(LogLevel::Info, "reclaim_notice",
+                 logField("reclaimed_host", Host.str()) +
+                     logField("servers", absl::StrCat(Marked.size())));
+  Exchange->reply(textAnswer(StatusOk,
+                             nlohmann::json{{"servers", Marked.size()}}.dump(),
+                             "application/json"));
+}
+
+void EntryDaemon::handleBackends(const ExchangePtr &Exchange) {
+  if (!this->Endpoint->authorized(Exchange->request()))
+    this->refuse(Exchange, RefusalReason::WrongOperatorToken);
+  else
+    Exchange->reply(
+        textAnswer(StatusOk, backendsJson(*this->Context), "application/json"));
+}
+
+void EntryDaemon::handleModels(const ExchangePtr &Exchange) {
+  const auto Caller =
+      identifyCaller(Exchange->request(), this->Context->Declared);
+  if (const auto *Fault = std::get_if<Common::Refusal>(&Caller)) {
+    this->refuse(Exchange, *Fault);
+    return;
+  }
+  nlohmann::json Models = nlohmann::json::array();
+  for (const auto &[Name, Each] : this->Context->Declared.services())
+    if (Each.Kind == Configuration::ServiceKind::Model)
+      Models.push_back({{"id", Each.Model.str()},
+                        {"object", "model"},
+                        {"owned_by", Name.str()}});
+  const nlohmann::json Answer = {{"object", "list"}, {"data", Models}};
+  Exchange->reply(textAnswer(StatusOk, Answer.dump(), "application/json"));
+}
+
+void EntryDaemon::handleChat(const ExchangePtr &Exchange) {
+  this->handleModel(Exchange, ModelApi::ChatCompletions);
+}
+
+void EntryDaemon::handleCompletions(const ExchangePtr &Exchange) {
+  this->handleModel(Exchange, ModelApi::Completions);
+}
+
+void EntryDaemon::handleModel(const ExchangePtr &Exchange, ModelApi Api) {
+  const auto Caller =
+      identifyCaller(Exchange->request(), this->Context->Declared);
+  if (const auto *Fault = std::get_if<Common::Refusal>(&Caller)) {
+    this->refuse(Exchange, *Fault);
+    return;
+  }
+  auto Parsed = parseModelRequest(Api, Exchange->request().Body,
+                                  std::get<CallerContext>(Caller),
+                                  this->Context->Declared);
+  if (const auto *Fault = std::get_if<Common::Refusal>(&Parsed)) {
+    this->refuse(Exchange, *Fault);
+    return;
+  }
+  ModelCall::start(*this->Context, *this->Services, Exchange,
+                   std::move(std::get<ModelRequest>(Parsed)));
+}
+
+void EntryDaemon::handleService(const ExchangePtr &Exchange) {
+  const auto &Request = Exchange->request();
+  const auto Caller = identifyCaller(Request, this->Context->Declared);
+  if (const auto *Fault = std::get_if<Common::Refusal>(&Caller)) {
+    this->refuse(Exchange, *Fault);
+    return;
+  }
+  auto Parsed = parsePlainRequest(Request, std::get<CallerContext>(Caller),
+                                  this->Context->Declared);
+  if (const auto *Fault = std::get_if<Common::Refusal>(&Parsed)) {
+    this->refuse(Exchange, *Fault);
+    return;
+  }
+  PlainRequest Plain = std::move(std::get<PlainRequest>(Parsed));
+  const auto &Declared = this->Context->Declared.services().at(Plain.Service);
+  const bool Idempotent = Declared.IdempotentMethods.count(
+                              Network::httpMethodName(Request.Method)) != 0;
+  if (Idempotent)
+    PlainCall::start(*this->Context, *this->Services, Exchange,
+                     std::move(Plain));
+  else
+    this->startJournaled(Exchange, std::move(Plain));
+}
+
+void EntryDaemon::startJournaled(const ExchangePtr &Exchange,
+                                 PlainRequest Request) {
+  const auto Key =
+      Network::findHeader(Exchange->request().Headers, "Idempotency-Key");
+  if (!Key) {
+    this->refuse(Exchange, RefusalReason::MissingIdempotencyKey);
+    return;
+  }
+  if (Key->empty() || Key->size() > MaxKeyBytes || !isVisibleAscii(*Key)) {
+    this->refuse(Exchange, RefusalReason::BadIdempotencyKey);
+    return;
+  }
+  if (Request.Content.Body.size() > MaxJournaledBody) {
+    this->refuse(Exchange, RefusalReason::BodyTooLarge,
+                 absl::StrCat("calls with a key carry at most ",
+                              MaxJournaledBody, " bytes"));
+    return;
+  }
+  ++this->JournaledCalls;
+  JournaledCall::start(
+      *this->Context, *this->Services, Exchange, Common::IdempotencyKey(*Key),
+      std::move(Request),
+      [this](const Journal::RequestKey &) { --this->JournaledCalls; });
+}
+
+void EntryDaemon::handleRequestState(const ExchangePtr &Exchange) {
+  const auto Caller =
+      identifyCaller(Exchange->request(), this->Context->Declared);
+  if (const auto *Fault = std::get_if<Common::Refusal>(&Caller)) {
+    this->refuse(Exchange, *Fault);
+    return;
+  }
+  const std::string Key =
+      Exchange->request().path().substr(RequestsPrefix.size());
+  const Journal::RequestKey Wanted{std::get<CallerContext>(Caller).Caller,
+                                   Common::IdempotencyKey(Key)};
+  this->StateClient->ask(
+      State::FindRequest{Wanted}, FindLimit,
+      [this, Exchange](const State::AskResult &Result) {
+        const auto *Answer = std::get_if<State::AnswerBody>(&Result);
+        const auto *Reply =
+            Answer ? std::get_if<State::CommandResult>(Answer) : nullptr;
+        const auto *Found =
+            Reply ? std::get_if<Journal::JournalResult>(Reply) : nullptr;
+        if (!Found)
+          this->refuse(Exchange, RefusalReason::NoLeader);
+        else if (!Found->View)
+          this->refuse(Exchange, RefusalReason::RequestNotFound);
+        else
+          this->replyRequestState(Exchange, *Found->View);
+      });
+}
+
+void EntryDaemon::replyRequestState(const ExchangePtr &Exchange,
+                                    const Journal::RequestView &View) {
+  nlohmann::json Object;
+  Object["state"] = Journal::requestStateName(View.State);
+  if (View.Answer)
+    Object["answer"] = {{"status", View.Answer->Status},
+                        {"body", View.Answer->Body}};
+  const std::string Body =
+      Object.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  Exchange->reply(textAnswer(StatusOk, Body, "application/json"));
+}
+
+void EntryDaemon::takeOver(const Common::DaemonId &From,
+                           Common::Incarnation UpTo) {
+  const Journal::TakeOverCommand Command{From, UpTo, this->Context->Self};
+  this->StateClient->ask(
+      State::CommandBody(Command), TakeOverLimit,
+      [this, From, UpTo](const State::AskResult &Result) {
+        const auto *Answer = std::get_if<State::AnswerBody>(&Result);
+        const auto *Reply =
+            Answer ? std::get_if<State::CommandResult>(Answer) : nullptr;
+        const auto *Taken =
+            Reply ? std::get_if<Journal::TakeOverResult>(Reply) : nullptr;
+        if (!Taken) {
+          // Without a quorum nothing is lost by trying again.
+          this->takeOver(From, UpTo);
+          return;
+        }
+        for (const Journal::TakenRequest &Each : Taken->Taken)
+          this->resume(Each);
+        if (Taken->More)
+          this->takeOver(From, UpTo);
+      });
+}
+
+void EntryDaemon::resume(const Journal::TakenRequest &Taken) {
+  ++this->JournaledCalls;
+  this->Context->Metrics.count("requests_taken_over_total");
+  JournaledCall::resume(
+      *this->Context, *this->Services, Taken,
+      [this](const Journal::RequestKey &) { --this->JournaledCalls; });
+}
+
+bool EntryDaemon::drained() const {
+  return this->Server->openExchanges() == 0 && this->JournaledCalls == 0;
+}
+
+void EntryDaemon::shutDown() {
+  if (this->ShuttingDown)
+    return;
+  this->ShuttingDown = true;
+  this->Gossiping->startLeaving();
+  Telemetry::log(LogLevel::Info, "shutting_down");
+  // The balancer learns from /readyz before the listener closes.
+  this->GraceTimer = this->Loop.callAfter(this->Settings.DrainGrace, [this] {
+    this->Server->stopAccepting();
+    constexpr Common::Duration Poll = std::chrono::milliseconds(20);
+    this->StopTimer = this->Loop.callEvery(Poll, [this] {
+      if (this->drained())
+        this->Loop.stop();
+    });
+  });
+}
+
+} // namespace EntryDaemon
--- /dev/null
+++ b/Source/EntryDaemon/EntrySettings.cpp
@@ -0,0 +1,71 @@
+#include "EntryDaemon/EntrySettings.h"
+
+namespace EntryDaemon {
+
+const char *const Usage = R"(sycamore-entry: entry daemon of sycamorereach
+
+Usage:
+  sycamore-entry [options]
+  sycamore-entry (-h | --help)
+  sycamore-entry --version
+
+Options:
+  --name=NAME         Name of this daemon.
+  --datacentre=NAME   Data centre of this host.
+  --http=IP:PORT      Where callers, backend servers and operators connect.
+  --peer=IP:PORT      Where other entry daemons connect, TCP and UDP.
+  --peers=LIST        All entry daemons as NAME@IP:PORT@DATACENTRE, separated
+                      by commas; this one may be among them.
+  --state=LIST        Addresses of all state daemons, separated by commas.
+  --drain-grace=MS    How long connections are still accepted after SIGTERM,
+                      while /readyz says no; 500 unless given.
+  --log-level=LEVEL   debug, info, warning or error; info unless given.
+  -h --help           Show this text.
+  --version           Show the version.
+
+Each option can be given in the environment: --log-level as
+SYCAMORE_LOG_LEVEL. SYCAMORE_CLUSTER_KEY, SYCAMORE_OPERATOR_TOKEN and
+SYCAMORE_BACKEND_TOKEN are read from the environment only.
+)";
+
+EntrySettings EntrySettings::create(Settings::SettingsReader &Reader) {
+  constexpr std::size_t LeastSecretBytes = 16;
+  constexpr std::uint64_t DefaultGraceMs = 500;
+  constexpr std::uint64_t MostGraceMs = 600'000;
+  EntrySettings Result;
+  Result.Name = Common::DaemonId(Reader.required("--name"));
+  Result.DataCentre = Common::DataCentreId(Reader.required("--datacentre"));
+  Result.Http = Reader.address("--http");
+  Result.Peer = Reader.address("--peer");
+  Result.State = Reader.addresses("--state");
+  if (Result.State.empty())
+    Reader.fault("--state", "is missing; name the state daemons' addresses");
+  bool NamesItself = false;
+  for (const std::string &Each : Reader.list("--peers")) {
+    auto Parsed = Membership::Peer::create(Each);
+    if (!Parsed.ok()) {
+      Reader.fault("--peers", std::string(Parsed.status().message()));
+      continue;
+    }
+    NamesItself = NamesItself || Parsed->Daemon == Result.Name;
+    Result.Peers.push_back(*Parsed);
+  }
+  if (!NamesItself)
+    Result.Peers.push_back({Result.Name, Result.DataCentre, Result.Peer});
+  Result.Key.Secret = Reader.secret("SYCAMORE_CLUSTER_KEY", LeastSecretBytes);
+  Result.OperatorToken =
+      Reader.secret("SYCAMORE_OPERATOR_TOKEN", LeastSecretBytes);
+  Result.BackendToken =
+      Reader.secret("SYCAMORE_BACKEND_TOKEN", LeastSecretBytes);
+  Result.DrainGrace = std::chrono::milliseconds(
+      Reader.number("--drain-grace", DefaultGraceMs, 0, MostGraceMs));
+  const auto Level =
+      Telemetry::parseLogLevel(Reader.text("--log-level", "info"));
+  if (Level.ok())
+    Result.Level = *Level;
+  else
+    Reader.fault("--log-level", std::string(Level.status().message()));
+  return Result;
+}
+
+} // namespace EntryDaemon
--- /dev/null
+++ b/Source/EntryDaemon/EntryViews.cpp
@@ -0,0 +1,144 @@
+#include "EntryDaemon/EntryViews.h"
+
+#include "Configuration/FieldValue.h"
+
+#include <absl/strings/str_cat.h>
+#include <map>
+#include <nlohmann/json.hpp>
+
+namespace EntryDaemon {
+
+namespace {
+
+using Operator::Table;
+
+const char *stateOf(const EntryContext &Context,
+                    const Membership::BackendRegistry::Entry &Each) {
+  if (Each.Latest.State == Membership::ServerState::Leaving)
+    return "leaving";
+  if (!Context.Registry.usable(Each, Context.Loop.now()))
+    return "silent";
+  if (Context.Declared.drainedHosts().count(Each.Latest.Host) != 0)
+    return "drained";
+  return "serving";
+}
+
+Table serviceTable(const EntryContext &Context, const Lanes &Services) {
+  Table Result({"service", "kind", "model", "version", "servers", "wanted",
+                "waiting", "running"});
+  for (const auto &[Name, Each] : Context.Declared.services()) {
+    std::size_t Usable = 0;
+    for (const auto &[Id, Known] : Context.Registry.entries())
+      if (Services.usable(Name, Id))
+        ++Usable;
+    const Routing::Dispatcher *Lane = Services.find(Name);
+    const std::size_t Waiting = Lane ? Lane->waiting() : 0;
+    const std::size_t Running = Lane ? Lane->demand() - Waiting : 0;
+    const bool IsModel = Each.Kind == Configuration::ServiceKind::Model;
+    Result.add({Name.str(), IsModel ? "model" : "plain", Each.Model.str(),
+                Each.ModelVersion, absl::StrCat(Usable),
+                absl::StrCat(Each.Replicas), absl::StrCat(Waiting),
+                absl::StrCat(Running)});
+  }
+  return Result;
+}
+
+Table backendTable(const EntryContext &Context) {
+  Table Result({"backend", "service", "version", "datacentre", "host", "state",
+                "slots", "running"});
+  for (const auto &[Id, Each] : Context.Registry.entries()) {
+    const Membership::Announcement &Said = Each.Latest;
+    Result.add({Id.str(), Said.Service.str(), Said.ModelVersion,
+                Said.DataCentre.str(), Said.Host.str(), stateOf(Context, Each),
+                absl::StrCat(Said.Capacity.Slots),
+                absl::StrCat(Said.Load.Running)});
+  }
+  return Result;
+}
+
+/// One row for each host with servers that still announce themselves.
+Table hostTable(const EntryContext &Context) {
+  struct Host {
+    std::string DataCentre;
+    std::size_t Servers = 0;
+    double Price = 0;
+  };
+  std::map<Common::HostId, Host> Hosts;
+  for (const auto &[Id, Each] : Context.Registry.entries()) {
+    if (!Context.Registry.usable(Each, Context.Loop.now()) &&
+        Each.Latest.State != Membership::ServerState::Leaving)
+      continue;
+    Host &Known = Hosts[Each.Latest.Host];
+    Known.DataCentre = Each.Latest.DataCentre.str();
+    Known.Price = std::max(Known.Price, Each.Latest.PricePerHour);
+    ++Known.Servers;
+  }
+  Table Result({"host", "datacentre", "servers", "state", "per-hour"});
+  for (const auto &[Id, Each] : Hosts) {
+    const bool Drained = Context.Declared.drainedHosts().count(Id) != 0;
+    Result.add({Id.str(), Each.DataCentre, absl::StrCat(Each.Servers),
+                Drained ? "drained" : "open",
+                Operator::formatNumber(Each.Price)});
+  }
+  return Result;
+}
+
+Table daemonTable(const EntryContext &Context,
+                  const Membership::PeerTable &Peers) {
+  Table Result({"daemon", "datacentre", "address", "state"});
+  Result.add({Context.Settings.Name.str(), Context.Settings.DataCentre.str(),
+              Context.Settings.Peer.str(), "this one"});
+  const Common::TimePoint Now = Context.Loop.now();
+  for (const auto *List : {&Peers.local(), &Peers.remote()})
+    for (const Membership::Peer &Each : *List)
+      Result.add({Each.Daemon.str(), Each.DataCentre.str(), Each.Address.str(),
+                  Peers.living(Each.Daemon, Now) ? "living" : "silent"});
+  return Result;
+}
+
+} // namespace
+
+std::optional<Table> entryView(Operator::View Shown,
+                               const EntryContext &Context,
+                               const Membership::PeerTable &Peers,
+                               const Lanes &Services) {
+  switch (Shown) {
+  case Operator::View::Services:
+    return serviceTable(Context, Services);
+  case Operator::View::Backends:
+    return backendTable(Context);
+  case Operator::View::Hosts:
+  case Operator::View::Cost:
+    return hostTable(Context);
+  case Operator::View::Callers:
+    return Operator::callerTable(Context.Declared);
+  case Operator::View::Priorities:
+    return Operator::priorityTable(Context.Declared);
+  case Operator::View::Configuration:
+    return Operator::configurationTable(Context.Declared);
+  case Operator::View::Refusals:
+    return Operator::refusalTable(Context.Metrics);
+  case Operator::View::Retries:
+    return Operator::retryTable(Context.Metrics);
+  case Operator::View::Latency:
+    return Operator::latencyTable(Context.Metrics);
+  case Operator::View::Daemons:
+    return daemonTable(Context, Peers);
+  default:
+    return std::nullopt;
+  }
+}
+
+std::string backendsJson(const EntryContext &Context) {
+  nlohmann::json Rows = nlohmann::json::array();
+  for (const auto &[Id, Each] : Context.Registry.entries()) {
+    nlohmann::json Row =
+        nlohmann::json::parse(Membership::announcementJson(Each.Latest));
+    Row.erase("cache_events");
+    Row["usable"] = Context.Registry.usable(Each, Context.Loop.now());
+    Rows.push_back(Row);
+  }
+  return Rows.dump();
+}
+
+} // namespace EntryDaemon
--- /dev/null
+++ b/Source/EntryDaemon/Gossip.h
@@ -0,0 +1,76 @@
+#ifndef SYCAMOREREACH_ENTRYDAEMON_GOSSIP_H
+#define SYCAMOREREACH_ENTRYDAEMON_GOSSIP_H
+
+#include "EntryDaemon/EntryContext.h"
+#include "EntryDaemon/Lanes.h"
+#include "Membership/Digest.h"
+#include "Membership/PeerTable.h"
+#include "Network/DatagramSocket.h"
+
+#include <functional>
+#include <memory>
+
+namespace EntryDaemon {
+
+/// Tells the other entry daemons what this one knows, and takes in what they
+/// say: digests within the data centre, summaries between data centres,
+/// notices to all.
+class Gossip {
+public:
+  struct Handlers {
+    /// A peer holds a newer configuration.
+    std::function<void(const Common::DaemonId &)> OnNewerConfiguration;
+    std::function<void(const Membership::LivingDaemon &)> OnDeath;
+  };
+
+  static absl::StatusOr<std::unique_ptr<Gossip>>
+  create(EntryContext &Context, Membership::PeerTable &Peers, Lanes &Services,
+         Handlers Handle);
+
+  /// A backend server announced itself here.
+  void announced(const Membership::Announcement &Said);
+  /// These servers must get no new work anywhere.
+  void tellLeaving(const std::vector<Common::BackendServerId> &Servers);
+  void tellCrash(const Membership::CrashNotice &Notice);
+  void tellConfiguration();
+  void startLeaving() { this->Leaving = true; }
+
+private:
+  Gossip(EntryContext &Context, Membership::PeerTable &Peers, Lanes &Services,
+         Handlers Handle);
+  void tick();
+  void sendDigest();
+  void sendSummary();
+  std::vector<Membership::HeardServer> summarize() const;
+  void received(const std::string &Payload);
+  void take(const Membership::Digest &Said);
+  void take(const Membership::Summary &Said);
+  void take(const Membership::LeavingNotice &Said);
+  void take(const Membership::CrashNotice &Said);
+  void take(const Membership::ConfigurationNotice &Said);
+  void learn(const std::vector<Membership::HeardServer> &Servers);
+  void compareVersion(const Common::DaemonId &From,
+                      Common::ConfigurationVersion Theirs);
+  void sendTo(const std::vector<Membership::Peer> &Targets,
+              const Membership::Datagram &Message);
+  Membership::HeardServer
+  heard(const Membership::BackendRegistry::Entry &Each) const;
+
+  EntryContext &Context;
+  Membership::PeerTable &Peers;
+  Lanes &Services;
+  Handlers Handle;
+  std::unique_ptr<Network::DatagramSocket> Socket;
+  std::uint64_t Sequence = 0;
+  /// Announced here since the last digest.
+  std::vector<Common::BackendServerId> Fresh;
+  bool Leaving = false;
+  Common::TimePoint LastTick;
+  Common::TimePoint IgnoreUntil;
+  Network::EventHandle DigestTimer;
+  Network::EventHandle SummaryTimer;
+};
+
+} // namespace EntryDaemon
+
+#endif
--- /dev/null
+++ b/Source/EntryDaemon/ModelRequest.cpp
@@ -0,0 +1,228 @@
+#include "EntryDaemon/ModelRequest.h"
+
+#include "Common/Hash.h"
+
+#include <ctime>
+#include <nlohmann/json.hpp>
+
+namespace EntryDaemon {
+
+namespace {
+
+using Common::Refusal;
+using Common::RefusalReason;
+using Json = nlohmann::json;
+
+constexpr std::uint64_t DefaultTokens = 128;
+constexpr std::uint64_t MaxTokens = 1'000'000;
+/// Leading text that names a conversation when there are no messages.
+constexpr std::size_t AffinityBytes = 1024;
+
+Refusal badField(const std::string &What) {
+  return Refusal{RefusalReason::BadField, What};
+}
+
+/// Text of a message; parts of other kinds are left out.
+std::string contentText(const Json &Content) {
+  if (Content.is_string())
+    return Content.get<std::string>();
+  std::string Text;
+  if (Content.is_array())
+    for (const Json &Part : Content)
+      if (Part.is_object() && Part.contains("text") && Part["text"].is_string())
+        Text += Part["text"].get<std::string>();
+  return Text;
+}
+
+/// The prompt as one text, and the part that names the conversation.
+struct PromptText {
+  std::string Whole;
+  std::string Opening;
+};
+
+std::variant<PromptText, Refusal> readMessages(const Json &Object) {
+  const auto Found = Object.find("messages");
+  if (Found == Object.end() || !Found->is_array() || Found->empty())
+    return badField("'messages' must be an array that is not empty");
+  PromptText Prompt;
+  bool UserSeen = false;
+  for (const Json &Message : *Found) {
+    if (!Message.is_object() || !Message.contains("role") ||
+        !Message["role"].is_string())
+      return badField("each message must be an object with a 'role'");
+    const std::string Role = Message["role"].get<std::string>();
+    const Json Content =
+        Message.contains("content") ? Message["content"] : Json();
+    Prompt.Whole += Role + "\n" + contentText(Content) + "\n";
+    if (!UserSeen)
+      Prompt.Opening = Prompt.Whole;
+    UserSeen = UserSeen || Role == "user";
+  }
+  return Prompt;
+}
+
+std::variant<PromptText, Refusal> readPrompt(const Json &Object) {
+  const auto Found = Object.find("prompt");
+  if (Found == Object.end() || !Found->is_string())
+    return badField("'prompt' must be a string");
+  PromptText Prompt;
+  Prompt.Whole = Found->get<std::string>();
+  Prompt.Opening = Prompt.Whole.substr(0, AffinityBytes);
+  return Prompt;
+}
+
+Routing::WorkRequest workOf(const ModelRequest &Request,
+                            const PromptText &Prompt,
+                            const CallerContext &Caller,
+                            const Configuration::Declaration &Declared) {
+  Routing::WorkRequest Work;
+  Work.Caller = Caller.Caller;
+  Work.CallerWeight = Caller.Weight;
+  Work.Priority = Caller.Priority;
+  Work.Target = Declared.target(Request.Service, Caller.Priority);
+  Work.Fingerprint =
+      Common::hashBytes(Request.Service.str() + "\n" + Request.Body);
+  Work.Blocks = Routing::prefixBlocks(Prompt.Whole);
+  // 0 stands for no affinity.
+  Work.AffinityKey = Common::hashBytes(Prompt.Opening) | 1;
+  Work.PromptTokens = Routing::tokensOf(Prompt.Whole.size());
+  Work.Resumable = true;
+  return Work;
+}
+
+/// The member that carries an answer's text in one choice of an event.
+std::string deltaText(ModelApi Api, const Json &Choice) {
+  if (Api == ModelApi::Completions)
+    return Choice.contains("text") && Choice["text"].is_string()
+               ? Choice["text"].get<std::string>()
+               : "";
+  if (!Choice.contains("delta") || !Choice["delta"].is_object())
+    return "";
+  const Json &Delta = Choice["delta"];
+  return Delta.contains("content") && Delta["content"].is_string()
+             ? Delta["content"].get<std::string>()
+             : "";
+}
+
+} // namespace
+
+const char *modelApiPath(ModelApi Api) {
+  return Api == ModelApi::ChatCompletions ? "/v1/chat/completions"
+                                          : "/v1/completions";
+}
+
+std::variant<ModelRequest, Refusal>
+parseModelRequest(ModelApi Api, const std::string &Body,
+                  const CallerContext &Caller,
+                  const Configuration::Declaration &Declared) {
+  const Json Object = Json::parse(Body, nullptr, false);
+  if (!Object.is_object())
+    return Refusal{RefusalReason::BadJson, ""};
+  const auto Model = Object.find("model");
+  if (Model == Object.end() || !Model->is_string())
+    return badField("'model' must be a string");
+  ModelRequest Request;
+  Request.Api = Api;
+  Request.Model = Model->get<std::string>();
+  const auto Service = Declared.serviceOfModel(Request.Model);
+  if (!Service)
+    return Refusal{RefusalReason::UnknownModel,
+                   "no model '" + Request.Model + "'"};
+  Request.Service = *Service;
+  Request.Body = Body;
+  if (Object.contains("stream")) {
+    if (!Object["stream"].is_boolean())
+      return badField("'stream' must be true or false");
+    Request.Stream = Object["stream"].get<bool>();
+  }
+  if (Object.contains("n") && Object["n"] != 1)
+    return badField("'n' must be 1; send several requests");
+  std::uint64_t Expected = DefaultTokens;
+  for (const char *Field : {"max_tokens", "max_completion_tokens"}) {
+    if (!Object.contains(Field))
+      continue;
+    if (!Object[Field].is_number_unsigned() || Object[Field] < 1 ||
+        Object[Field] > MaxTokens)
+      return badField(std::string("'") + Field + "' must be from 1 to " +
+                      std::to_string(MaxTokens));
+    Expected = Object[Field].get<std::uint64_t>();
+  }
+  const auto Prompt = Api == ModelApi::ChatCompletions ? readMessages(Object)
+                                                       : readPrompt(Object);
+  if (const auto *Fault = std::get_if<Refusal>(&Prompt))
+    return *Fault;
+  Request.Work =
+      workOf(Request, std::get<PromptText>(Prompt), Caller, Declared);
+  Request.Work.ExpectedTokens = Expected;
+  return Request;
+}
+
+std::string engineBody(const ModelRequest &Request,
+                       const PartialAnswer &Received) {
+  Json Object = Json::parse(Request.Body);
+  Object["stream"] = true;
+  if (Received.Tokens > 0)
+    Object["resume"] = {{"text", Received.Text}, {"tokens", Received.Tokens}};
+  return Object.dump();
+}
+
+std::string takeEvent(const ModelRequest &Request, const std::string &Data,
+                      bool Resumed, PartialAnswer &Received) {
+  if (Data == "[DONE]") {
+    Received.Complete = true;
+    return Data;
+  }
+  Json Event = Json::parse(Data, nullptr, false);
+  if (!Event.is_object())
+    return "";
+  if (Received.Id.empty() && Event.contains("id") && Event["id"].is_string())
+    Received.Id = Event["id"].get<std::string>();
+  const auto Usage = Event.find("usage");
+  if (Usage != Event.end() && Usage->is_object())
+    Received.PromptTokens =
+        Usage->value("prompt_tokens", Received.PromptTokens);
+  const auto Choices = Event.find("choices");
+  if (Choices != Event.end() && Choices->is_array() && !Choices->empty()) {
+    const Json &Choice = Choices->front();
+    const std::string Text = deltaText(Request.Api, Choice);
+    if (!Text.empty()) {
+      Received.Text += Text;
+      ++Received.Tokens;
+    }
+    if (Choice.contains("finish_reason") && Choice["finish_reason"].is_string())
+      Received.FinishReason = Choice["finish_reason"].get<std::string>();
+  }
+  if (!Resumed)
+    return Data;
+  // To the caller it stays one answer with one name.
+  Event["id"] = Received.Id;
+  return Event.dump();
+}
+
+std::string wholeAnswer(const ModelRequest &Request,
+                        const PartialAnswer &Received) {
+  const bool Chat = Request.Api == ModelApi::ChatCompletions;
+  Json Choice;
+  Choice["index"] = 0;
+  Choice["finish_reason"] =
+      Received.FinishReason.empty() ? "stop" : Received.FinishReason;
+  if (Chat)
+    Choice["message"] = {{"role", "assistant"}, {"content", Received.Text}};
+  else
+    Choice["text"] = Received.Text;
+  const std::uint64_t Prompt = Received.PromptTokens != 0
+                                   ? Received.PromptTokens
+                                   : Request.Work.PromptTokens;
+  Json Answer;
+  Answer["id"] = Received.Id;
+  Answer["object"] = Chat ? "chat.completion" : "text_completion";
+  Answer["created"] = std::time(nullptr);
+  Answer["model"] = Request.Model;
+  Answer["choices"] = Json::array({Choice});
+  Answer["usage"] = {{"prompt_tokens", Prompt},
+                     {"completion_tokens", Received.Tokens},
+                     {"total_tokens", Prompt + Received.Tokens}};
+  return Answer.dump();
+}
+
+} // namespace EntryDaemon
--- a/Source/StateDaemon/StateSettings.cpp
+++ b/Source/StateDaemon/StateSettings.cpp
@@ -5,7 +5,7 @@
 const char *const Usage = R"(sycamore-state: replicated state of sycamorereach
 
 Usage:
-  sycamore-state format --name=NAME --data=FOLDER
+  sycamore-state format [options]
   sycamore-state run [options]
   sycamore-state (-h | --help)
   sycamore-state --version
