Routing: One server at a time for contents that were never answered

A retried suspect and a new copy were started 'apart' in the same decision. Ruled out: a shorter quarantine delay; both copies were running already. Conclusion: until a content was answered once, its copies go to one server, and of a suspect only one copy runs.

--- a/Source/Core/Configuration/ConfigurationStore.cpp
+++ b/Source/Core/Configuration/ConfigurationStore.cpp
@@ -8,7 +8,7 @@
   const auto Known = this->Answers.find(Command.Id);
   if (Known != this->Answers.end())
     return Known->second;
-  const ChangeOutcome Answer = this->decide(Command);
+  ChangeOutcome Answer = this->decide(Command);
   this->remember(Command.Id, Answer);
   return Answer;
 }
--- a/Source/Core/Network/HttpClient.cpp
+++ b/Source/Core/Network/HttpClient.cpp
@@ -199,7 +199,7 @@
                Call.Request.Body.data(), Call.Request.Body.size());
 
   this->Active[State.get()] = State;
-  const HttpAttempt Attempt(State);
+  HttpAttempt Attempt(State);
   const int Made = evhttp_make_request(State->Connection->Raw, State->Raw,
                                        commandOf(Call.Request.Method),
                                        Call.Request.Target.c_str());
--- a/Source/Core/Operator/Statement.cpp
+++ b/Source/Core/Operator/Statement.cpp
@@ -84,7 +84,7 @@
   }
   std::string peekLower() const { return absl::AsciiStrToLower(this->peek()); }
   std::string take() {
-    const std::string Word = this->peek();
+    std::string Word = this->peek();
     ++this->Position;
     return Word;
   }
--- a/Source/Core/Routing/Dispatcher.cpp
+++ b/Source/Core/Routing/Dispatcher.cpp
@@ -162,6 +162,21 @@
   return Result;
 }
 
+std::optional<Common::BackendServerId>
+Dispatcher::runsElsewhere(Fingerprint Content) const {
+  const auto Found = this->RunningContents.find(Content);
+  if (Found == this->RunningContents.end())
+    return std::nullopt;
+  return this->Requests.at(Found->second).Server;
+}
+
+bool Dispatcher::mustWaitAlone(const Tracked &Each,
+                               Common::TimePoint Now) const {
+  const Fingerprint Content = Each.Work.Fingerprint;
+  return !Each.FailedAt.empty() || this->Suspects.suspect(Content, Now) ||
+         (!this->Suspects.harmless(Content) && this->runsElsewhere(Content));
+}
+
 bool Dispatcher::start(Tracked &Each, std::vector<Order> &Orders,
                        Common::TimePoint Now) {
   ChoiceQuery Query;
@@ -171,11 +186,17 @@
   Query.Suspect = this->Suspects.suspect(Each.Work.Fingerprint, Now);
   if (Query.Suspect)
     Query.RunsSuspects = this->serversWithSuspects(Now);
+  // Until a content was answered once, its copies can only harm one server.
+  if (!this->Suspects.harmless(Each.Work.Fingerprint))
+    Query.OnlyAt = this->runsElsewhere(Each.Work.Fingerprint);
+  if (Query.Suspect && Query.OnlyAt)
+    return false;
   const auto Chosen = chooseServer(this->Servers, Query, this->Rules.Choice);
   if (!Chosen)
     return false;
   PooledServer &Server = *this->Servers.find(Chosen->Server);
   Server.Running.insert(Each.Work.Id);
+  this->RunningContents.emplace(Each.Work.Fingerprint, Each.Work.Id);
   Server.Cache.sent(Each.Work.Blocks);
   const std::uint64_t Cached = std::min<std::uint64_t>(
       Chosen->MatchedBlocks * BlockTokens, Each.Work.PromptTokens);
@@ -229,9 +250,7 @@
     return true;
   }
   // A request that only it keeps from running must not block the others.
-  const bool OnlyItIsBlocked =
-      !Each.FailedAt.empty() ||
-      this->Suspects.suspect(Each.Work.Fingerprint, Now);
+  const bool OnlyItIsBlocked = this->mustWaitAlone(Each, Now);
   const bool AnyOpen = std::any_of(
       this->Servers.servers().begin(), this->Servers.servers().end(),
       [](const auto &Server) { return Server.second.open(); });
@@ -306,6 +325,12 @@
 void Dispatcher::leaveServer(Tracked &Each) {
   if (PooledServer *Server = this->Servers.find(Each.Server))
     Server->Running.erase(Each.Work.Id);
+  const auto Same = this->RunningContents.equal_range(Each.Work.Fingerprint);
+  for (auto Copy = Same.first; Copy != Same.second; ++Copy)
+    if (Copy->second == Each.Work.Id) {
+      this->RunningContents.erase(Copy);
+      break;
+    }
   Each.Server = Common::BackendServerId();
 }
 
--- a/Source/Core/Routing/Dispatcher.h
+++ b/Source/Core/Routing/Dispatcher.h
@@ -162,6 +162,10 @@
   bool start(Tracked &Each, std::vector<Order> &Orders, Common::TimePoint Now);
   std::set<Common::BackendServerId>
   serversWithSuspects(Common::TimePoint Now) const;
+  /// The server that runs a request with the same content, if any.
+  std::optional<Common::BackendServerId>
+  runsElsewhere(Fingerprint Content) const;
+  bool mustWaitAlone(const Tracked &Each, Common::TimePoint Now) const;
   void startSetAside(std::vector<Order> &Orders, Common::TimePoint Now);
   void preempt(std::vector<Order> &Orders, Common::TimePoint Now);
   Tracked *preemptionVictim(std::uint64_t UrgentRank, Common::TimePoint Now);
@@ -174,6 +178,8 @@
   std::map<Common::PriorityName, Admission::FairQueue> Queues;
   std::map<Common::PriorityName, RetryBudget> Budgets;
   std::map<Common::RequestId, Tracked> Requests;
+  /// Running requests by content.
+  std::multimap<Fingerprint, Common::RequestId> RunningContents;
   /// Requests that no open server may take now; tried first.
   std::vector<Common::RequestId> SetAside;
   Quarantine Suspects;
--- a/Source/Core/Routing/Quarantine.cpp
+++ b/Source/Core/Routing/Quarantine.cpp
@@ -14,6 +14,7 @@
     if (!Known && this->Records.size() >= MaxTracked)
       continue;
     Record &Each = this->Records[Request];
+    this->Harmless.erase(Request);
     Each.Failures.insert(Server);
     Each.LastFailure = Now;
     if (Each.Failures.size() < FailuresToRefuse)
@@ -31,6 +32,13 @@
                            Found->second.Failures.size() < FailuresToRefuse;
   if (OnlySuspect)
     this->Records.erase(Found);
+  if (!this->Harmless.insert(Request).second)
+    return;
+  this->HarmlessOrder.push_back(Request);
+  if (this->HarmlessOrder.size() <= MaxHarmless)
+    return;
+  this->Harmless.erase(this->HarmlessOrder.front());
+  this->HarmlessOrder.pop_front();
 }
 
 bool Quarantine::suspect(Fingerprint Request, Common::TimePoint Now) const {
--- a/Source/Core/Routing/Quarantine.h
+++ b/Source/Core/Routing/Quarantine.h
@@ -5,6 +5,7 @@
 #include "Common/Time.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <set>
 #include <vector>
@@ -30,14 +31,19 @@
   /// A suspicion without further failures ends after this time.
   static constexpr Common::Duration SuspicionLength = std::chrono::minutes(10);
   static constexpr std::size_t MaxTracked = 100'000;
+  static constexpr std::size_t MaxHarmless = 16'384;
 
   /// Returns the fingerprints that are refused from now on.
   std::vector<Fingerprint> serverFailed(const ServerLife &Server,
                                         const std::vector<Fingerprint> &Ran,
                                         Common::Duration RefuseFor,
                                         Common::TimePoint Now);
-  /// A suspect was answered: it is harmless.
+  /// A request was answered: it is harmless.
   void completed(Fingerprint Request);
+  /// Whether a request with this content was answered lately.
+  bool harmless(Fingerprint Request) const {
+    return this->Harmless.count(Request) != 0;
+  }
   bool suspect(Fingerprint Request, Common::TimePoint Now) const;
   bool refused(Fingerprint Request, Common::TimePoint Now) const;
   std::size_t refusedCount(Common::TimePoint Now) const;
@@ -50,6 +56,9 @@
     Common::TimePoint RefusedUntil;
   };
   std::map<Fingerprint, Record> Records;
+  std::set<Fingerprint> Harmless;
+  /// Oldest first.
+  std::deque<Fingerprint> HarmlessOrder;
 };
 
 } // namespace Routing
--- a/Source/Core/Routing/ServerChoice.cpp
+++ b/Source/Core/Routing/ServerChoice.cpp
@@ -20,6 +20,8 @@
   const auto &Id = Server.Facts.Id;
   if (!Server.open() || Query.Excluded.count(Id) != 0)
     return false;
+  if (Query.OnlyAt && *Query.OnlyAt != Id)
+    return false;
   return !Query.Suspect || Query.RunsSuspects.count(Id) == 0;
 }
 
--- a/Source/Core/Routing/ServerChoice.h
+++ b/Source/Core/Routing/ServerChoice.h
@@ -19,6 +19,8 @@
   /// Servers that run suspects; a suspect must not join them.
   std::set<Common::BackendServerId> RunsSuspects;
   bool Suspect = false;
+  /// The one server that may be chosen, if any.
+  std::optional<Common::BackendServerId> OnlyAt;
 };
 
 struct Choice {
--- a/Source/Core/Settings/SettingsReader.cpp
+++ b/Source/Core/Settings/SettingsReader.cpp
@@ -56,7 +56,7 @@
 }
 
 std::string SettingsReader::required(const std::string &Flag) {
-  const std::string Value = this->text(Flag, "");
+  std::string Value = this->text(Flag, "");
   if (Value.empty())
     this->fault(Flag, "is missing; give it or set " + variableOf(Flag));
   return Value;
@@ -124,7 +124,7 @@
 std::string SettingsReader::secret(const std::string &Variable,
                                    std::size_t LeastBytes) {
   const char *Value = std::getenv(Variable.c_str());
-  const std::string Result = Value ? Value : "";
+  std::string Result = Value ? Value : "";
   if (Result.size() < LeastBytes)
     this->Faults.push_back(
         absl::StrCat(Variable, " must be set in the environment to at least ",
--- a/Source/Core/Storage/DataFolder.cpp
+++ b/Source/Core/Storage/DataFolder.cpp
@@ -25,7 +25,7 @@
 }
 std::string lockPath(const std::string &Folder) { return Folder + "/lock"; }
 
-void appendRecord(std::string &Bytes, LogRecord Record) {
+void appendRecord(std::string &Bytes, const LogRecord &Record) {
   Bytes += frameRecord(Network::encode(Record));
 }
 
--- a/Source/Core/Telemetry/Metrics.cpp
+++ b/Source/Core/Telemetry/Metrics.cpp
@@ -53,7 +53,8 @@
     if (Count == 0)
       return 0;
     if (Count > this->First.size())
-      return acc::extended_p_square(this->Set)[Which];
+      return acc::extended_p_square(
+          this->Set)[static_cast<std::ptrdiff_t>(Which)];
     std::vector<double> Sorted = this->First;
     std::sort(Sorted.begin(), Sorted.end());
     const double Position = Probabilities[Which] * double(Count);
--- a/Source/EntryDaemon/JournaledCall.cpp
+++ b/Source/EntryDaemon/JournaledCall.cpp
@@ -67,7 +67,7 @@
 std::shared_ptr<JournaledCall> JournaledCall::start(
     EntryContext &Context, Lanes &Services, const ExchangePtr &Exchange,
     const Common::IdempotencyKey &Key, PlainRequest Request, OnEnd End) {
-  const std::shared_ptr<JournaledCall> Call(
+  std::shared_ptr<JournaledCall> Call(
       new JournaledCall(Context, Services, std::move(End)));
   Call->Exchange = Exchange;
   Call->Key = Journal::RequestKey{Request.Work.Caller, Key};
@@ -83,7 +83,7 @@
 std::shared_ptr<JournaledCall>
 JournaledCall::resume(EntryContext &Context, Lanes &Services,
                       const Journal::TakenRequest &Taken, OnEnd End) {
-  const std::shared_ptr<JournaledCall> Call(
+  std::shared_ptr<JournaledCall> Call(
       new JournaledCall(Context, Services, std::move(End)));
   Call->Key = Taken.Key;
   Call->Request = requestOf(Taken, Context.Declared);
@@ -220,8 +220,8 @@
 }
 
 void JournaledCall::command(
-    State::CommandBody Body,
-    std::function<void(const Journal::JournalResult &)> Done) {
+    const State::CommandBody &Body,
+    const std::function<void(const Journal::JournalResult &)> &Done) {
   const auto Self = this->shared_from_this();
   this->Context.State.ask(
       Body, CommandRound, [Self, Body, Done](const State::AskResult &Result) {
--- a/Source/EntryDaemon/JournaledCall.h
+++ b/Source/EntryDaemon/JournaledCall.h
@@ -57,8 +57,8 @@
   void report(const Journal::RequestView &View);
 
   /// Puts a command into the journal, however long that takes.
-  void command(State::CommandBody Body,
-               std::function<void(const Journal::JournalResult &)> Done);
+  void command(const State::CommandBody &Body,
+               const std::function<void(const Journal::JournalResult &)> &Done);
   void replyRefusal(Common::RefusalReason Reason,
                     const std::string &Particulars = "");
   void replyAnswer(const Network::HttpAnswer &Answer);
--- a/Source/EntryDaemon/PlainCall.cpp
+++ b/Source/EntryDaemon/PlainCall.cpp
@@ -65,6 +65,8 @@
   Result.Work.Fingerprint = Common::hashBytes(
       Result.Service.str() + "\n" + Network::httpMethodName(Request.Method) +
       " " + Result.Content.Target + "\n" + Request.Body);
+  // All daemons try one content at one server first.
+  Result.Work.AffinityKey = Result.Work.Fingerprint | 1;
   return Result;
 }
 
--- /dev/null
+++ b/Source/UnitTests/Storage/DataFolderTest.cpp
@@ -0,0 +1,216 @@
+#include "Storage/DataFolder.h"
+
+#include "Network/Codec.h"
+
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <sys/resource.h>
+#include <unistd.h>
+
+namespace UnitTests {
+
+namespace {
+
+using namespace Consensus;
+
+/// A folder that is removed at the end of the test.
+struct TemporaryFolder {
+  std::string Path;
+  explicit TemporaryFolder(const std::string &Name)
+      : Path((std::filesystem::temp_directory_path() /
+              ("sycamore-test-" + Name + "-" + std::to_string(getpid())))
+                 .string()) {
+    std::filesystem::remove_all(this->Path);
+  }
+  ~TemporaryFolder() { std::filesystem::remove_all(this->Path); }
+};
+
+LogEntry entryOf(std::uint64_t Index) {
+  LogEntry Entry;
+  Entry.Index = LogIndex{Index};
+  Entry.Term = Term{1};
+  Entry.Payload = std::string(100, static_cast<char>('a' + Index % 26));
+  return Entry;
+}
+
+Actions entries(std::uint64_t From, std::uint64_t To) {
+  Actions Work;
+  for (std::uint64_t I = From; I <= To; ++I)
+    Work.SaveEntries.push_back(entryOf(I));
+  return Work;
+}
+
+Storage::OpenedFolder reopen(const std::string &Path, absl::Status &Status) {
+  Storage::OpenedFolder Found;
+  const auto Folder = Storage::DataFolder::open(Path, Found);
+  Status = Folder.status();
+  return Found;
+}
+
+void write(const std::string &Path, std::uint64_t Count) {
+  Storage::OpenedFolder Found;
+  auto Folder = Storage::DataFolder::open(Path, Found);
+  BOOST_REQUIRE(Folder.ok());
+  Actions Work = entries(1, Count);
+  Work.SaveHardState = HardState{Term{7}, ReplicaId("b")};
+  BOOST_REQUIRE(Folder->save(Work).ok());
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(DataFolderTest)
+
+BOOST_AUTO_TEST_CASE(folderMustBeFormattedOnce) {
+  const TemporaryFolder Folder("format");
+  absl::Status Status;
+  reopen(Folder.Path, Status);
+  BOOST_TEST(absl::IsFailedPrecondition(Status));
+  const auto First = Storage::DataFolder::format(Folder.Path, "s1");
+  BOOST_REQUIRE(First.ok());
+  BOOST_TEST(absl::IsAlreadyExists(
+      Storage::DataFolder::format(Folder.Path, "s1").status()));
+  // A wiped folder gets another identity.
+  std::filesystem::remove_all(Folder.Path);
+  const auto Second = Storage::DataFolder::format(Folder.Path, "s1");
+  BOOST_TEST(First->str() != Second->str());
+}
+
+BOOST_AUTO_TEST_CASE(secondProcessIsKeptOut) {
+  const TemporaryFolder Folder("lock");
+  BOOST_REQUIRE(Storage::DataFolder::format(Folder.Path, "s1").ok());
+  Storage::OpenedFolder Found;
+  const auto Held = Storage::DataFolder::open(Folder.Path, Found);
+  BOOST_REQUIRE(Held.ok());
+  absl::Status Status;
+  reopen(Folder.Path, Status);
+  BOOST_TEST(absl::IsFailedPrecondition(Status));
+}
+
+BOOST_AUTO_TEST_CASE(savedStateComesBack) {
+  const TemporaryFolder Folder("save");
+  BOOST_REQUIRE(Storage::DataFolder::format(Folder.Path, "s1").ok());
+  write(Folder.Path, 10);
+  absl::Status Status;
+  const auto Found = reopen(Folder.Path, Status);
+  BOOST_REQUIRE(Status.ok());
+  BOOST_TEST(Found.State.Hard.Term.Value == 7u);
+  BOOST_TEST(Found.State.Hard.VotedFor.str() == "b");
+  BOOST_REQUIRE(Found.State.Entries.size() == 10u);
+  BOOST_TEST(Found.State.Entries[9].Payload == entryOf(10).Payload);
+}
+
+BOOST_AUTO_TEST_CASE(laterEntriesReplaceEarlierOnes) {
+  const TemporaryFolder Folder("replace");
+  BOOST_REQUIRE(Storage::DataFolder::format(Folder.Path, "s1").ok());
+  write(Folder.Path, 10);
+  {
+    Storage::OpenedFolder Found;
+    auto Open = Storage::DataFolder::open(Folder.Path, Found);
+    BOOST_REQUIRE(Open->save(entries(5, 6)).ok());
+  }
+  absl::Status Status;
+  BOOST_TEST(reopen(Folder.Path, Status).State.Entries.size() == 6u);
+}
+
+BOOST_AUTO_TEST_CASE(tornEndIsCutAtEveryByte) {
+  const TemporaryFolder Folder("torn");
+  BOOST_REQUIRE(Storage::DataFolder::format(Folder.Path, "s1").ok());
+  write(Folder.Path, 3);
+  const std::string Log = Folder.Path + "/log";
+  const auto Whole = std::filesystem::file_size(Log);
+  std::size_t Before = 3;
+  for (auto Size = Whole - 1; Size > 0; --Size) {
+    std::filesystem::resize_file(Log, Size);
+    absl::Status Status;
+    const auto Found = reopen(Folder.Path, Status);
+    BOOST_REQUIRE_MESSAGE(Status.ok(), "cut at byte " << Size);
+    BOOST_REQUIRE(Found.State.Entries.size() <= Before);
+    Before = Found.State.Entries.size();
+    // Reopening has cut the file to whole records.
+    Size = std::min<std::uintmax_t>(Size, std::filesystem::file_size(Log) + 1);
+  }
+  BOOST_TEST(Before == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(damageInTheMiddleIsAnErrorAtEveryByte) {
+  const TemporaryFolder Folder("damage");
+  BOOST_REQUIRE(Storage::DataFolder::format(Folder.Path, "s1").ok());
+  write(Folder.Path, 3);
+  const auto Whole = *Storage::readFile(Folder.Path + "/log");
+  // The last record alone cannot be told from a torn one.
+  const std::size_t LastRecord =
+      Storage::frameRecord(std::string(200, 'x')).size();
+  for (std::size_t At = 0; At + LastRecord < Whole.size(); ++At) {
+    std::string Damaged = Whole;
+    Damaged[At] = static_cast<char>(Damaged[At] ^ 0x40);
+    const auto Scan = Storage::scanRecords(Damaged);
+    BOOST_REQUIRE_MESSAGE(absl::IsDataLoss(Scan.status()),
+                          "damage at byte " << At << " was not seen");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(compactionKeepsWhatFollows) {
+  const TemporaryFolder Folder("compact");
+  BOOST_REQUIRE(Storage::DataFolder::format(Folder.Path, "s1").ok());
+  Snapshot Taken;
+  Taken.Index = LogIndex{8};
+  Taken.Term = Term{1};
+  Taken.Data = "state";
+  {
+    Storage::OpenedFolder Found;
+    auto Open = Storage::DataFolder::open(Folder.Path, Found);
+    BOOST_REQUIRE(Open->save(entries(1, 10)).ok());
+    ReplicatedLog Log({}, entries(1, 10).SaveEntries);
+    Log.compact(Taken);
+    BOOST_REQUIRE(Open->compact(HardState{Term{3}, {}}, Log).ok());
+    BOOST_REQUIRE(Open->save(entries(11, 12)).ok());
+  }
+  absl::Status Status;
+  const auto Found = reopen(Folder.Path, Status);
+  BOOST_REQUIRE(Status.ok());
+  BOOST_TEST(Found.State.Base.Data == "state");
+  BOOST_TEST(Found.State.Hard.Term.Value == 3u);
+  BOOST_REQUIRE(Found.State.Entries.size() == 4u);
+  BOOST_TEST(Found.State.Entries[0].Index.Value == 9u);
+}
+
+BOOST_AUTO_TEST_CASE(crashBetweenSnapshotAndNewLogLosesNothing) {
+  const TemporaryFolder Folder("between");
+  BOOST_REQUIRE(Storage::DataFolder::format(Folder.Path, "s1").ok());
+  write(Folder.Path, 10);
+  Snapshot Taken;
+  Taken.Index = LogIndex{8};
+  Taken.Term = Term{1};
+  const std::string Record = Storage::frameRecord(Network::encode(Taken));
+  BOOST_REQUIRE(Storage::replaceFile(Folder.Path + "/snapshot", Record).ok());
+  absl::Status Status;
+  const auto Found = reopen(Folder.Path, Status);
+  BOOST_REQUIRE(Status.ok());
+  BOOST_REQUIRE(Found.State.Entries.size() == 2u);
+  BOOST_TEST(Found.State.Entries[0].Index.Value == 9u);
+}
+
+BOOST_AUTO_TEST_CASE(fullDiskIsReported) {
+  const TemporaryFolder Folder("full");
+  BOOST_REQUIRE(Storage::DataFolder::format(Folder.Path, "s1").ok());
+  Storage::OpenedFolder Found;
+  auto Open = Storage::DataFolder::open(Folder.Path, Found);
+  BOOST_REQUIRE(Open.ok());
+  // A limit on the file's size stands for a disk without space.
+  const auto Old = std::signal(SIGXFSZ, SIG_IGN);
+  rlimit Before{};
+  getrlimit(RLIMIT_FSIZE, &Before);
+  rlimit Small = Before;
+  Small.rlim_cur = 4096;
+  setrlimit(RLIMIT_FSIZE, &Small);
+  const absl::Status Full = Open->save(entries(1, 100));
+  setrlimit(RLIMIT_FSIZE, &Before);
+  std::signal(SIGXFSZ, Old);
+  BOOST_TEST(absl::IsResourceExhausted(Full));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace UnitTests
