--- a/Source/Fakes/FakeService.cpp
+++ b/Source/Fakes/FakeService.cpp
@@ -1,5 +1,6 @@
 #include "Fakes/FakeService.h"
 
+#include <fstream>
 #include <nlohmann/json.hpp>
 
 namespace Fakes {
@@ -66,6 +67,9 @@
   const std::string Key =
       Network::findHeader(Request.Headers, "Idempotency-Key").value_or("");
   const std::uint64_t Run = ++this->Runs[Caller + "/" + Key];
+  if (!this->Options.RunsFile.empty())
+    std::ofstream(this->Options.RunsFile, std::ios::app)
+        << Caller + "/" + Key + "\n";
   if (Request.Body.find(LoseWord) != std::string::npos && this->Crash) {
     this->Crash();
     return;
--- a/Source/Fakes/FakeService.h
+++ b/Source/Fakes/FakeService.h
@@ -15,6 +15,8 @@
   std::string BackendToken;
   Membership::Announcement About;
   Common::Duration Delay{};
+  /// Each run is appended here as 'CALLER/KEY'; may be empty.
+  std::string RunsFile;
 };
 
 /// A stand-in for a plain service with calls that may not be repeated. It
--- a/Source/Fakes/FakeSettings.cpp
+++ b/Source/Fakes/FakeSettings.cpp
@@ -24,6 +24,7 @@
   --slots=N           Requests that run together; 8 unless given.
   --cache-blocks=N    Prompt blocks that its cache holds; 4096 unless given.
   --delay-ms=N        Time for a call, or between tokens; 5 unless given.
+  --runs-file=PATH    Where a plain service writes down what it ran.
   --price-milli=N     Price of the host for an hour, in thousandths.
   -h --help           Show this text.
   --version           Show the version.
@@ -37,6 +38,7 @@
   constexpr std::uint64_t DefaultDelayMs = 5;
   constexpr std::uint64_t Most = 1'000'000;
   FakeSettings Result;
+  Result.RunsFile = Reader.text("--runs-file", "");
   Result.Listen = Reader.address("--listen");
   Result.Entries = Reader.addresses("--entries");
   constexpr std::size_t LeastSecretBytes = 16;
--- a/Source/Fakes/FakeSettings.h
+++ b/Source/Fakes/FakeSettings.h
@@ -18,6 +18,7 @@
   std::string BackendToken;
   Membership::Announcement About;
   Common::Duration Delay{};
+  std::string RunsFile;
 
   static FakeSettings create(Settings::SettingsReader &Reader);
 };
--- a/Source/Fakes/ServiceMain.cpp
+++ b/Source/Fakes/ServiceMain.cpp
@@ -25,6 +25,7 @@
   Options.BackendToken = Chosen.BackendToken;
   Options.About = Chosen.About;
   Options.Delay = Chosen.Delay;
+  Options.RunsFile = Chosen.RunsFile;
   auto Service = Fakes::FakeService::create(**Loop, Http, Options);
   if (!Service.ok()) {
     std::cerr << Service.status().message() << "\n";
