Routing: A stream gives way once, and unfinished work does not count as served

Cause: in the urgent flood the other priorities got 1 % instead of their floors. Preempted streams were counted as served in full, started again, counted again and preempted again; their queue's new requests expired. Ruled out: the scheduler alone (its unit test keeps floors), estimates. Conclusion: refuse above half of the target; a stream is preempted once.

--- a/Source/Core/Admission/PriorityScheduler.cpp
+++ b/Source/Core/Admission/PriorityScheduler.cpp
@@ -79,6 +79,16 @@
     Found->second.Served += static_cast<double>(Work.Value);
 }
 
+void PriorityScheduler::unserved(const Common::PriorityName &Priority,
+                                 Cost Work, Common::TimePoint Now) {
+  this->decay(Now);
+  const auto Found = this->Priorities.find(Priority);
+  if (Found == this->Priorities.end())
+    return;
+  double &Served = Found->second.Served;
+  Served = std::max(0.0, Served - static_cast<double>(Work.Value));
+}
+
 double PriorityScheduler::recentShare(const Common::PriorityName &Priority,
                                       Common::TimePoint Now) {
   this->decay(Now);
--- a/Source/Core/Admission/PriorityScheduler.h
+++ b/Source/Core/Admission/PriorityScheduler.h
@@ -35,6 +35,9 @@
          Common::TimePoint Now);
   void served(const Common::PriorityName &Priority, Cost Work,
               Common::TimePoint Now);
+  /// Takes back what was counted and not done.
+  void unserved(const Common::PriorityName &Priority, Cost Work,
+                Common::TimePoint Now);
 
   /// The share of capacity that new work of Priority can count on while
   /// the priorities in Waiting have work.
--- a/Source/Core/Routing/Dispatcher.cpp
+++ b/Source/Core/Routing/Dispatcher.cpp
@@ -209,8 +209,7 @@
   Each.Server = Chosen->Server;
   Each.StartedAt = Now;
   Each.Uncached = Each.Work.PromptTokens - Cached;
-  Each.Cost = Admission::Cost{
-      std::max<std::uint64_t>(Each.Uncached + Each.Work.ExpectedTokens, 1)};
+  Each.Cost = this->remainingCost(Each);
   ++Each.Attempts;
   this->Scheduler.served(Each.Work.Priority, Each.Cost, Now);
   this->Use[Each.Work.Caller].Value += Each.Cost.Value;
@@ -272,7 +271,8 @@
   Tracked *Victim = nullptr;
   std::uint64_t VictimRank = 0;
   for (auto &[Id, Each] : this->Requests) {
-    if (!Each.running() || !Each.Work.Resumable)
+    // Once is enough: a stream that gives way again and again never ends.
+    if (!Each.running() || !Each.Work.Resumable || Each.WasPreempted)
       continue;
     const Admission::PriorityRule *Rule =
         this->Scheduler.find(Each.Work.Priority);
@@ -319,7 +319,12 @@
       return;
     Orders.push_back(PreemptOrder{Victim->Work.Id, Victim->Server});
     this->Retries.push_back(RetryReason::Preempted);
+    // What it did not get to does not count as served.
+    Victim->Uncached = 0;
+    this->Scheduler.unserved(Victim->Work.Priority,
+                             this->remainingCost(*Victim), Now);
     this->leaveServer(*Victim);
+    Victim->WasPreempted = true;
     Victim->Deadline = Common::TimePoint::max();
     this->enqueue(*Victim, true);
     if (!this->start(First, Orders, Now))
@@ -328,6 +333,13 @@
   }
 }
 
+Admission::Cost Dispatcher::remainingCost(const Tracked &Each) const {
+  const std::uint64_t Tokens =
+      Each.Work.ExpectedTokens -
+      std::min(Each.Work.ExpectedTokens, Each.TokensDone);
+  return Admission::Cost{std::max<std::uint64_t>(Each.Uncached + Tokens, 1)};
+}
+
 void Dispatcher::leaveServer(Tracked &Each) {
   if (PooledServer *Server = this->Servers.find(Each.Server))
     Server->Running.erase(Each.Work.Id);
--- a/Source/Core/Routing/Dispatcher.h
+++ b/Source/Core/Routing/Dispatcher.h
@@ -77,7 +77,7 @@
   /// urgent stream give way.
   double PreemptAfter = 0.3;
   /// Expected waits above this share of the target are refused at arrival.
-  double RefuseAbove = 0.9;
+  double RefuseAbove = 0.5;
   Common::Duration QuarantineLength = std::chrono::minutes(10);
 };
 
@@ -147,6 +147,7 @@
     std::uint64_t Uncached = 0;
     std::uint64_t TokensDone = 0;
     std::size_t Attempts = 0;
+    bool WasPreempted = false;
     bool FirstTokenSeen = false;
     std::set<Common::BackendServerId> FailedAt;
     bool running() const { return !this->Server.empty(); }
@@ -170,6 +171,8 @@
   void preempt(std::vector<Order> &Orders, Common::TimePoint Now);
   Tracked *preemptionVictim(std::uint64_t UrgentRank, Common::TimePoint Now);
   void leaveServer(Tracked &Each);
+  /// Work that is left when the server goes on from the tokens done.
+  Admission::Cost remainingCost(const Tracked &Each) const;
 
   DispatchRules Rules;
   ServerPool Servers;
--- a/Source/FaultTests/JournalFaultTest.cpp
+++ b/Source/FaultTests/JournalFaultTest.cpp
@@ -52,8 +52,8 @@
   std::vector<std::shared_ptr<std::optional<Reply>>> Calls;
   for (int I = 0; I < 8; ++I)
     Calls.push_back(Test.begin(Test.entryHttp(1 + I % 2),
-                               Network::HttpMethod::Post, "/services/orders/r",
-                               "{}", Headers));
+                               Network::HttpMethod::Post,
+                               "/services/orders/reservations", "{}", Headers));
   BOOST_REQUIRE(Test.await([&] {
     return std::all_of(Calls.begin(), Calls.end(),
                        [](const auto &Each) { return Each->has_value(); });
@@ -96,7 +96,8 @@
   Test.startAll();
   // No backend server yet: the request is accepted and waits.
   const auto Waiting = Test.begin(
-      Test.entryHttp(1), Network::HttpMethod::Post, "/services/orders/r", "{}",
+      Test.entryHttp(1), Network::HttpMethod::Post,
+      "/services/orders/reservations", "{}",
       {{"Authorization", "Bearer yard-key"}, {"Idempotency-Key", "wait"}});
   BOOST_REQUIRE(Test.await([&] {
     return Test.metric(Test.stateHttp(Test.stateLeader()),
@@ -119,7 +120,8 @@
   Cluster Test;
   Test.startAll();
   const auto Waiting = Test.begin(
-      Test.entryHttp(1), Network::HttpMethod::Post, "/services/orders/r", "{}",
+      Test.entryHttp(1), Network::HttpMethod::Post,
+      "/services/orders/reservations", "{}",
       {{"Authorization", "Bearer yard-key"}, {"Idempotency-Key", "wait"}});
   BOOST_REQUIRE(Test.await([&] {
     return Test.metric(Test.stateHttp(Test.stateLeader()),
@@ -154,7 +156,7 @@
       Keys.push_back(Key);
       Calls.emplace_back(Key, Test.begin(Test.entryHttp(1 + I % 2),
                                          Network::HttpMethod::Post,
-                                         "/services/orders/r", "{}",
+                                         "/services/orders/reservations", "{}",
                                          {{"Authorization", "Bearer yard-key"},
                                           {"Idempotency-Key", Key}}));
       Test.pause(Randomness.between(0ms, 3ms));
--- a/Source/PolicyBench/BenchRun.cpp
+++ b/Source/PolicyBench/BenchRun.cpp
@@ -417,7 +417,18 @@
   }
 }
 
+void BenchRun::reportProgress() {
+  for (const auto &[Id, Each] : this->Requests)
+    if (Each.Engine < this->Engines.size())
+      this->Daemons[Each.Daemon].Dispatcher->progress(
+          Id, Each.TokensDone +
+                  this->Engines[Each.Engine].progress(Each.Daemon, Id));
+}
+
 void BenchRun::sendDigests() {
+  if (!this->usesDispatcher())
+    return;
+  this->reportProgress();
   if (this->How != Policy::Sycamore)
     return;
   for (std::size_t From = 0; From < this->Daemons.size(); ++From) {
--- a/Source/PolicyBench/BenchRun.h
+++ b/Source/PolicyBench/BenchRun.h
@@ -69,6 +69,7 @@
   void carryOut(std::size_t Index, const Routing::Order &Each);
   void sendDigests();
   void announce();
+  void reportProgress();
   void refuse(Common::RequestId Id, Common::RefusalReason Reason);
   Routing::ServerFacts factsOf(std::size_t Engine) const;
 
--- a/Source/PolicyBench/EngineModel.cpp
+++ b/Source/PolicyBench/EngineModel.cpp
@@ -111,6 +111,14 @@
   return 0;
 }
 
+std::uint64_t EngineModel::progress(std::size_t Daemon,
+                                    Common::RequestId Id) const {
+  for (const Stream &Each : this->Active)
+    if (Each.Job.Id == Id && Each.Job.Daemon == Daemon)
+      return static_cast<std::uint64_t>(Each.TokensDone);
+  return 0;
+}
+
 std::vector<EngineJob> EngineModel::crash() {
   std::vector<EngineJob> Lost(this->Queue.begin(), this->Queue.end());
   for (const Stream &Each : this->Active)
--- a/Source/PolicyBench/EngineModel.h
+++ b/Source/PolicyBench/EngineModel.h
@@ -62,6 +62,8 @@
   std::vector<EngineJob> crash();
   void restart();
 
+  /// Tokens generated for a job so far.
+  std::uint64_t progress(std::size_t Daemon, Common::RequestId Id) const;
   /// Leading blocks that are cached.
   std::size_t cached(const std::vector<Routing::BlockHash> &Blocks) const;
   std::vector<Membership::CacheEvent> takeCacheEvents();
