--- a/Source/Core/Journal/JournalCommand.h
+++ b/Source/Core/Journal/JournalCommand.h
@@ -76,7 +76,7 @@
   RequestState State = RequestState::Accepted;
   Journal::Owner Owner;
   Journal::Attempt Attempt;
-  /// Which call of the owner made the claim.
+  /// The call of the owner that runs the request.
   Common::RequestId Runner;
   Common::BackendServerId BackendServer;
   std::string Fingerprint;
@@ -95,11 +95,13 @@
   std::string Fingerprint;
   CallContent Content;
   Journal::Owner Owner;
+  /// Tells a repeat of this command from another call with the same key.
+  Common::RequestId Runner;
   /// How long the answer is kept, in milliseconds.
   std::uint64_t KeepMilliseconds = 0;
 
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(this->Key, this->Fingerprint, this->Content, this->Owner,
+    Ar(this->Key, this->Fingerprint, this->Content, this->Owner, this->Runner,
        this->KeepMilliseconds);
   }
 };
--- a/Source/Core/Journal/RequestJournal.cpp
+++ b/Source/Core/Journal/RequestJournal.cpp
@@ -83,11 +83,17 @@
   if (Request *Known = this->lookUp(Command.Key)) {
     if (Known->View.Fingerprint != Command.Fingerprint)
       return {JournalVerdict::KeyReused, std::nullopt};
+    const bool Repeat = Known->View.State == RequestState::Accepted &&
+                        Known->View.Owner == Command.Owner &&
+                        Known->View.Runner == Command.Runner;
+    if (Repeat)
+      return this->done(*Known);
     if (Known->View.State != RequestState::NotRun)
       return {JournalVerdict::Existing, Known->View};
     // It provably never ran, so this is its first run.
     Known->View.State = RequestState::Accepted;
     Known->View.Owner = Command.Owner;
+    Known->View.Runner = Command.Runner;
     Known->TakenFrom = Common::DaemonId();
     Known->Content = Command.Content;
     this->Unfinished[Command.Owner].insert(Command.Key);
@@ -97,6 +103,7 @@
     return {JournalVerdict::Full, std::nullopt};
   Request &Added = this->Requests[Command.Key];
   Added.View.Owner = Command.Owner;
+  Added.View.Runner = Command.Runner;
   Added.View.Fingerprint = Command.Fingerprint;
   Added.Content = Command.Content;
   Added.KeepMilliseconds = Command.KeepMilliseconds;
@@ -210,6 +217,7 @@
       }
       this->Unfinished[Dead].erase(Key);
       Found.View.Owner = Command.To;
+      Found.View.Runner = Common::RequestId();
       Found.TakenFrom = Command.From;
       this->Unfinished[Command.To].insert(Key);
       Result.Taken.push_back({Key, Found.View.Attempt, Found.Content});
--- a/Source/EntryDaemon/JournaledCall.cpp
+++ b/Source/EntryDaemon/JournaledCall.cpp
@@ -132,6 +132,7 @@
   Command.Key = this->Key;
   Command.Fingerprint = this->Fingerprint;
   Command.Owner = this->Context.Self;
+  Command.Runner = this->Request.Work.Id;
   Command.KeepMilliseconds = this->KeepMilliseconds;
   Command.Content.Service = this->Request.Service;
   Command.Content.Priority = this->Request.Work.Priority;
@@ -151,19 +152,9 @@
                                   this->Context.Loop.now() - this->ArrivedAt);
     this->enterLane();
     return;
-  case Journal::JournalVerdict::Existing: {
-    const bool Mine = Result.View->Owner == this->Context.Self &&
-                      Result.View->State == Journal::RequestState::Accepted &&
-                      !this->Exchange->open();
-    if (Mine) {
-      // The first copy of this very command was committed unnoticed.
-      this->Attempt = Result.View->Attempt;
-      this->enterLane();
-      return;
-    }
+  case Journal::JournalVerdict::Existing:
     this->report(*Result.View);
     return;
-  }
   case Journal::JournalVerdict::KeyReused:
     this->replyRefusal(RefusalReason::IdempotencyKeyReused);
     break;
--- a/Source/FaultTests/FleetFaultTest.cpp
+++ b/Source/FaultTests/FleetFaultTest.cpp
@@ -17,7 +17,10 @@
 /// Hosts that run the declared version.
 std::size_t serving(Cluster &Test, const std::string &Version) {
   std::size_t Count = 0;
-  for (const auto &Host : hostsOf(Test)["hosts"])
+  const auto Answer = hostsOf(Test);
+  if (!Answer.is_object())
+    return 0;
+  for (const auto &Host : Answer["hosts"])
     Count += Host["state"] == "running" && Host["version"] == Version &&
              Host["loading"] == false;
   return Count;
--- a/Source/UnitTests/Journal/RequestJournalTest.cpp
+++ b/Source/UnitTests/Journal/RequestJournalTest.cpp
@@ -61,6 +61,20 @@
   BOOST_TEST(Again.View->Answer->Body == "yes");
 }
 
+BOOST_AUTO_TEST_CASE(repeatedAcceptOfOneCallIsItsOwn) {
+  // The first copy committed and its answer was lost: the call must run it.
+  RequestJournal Log;
+  AcceptCommand Mine = acceptOf(keyOf("k"));
+  Mine.Runner = Common::RequestId{7};
+  BOOST_TEST(done(Log.apply(Mine)));
+  BOOST_TEST(done(Log.apply(Mine)));
+  AcceptCommand Another = Mine;
+  Another.Runner = Common::RequestId{8};
+  BOOST_TEST((Log.apply(Another).Verdict == JournalVerdict::Existing));
+  Log.apply(claimOf(keyOf("k"), 1, First, 7));
+  BOOST_TEST((Log.apply(Mine).Verdict == JournalVerdict::Existing));
+}
+
 BOOST_AUTO_TEST_CASE(otherContentUnderTheSameKeyIsRefused) {
   RequestJournal Log;
   Log.apply(acceptOf(keyOf("k")));
