Network: A closed caller is noticed once, by evhttp or by the socket

Cause: an entry daemon ended with a segmentation fault when a streaming caller closed. evhttp had noticed the close in the same turn of the loop and freed the connection; the watch on the socket freed it again. Ruled out: the cancelled call to the engine (backtrace is in evhttp_connection_free called from the watch). Conclusion: the watch only frees; evhttp's close callback tells the exchange.

--- a/Source/Core/Network/HttpServer.cpp
+++ b/Source/Core/Network/HttpServer.cpp
@@ -59,16 +59,26 @@
 HttpExchange::~HttpExchange() = default;
 
 void HttpExchange::watchCaller() {
-  evhttp_connection *Connection = evhttp_request_get_connection(this->Raw);
-  bufferevent *Socket = evhttp_connection_get_bufferevent(Connection);
-  this->Closed =
-      this->Loop->onPeerClosed(bufferevent_getfd(Socket), [this, Connection] {
-        const auto Self = this->shared_from_this();
-        this->finish();
-        if (this->CallerGone)
-          this->CallerGone();
-        evhttp_connection_free(Connection);
-      });
+  this->Connection = evhttp_request_get_connection(this->Raw);
+  // evhttp notices a close only while it reads or writes. Whoever notices
+  // it first frees the connection, and evhttp then runs the close callback.
+  evhttp_connection_set_closecb(
+      this->Connection,
+      [](evhttp_connection *, void *Self) {
+        static_cast<HttpExchange *>(Self)->callerClosed();
+      },
+      this);
+  bufferevent *Socket = evhttp_connection_get_bufferevent(this->Connection);
+  this->Closed = this->Loop->onPeerClosed(bufferevent_getfd(Socket), [this] {
+    evhttp_connection_free(this->Connection);
+  });
+}
+
+void HttpExchange::callerClosed() {
+  const auto Self = this->shared_from_this();
+  this->finish();
+  if (this->CallerGone)
+    this->CallerGone();
 }
 
 void HttpExchange::finish() {
@@ -76,6 +86,7 @@
     return;
   this->Raw = nullptr;
   this->Closed.cancel();
+  evhttp_connection_set_closecb(this->Connection, nullptr, nullptr);
   --*this->OpenCount;
   // The last owner may be the caller of this method.
   this->Loop->defer([Keep = std::move(this->SelfWhileOpen)] {});
--- a/Source/Core/Network/HttpServer.h
+++ b/Source/Core/Network/HttpServer.h
@@ -9,6 +9,7 @@
 #include <memory>
 
 struct evhttp;
+struct evhttp_connection;
 struct evhttp_request;
 
 namespace Network {
@@ -35,10 +36,12 @@
   friend class HttpServer;
   HttpExchange() = default;
   void watchCaller();
+  void callerClosed();
   void finish();
 
   EventLoop *Loop = nullptr;
   evhttp_request *Raw = nullptr;
+  evhttp_connection *Connection = nullptr;
   std::shared_ptr<std::size_t> OpenCount;
   HttpRequest Request;
   bool Streaming = false;
