--- a/Source/Fakes/FakeService.cpp
+++ b/Source/Fakes/FakeService.cpp
@@ -50,9 +50,10 @@
   }
   this->Timers[Exchange.get()] =
       this->Loop.callAfter(this->Options.Delay, [this, Exchange] {
-        const auto Keep = Exchange;
-        this->run(Keep);
-        this->Timers.erase(Keep.get());
+        this->run(Exchange);
+        // Not at once: the timer's own callback runs.
+        this->Loop.defer(
+            [this, Exchange] { this->Timers.erase(Exchange.get()); });
       });
 }
 
