--- a/Source/FaultTests/Cluster.cpp
+++ b/Source/FaultTests/Cluster.cpp
@@ -249,7 +249,7 @@
   Call.Request.Body = Body;
   Network::HttpCallHandlers Handle;
   Handle.OnDone = [Result](Network::CallResult How,
-                           Network::HttpAnswer Answer) {
+                           const Network::HttpAnswer &Answer) {
     *Result = Reply{How, Answer.Status, Answer.Headers, Answer.Body};
   };
   this->Http.start(std::move(Call), std::move(Handle));
--- a/Source/FaultTests/ContractTest.cpp
+++ b/Source/FaultTests/ContractTest.cpp
@@ -17,8 +17,9 @@
   const int Descriptor = socket(AF_INET, Type, 0);
   const sockaddr_in Where =
       Network::toSocketAddress({"127.0.0.1", static_cast<std::uint16_t>(Port)});
-  connect(Descriptor, reinterpret_cast<const sockaddr *>(&Where),
-          sizeof(Where));
+  const int Connected = connect(
+      Descriptor, reinterpret_cast<const sockaddr *>(&Where), sizeof(Where));
+  BOOST_TEST(Connected == 0);
   send(Descriptor, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
   close(Descriptor);
 }
--- a/Source/FaultTests/Forwarder.cpp
+++ b/Source/FaultTests/Forwarder.cpp
@@ -5,6 +5,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
+#include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -32,8 +33,9 @@
       reinterpret_cast<const sockaddr *>(&Where), sizeof(Where));
   this->Datagrams =
       socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  bind(this->Datagrams, reinterpret_cast<const sockaddr *>(&Where),
-       sizeof(Where));
+  if (bind(this->Datagrams, reinterpret_cast<const sockaddr *>(&Where),
+           sizeof(Where)) != 0)
+    throw std::runtime_error("cannot bind " + Listen.str());
   this->Readable =
       Loop.onReadable(this->Datagrams, [this] { this->passDatagrams(); });
 }
--- a/Source/FaultTests/JournalFaultTest.cpp
+++ b/Source/FaultTests/JournalFaultTest.cpp
@@ -148,7 +148,7 @@
   std::vector<std::string> Keys;
   const std::vector<std::string> Victims = {"s1", "s2", "s3", "e1", "e2"};
   for (int Round = 0; Round < 25; ++Round) {
-    const std::string Victim = Victims[Randomness.below(Victims.size())];
+    const std::string &Victim = Victims[Randomness.below(Victims.size())];
     std::vector<std::pair<std::string, std::shared_ptr<std::optional<Reply>>>>
         Calls;
     for (int I = 0; I < 6; ++I) {
