Settings: What all daemons are told stands once

Cause: three daemons read name, secrets and log level with the same lines. Conclusion: one base for their settings; the fault tests' set-up likewise.

--- a/Source/EntryDaemon/EntrySettings.cpp
+++ b/Source/EntryDaemon/EntrySettings.cpp
@@ -29,17 +29,12 @@
 )";
 
 EntrySettings EntrySettings::create(Settings::SettingsReader &Reader) {
-  constexpr std::size_t LeastSecretBytes = 16;
   constexpr std::uint64_t DefaultGraceMs = 500;
   constexpr std::uint64_t MostGraceMs = 600'000;
   EntrySettings Result;
-  Result.Name = Common::DaemonId(Reader.required("--name"));
-  Result.DataCentre = Common::DataCentreId(Reader.required("--datacentre"));
+  static_cast<DaemonSettings &>(Result) = DaemonSettings::create(Reader);
   Result.Http = Reader.address("--http");
   Result.Peer = Reader.address("--peer");
-  Result.State = Reader.addresses("--state");
-  if (Result.State.empty())
-    Reader.fault("--state", "is missing; name the state daemons' addresses");
   bool NamesItself = false;
   for (const std::string &Each : Reader.list("--peers")) {
     auto Parsed = Membership::Peer::create(Each);
@@ -52,19 +47,10 @@
   }
   if (!NamesItself)
     Result.Peers.push_back({Result.Name, Result.DataCentre, Result.Peer});
-  Result.Key.Secret = Reader.secret("SYCAMORE_CLUSTER_KEY", LeastSecretBytes);
-  Result.OperatorToken =
-      Reader.secret("SYCAMORE_OPERATOR_TOKEN", LeastSecretBytes);
   Result.BackendToken =
       Reader.secret("SYCAMORE_BACKEND_TOKEN", LeastSecretBytes);
   Result.DrainGrace = std::chrono::milliseconds(
       Reader.number("--drain-grace", DefaultGraceMs, 0, MostGraceMs));
-  const auto Level =
-      Telemetry::parseLogLevel(Reader.text("--log-level", "info"));
-  if (Level.ok())
-    Result.Level = *Level;
-  else
-    Reader.fault("--log-level", std::string(Level.status().message()));
   return Result;
 }
 
--- a/Source/FaultTests/JournalFaultTest.cpp
+++ b/Source/FaultTests/JournalFaultTest.cpp
@@ -29,6 +29,20 @@
   return Event;
 }
 
+/// Has a request with the key "wait" accepted while no backend server can
+/// run it.
+std::shared_ptr<std::optional<Reply>> acceptWithoutServer(Cluster &Test) {
+  const auto Waiting = Test.begin(
+      Test.entryHttp(1), Network::HttpMethod::Post,
+      "/services/orders/reservations", "{}",
+      {{"Authorization", "Bearer yard-key"}, {"Idempotency-Key", "wait"}});
+  BOOST_REQUIRE(Test.await([&] {
+    return Test.metric(Test.stateHttp(Test.stateLeader()),
+                       "journal_unfinished") == 1;
+  }));
+  return Waiting;
+}
+
 void restart(Cluster &Test, const std::string &Name) {
   const int Number = Name[1] - '0';
   Test.kill(Name);
@@ -95,14 +109,7 @@
   Cluster Test;
   Test.startAll();
   // No backend server yet: the request is accepted and waits.
-  const auto Waiting = Test.begin(
-      Test.entryHttp(1), Network::HttpMethod::Post,
-      "/services/orders/reservations", "{}",
-      {{"Authorization", "Bearer yard-key"}, {"Idempotency-Key", "wait"}});
-  BOOST_REQUIRE(Test.await([&] {
-    return Test.metric(Test.stateHttp(Test.stateLeader()),
-                       "journal_unfinished") == 1;
-  }));
+  const auto Waiting = acceptWithoutServer(Test);
   Test.kill("e1");
   Test.startService("orders2", 2);
   // Nobody asks again: the other entry daemon runs it by itself.
@@ -120,14 +127,7 @@
 BOOST_AUTO_TEST_CASE(acceptedRequestSurvivesARestartOfEverything) {
   Cluster Test;
   Test.startAll();
-  const auto Waiting = Test.begin(
-      Test.entryHttp(1), Network::HttpMethod::Post,
-      "/services/orders/reservations", "{}",
-      {{"Authorization", "Bearer yard-key"}, {"Idempotency-Key", "wait"}});
-  BOOST_REQUIRE(Test.await([&] {
-    return Test.metric(Test.stateHttp(Test.stateLeader()),
-                       "journal_unfinished") == 1;
-  }));
+  const auto Waiting = acceptWithoutServer(Test);
   for (const char *Name : {"e1", "e2", "s1", "s2", "s3"})
     Test.kill(Name);
   for (int I = 1; I <= 3; ++I)
--- a/Source/FleetDaemon/FleetSettings.cpp
+++ b/Source/FleetDaemon/FleetSettings.cpp
@@ -26,27 +26,13 @@
 )";
 
 FleetSettings FleetSettings::create(Settings::SettingsReader &Reader) {
-  constexpr std::size_t LeastSecretBytes = 16;
   FleetSettings Result;
-  Result.Name = Common::DaemonId(Reader.required("--name"));
-  Result.DataCentre = Common::DataCentreId(Reader.required("--datacentre"));
+  static_cast<DaemonSettings &>(Result) = DaemonSettings::create(Reader);
   Result.Http = Reader.address("--http");
   Result.Cloud = Reader.address("--cloud");
   Result.Entries = Reader.addresses("--entries");
-  Result.State = Reader.addresses("--state");
   if (Result.Entries.empty())
     Reader.fault("--entries", "is missing; name the entry daemons");
-  if (Result.State.empty())
-    Reader.fault("--state", "is missing; name the state daemons' addresses");
-  Result.Key.Secret = Reader.secret("SYCAMORE_CLUSTER_KEY", LeastSecretBytes);
-  Result.OperatorToken =
-      Reader.secret("SYCAMORE_OPERATOR_TOKEN", LeastSecretBytes);
-  const auto Level =
-      Telemetry::parseLogLevel(Reader.text("--log-level", "info"));
-  if (Level.ok())
-    Result.Level = *Level;
-  else
-    Reader.fault("--log-level", std::string(Level.status().message()));
   return Result;
 }
 
--- a/Source/StateDaemon/StateSettings.cpp
+++ b/Source/StateDaemon/StateSettings.cpp
@@ -29,16 +29,11 @@
 )";
 
 StateSettings StateSettings::create(Settings::SettingsReader &Reader) {
-  constexpr std::size_t LeastSecretBytes = 16;
   StateSettings Result;
-  Result.Name = Common::DaemonId(Reader.required("--name"));
-  Result.DataCentre = Common::DataCentreId(Reader.required("--datacentre"));
+  static_cast<DaemonSettings &>(Result) = DaemonSettings::create(Reader);
   Result.DataPath = Reader.required("--data");
   Result.Listen = Reader.address("--listen");
   Result.Http = Reader.address("--http");
-  Result.State = Reader.addresses("--state");
-  if (Result.State.empty())
-    Reader.fault("--state", "is missing; name the state daemons' addresses");
   for (const std::string &Each : Reader.list("--founders")) {
     auto Member = Consensus::Member::create(Each);
     if (Member.ok())
@@ -46,15 +41,6 @@
     else
       Reader.fault("--founders", std::string(Member.status().message()));
   }
-  Result.Key.Secret = Reader.secret("SYCAMORE_CLUSTER_KEY", LeastSecretBytes);
-  Result.OperatorToken =
-      Reader.secret("SYCAMORE_OPERATOR_TOKEN", LeastSecretBytes);
-  const auto Level =
-      Telemetry::parseLogLevel(Reader.text("--log-level", "info"));
-  if (Level.ok())
-    Result.Level = *Level;
-  else
-    Reader.fault("--log-level", std::string(Level.status().message()));
   return Result;
 }
 
