Demo: The fleet daemons bring the engines; evhttp's own repeats are ruled out

Cause: the demo left the fleet out, and whether evhttp sends a call again when a connection closes, is reset or closes while kept alive was not tested.

--- a/Scripts/demo.sh
+++ b/Scripts/demo.sh
@@ -73,18 +73,22 @@
 show $Ctl set budget per-hour 40
 for I in 1 2; do awaitReady http://127.0.0.1:800$I/readyz; done
 
-say "Backend servers announce themselves"
+say "Backend servers of a plain service announce themselves"
 Entries=127.0.0.1:8001,127.0.0.1:8002
 for I in 1 2; do
-  start engine$I $Bin/Fakes/sycamore-fake-engine --name=engine$I \
-    --service=assistant --model=sleeper-7b --model-version=1 --host=h$I \
-    --datacentre="${Centres[$I]}" --listen=127.0.0.1:810$I \
-    --entries=$Entries --delay-ms=20 --price-milli=900
   start orders$I $Bin/Fakes/sycamore-fake-service --name=orders$I \
-    --service=orders --host=h$((I + 2)) --datacentre="${Centres[$I]}" \
+    --service=orders --host=h$I --datacentre="${Centres[$I]}" \
     --listen=127.0.0.1:820$I --entries=$Entries --price-milli=300
 done
-for _ in $(seq 100); do
+say "Two fleet daemons start hosts in a cloud and load the declared model"
+start cloud $Bin/Fakes/sycamore-fake-cloud --listen=127.0.0.1:8500 \
+  --entries=$Entries --centres=east,west,north --first-port=8510
+for I in 1 2; do
+  start f$I $Bin/FleetDaemon/sycamore-fleet --name=f$I \
+    --datacentre="${Centres[$I]}" --http=127.0.0.1:760$I \
+    --cloud=127.0.0.1:8500 --entries=$Entries --state=$State
+done
+for _ in $(seq 300); do
   [ "$($Ctl show backends where state = serving | wc -l)" = 5 ] && break
   sleep 0.05
 done
@@ -115,6 +119,7 @@
 show $Ctl show cost by datacentre
 show $Ctl show refusals
 show $Ctl show replicas
+show $Ctl show leases
 show $Ctl show latency
 show $Ctl shwo services || true
 say "Done"
