--- a/Source/Core/Admission/FairQueue.cpp
+++ b/Source/Core/Admission/FairQueue.cpp
@@ -42,7 +42,9 @@
 }
 
 void FairQueue::takeOut(const Common::CallerId &Caller, CallerQueue &Queue,
-                        std::deque<WaitingRequest>::iterator Which) {
+                        std::size_t Position) {
+  const auto Which =
+      Queue.Waiting.begin() + static_cast<std::ptrdiff_t>(Position);
   Queue.Queued.Value -= Which->Cost.Value;
   this->Total.Value -= Which->Cost.Value;
   --this->Count;
@@ -79,7 +81,7 @@
   const Common::CallerId Caller = *this->leastServed(Now);
   CallerQueue &Queue = this->Callers.at(Caller);
   WaitingRequest Taken = Queue.Waiting.front();
-  this->takeOut(Caller, Queue, Queue.Waiting.begin());
+  this->takeOut(Caller, Queue, 0);
   Queue.addUse(static_cast<double>(Taken.Cost.Value), Now);
   return Taken;
 }
@@ -91,7 +93,8 @@
                      [&](const WaitingRequest &Each) { return Each.Id == Id; });
     if (Found == Queue.Waiting.end())
       continue;
-    this->takeOut(Caller, Queue, Found);
+    this->takeOut(Caller, Queue,
+                  static_cast<std::size_t>(Found - Queue.Waiting.begin()));
     return true;
   }
   return false;
@@ -105,7 +108,7 @@
     // One caller's requests wait in the order of their deadlines.
     while (!Queue.Waiting.empty() && Queue.Waiting.front().Deadline <= Now) {
       Expired.push_back(Queue.Waiting.front());
-      this->takeOut(Caller, Queue, Queue.Waiting.begin());
+      this->takeOut(Caller, Queue, 0);
     }
   }
   return Expired;
--- a/Source/Core/Admission/FairQueue.h
+++ b/Source/Core/Admission/FairQueue.h
@@ -73,7 +73,7 @@
 
   CallerQueue &touch(const WaitingRequest &Added);
   void takeOut(const Common::CallerId &Caller, CallerQueue &Queue,
-               std::deque<WaitingRequest>::iterator Which);
+               std::size_t Position);
   const Common::CallerId *leastServed(Common::TimePoint Now) const;
 
   std::map<Common::CallerId, CallerQueue> Callers;
--- a/Source/PolicyBench/Main.cpp
+++ b/Source/PolicyBench/Main.cpp
@@ -1,4 +1,5 @@
 #include "PolicyBench/Scenarios.h"
+#include "PolicyBench/Spread.h"
 #include "Settings/SettingsReader.h"
 
 #include <absl/strings/str_format.h>
@@ -16,8 +17,8 @@
 Usage:
   policybench [options] [<part>]
 
-Parts: floods, fairness, prompts, daemons, retries, crashes and preemption;
-all of them unless one is named.
+Parts: floods, fairness, prompts, daemons, retries, crashes, preemption and
+spread; all of them unless one is named.
 
 Options:
   --json              Print one JSON object a line.
@@ -218,6 +219,42 @@
   }
 }
 
+void spread(const Report &To, std::uint64_t Seed) {
+  To.title("Spread of a configuration: relay against random push and pull, "
+           "means of 200 runs");
+  constexpr std::size_t Runs = 200;
+  struct Way {
+    const char *Name;
+    SpreadOutcome (*Run)(const SpreadCase &);
+  };
+  for (const std::size_t Nodes : {8, 34, 410})
+    for (const double Silent : {0.0, 0.1})
+      for (const Way &How :
+           {Way{"relay", spreadByRelay}, Way{"push and pull", spreadByRumor}}) {
+        SpreadCase Given;
+        Given.Nodes = Nodes;
+        Given.Centres = Nodes == 410 ? 12 : 4;
+        Given.Silent = Silent;
+        std::size_t Messages = 0;
+        std::size_t Rounds = 0;
+        std::size_t Complete = 0;
+        for (std::size_t I = 0; I < Runs; ++I) {
+          Given.Seed = Seed * Runs + I;
+          const SpreadOutcome Seen = How.Run(Given);
+          Messages += Seen.Messages;
+          Rounds += Seen.Rounds;
+          Complete += Seen.Complete ? 1 : 0;
+        }
+        To.facts(
+            absl::StrFormat("%d nodes, %.0f%% silent", Nodes, 100 * Silent),
+            How.Name,
+            {{"messages_per_node",
+              std::round(double(Messages) / double(Runs * Nodes) * 100) / 100},
+             {"rounds", double(Rounds) / double(Runs)},
+             {"complete_percent", 100.0 * double(Complete) / double(Runs)}});
+      }
+}
+
 } // namespace
 
 int main(int ArgumentCount, char **Arguments) {
@@ -233,10 +270,10 @@
     void (*Run)(const Report &, std::uint64_t);
   };
   constexpr std::array Parts = {
-      Part{"floods", floods},        Part{"fairness", fairness},
-      Part{"prompts", prompts},      Part{"daemons", daemons},
-      Part{"retries", retries},      Part{"crashes", crashes},
-      Part{"preemption", preemption}};
+      Part{"floods", floods},         Part{"fairness", fairness},
+      Part{"prompts", prompts},       Part{"daemons", daemons},
+      Part{"retries", retries},       Part{"crashes", crashes},
+      Part{"preemption", preemption}, Part{"spread", spread}};
   const auto Wanted = Reader.positional("<part>");
   const Report To(Reader.flag("--json"));
   for (const Part &Each : Parts)
