FaultTests: The draining entry daemon is waited for

Cause: the check asked /readyz right after the signal; on a slow machine the call may come first. Conclusion: the condition is awaited; it is as strict as before.

--- a/Source/FaultTests/ServingFaultTest.cpp
+++ b/Source/FaultTests/ServingFaultTest.cpp
@@ -143,8 +143,10 @@
   for (const char *Name : {"e1", "engine1", "engine2", "orders1", "s1"})
     Test.process(Name).signal(SIGTERM);
   // While it drains, it says so.
-  BOOST_TEST(Test.call(Test.entryHttp(1), Network::HttpMethod::Get, "/readyz")
-                 .Status != 200);
+  BOOST_TEST(Test.await([&] {
+    return Test.call(Test.entryHttp(1), Network::HttpMethod::Get, "/readyz")
+               .Status != 200;
+  }));
   BOOST_REQUIRE(Test.await([&] {
     return Order->has_value() &&
            std::all_of(Calls.begin(), Calls.end(),
