--- a/Source/FaultTests/JournalFaultTest.cpp
+++ b/Source/FaultTests/JournalFaultTest.cpp
@@ -32,7 +32,7 @@
 /// Has a request with the key "wait" accepted while no backend server can
 /// run it.
 std::shared_ptr<std::optional<Reply>> acceptWithoutServer(Cluster &Test) {
-  const auto Waiting = Test.begin(
+  auto Waiting = Test.begin(
       Test.entryHttp(1), Network::HttpMethod::Post,
       "/services/orders/reservations", "{}",
       {{"Authorization", "Bearer yard-key"}, {"Idempotency-Key", "wait"}});
