Core: Three pieces that nobody called are gone

Cause: a last reading found a concept, and two counting functions, without a caller or a test. Ruled out: Quarantine::forgetOld also has no caller, but it is needed; calling it changes behaviour and wants a test first, so it is left and noted. Conclusion: removed; nothing else changes.

--- a/Source/Core/Membership/PeerTable.cpp
+++ b/Source/Core/Membership/PeerTable.cpp
@@ -84,12 +84,6 @@
          Now - Found->second.HeardAt < DeadAfter;
 }
 
-std::size_t PeerTable::livingCount(Common::TimePoint Now) const {
-  return std::count_if(
-      this->Local.begin(), this->Local.end(),
-      [&](const Peer &Each) { return this->living(Each.Daemon, Now); });
-}
-
 bool PeerTable::isRelay(Common::TimePoint Now) const {
   return std::none_of(
       this->Local.begin(), this->Local.end(), [&](const Peer &Each) {
--- a/Source/Core/Membership/PeerTable.h
+++ b/Source/Core/Membership/PeerTable.h
@@ -60,8 +60,6 @@
   const Peer *find(const Common::DaemonId &Daemon) const;
   /// The living peers of the own data centre, without this daemon.
   std::vector<LivingDaemon> livingLocal(Common::TimePoint Now) const;
-  /// Peers heard of recently, without this daemon.
-  std::size_t livingCount(Common::TimePoint Now) const;
   bool living(const Common::DaemonId &Daemon, Common::TimePoint Now) const;
 
 private:
--- a/Source/Core/Routing/Quarantine.cpp
+++ b/Source/Core/Routing/Quarantine.cpp
@@ -52,12 +52,6 @@
   return Found != this->Records.end() && Now < Found->second.RefusedUntil;
 }
 
-std::size_t Quarantine::refusedCount(Common::TimePoint Now) const {
-  return std::count_if(
-      this->Records.begin(), this->Records.end(),
-      [&](const auto &Each) { return Now < Each.second.RefusedUntil; });
-}
-
 void Quarantine::forgetOld(Common::TimePoint Now) {
   std::erase_if(this->Records, [&](const auto &Each) {
     return Now >= Each.second.RefusedUntil &&
--- a/Source/Core/Routing/Quarantine.h
+++ b/Source/Core/Routing/Quarantine.h
@@ -46,7 +46,6 @@
   }
   bool suspect(Fingerprint Request, Common::TimePoint Now) const;
   bool refused(Fingerprint Request, Common::TimePoint Now) const;
-  std::size_t refusedCount(Common::TimePoint Now) const;
   void forgetOld(Common::TimePoint Now);
 
 private:
--- a/Source/Core/Storage/RecordFile.h
+++ b/Source/Core/Storage/RecordFile.h
@@ -9,14 +9,6 @@
 
 namespace Storage {
 
-/// The operations on a file whose failures matter, so that tests can make
-/// them fail.
-template <typename T>
-concept SyncedFile = requires(T &File, const std::string &Bytes) {
-  { File.append(Bytes) } -> std::same_as<absl::Status>;
-  { File.sync() } -> std::same_as<absl::Status>;
-};
-
 /// An open file that is only appended to.
 class AppendFile {
 public:
