--- a/Source/Core/Network/EventLoop.cpp
+++ b/Source/Core/Network/EventLoop.cpp
@@ -55,7 +55,8 @@
 
 Common::TimePoint EventLoop::now() const {
   timespec Value{};
-  clock_gettime(CLOCK_MONOTONIC, &Value);
+  // This clock goes on while the host is suspended, so that leases end then.
+  clock_gettime(CLOCK_BOOTTIME, &Value);
   return Common::TimePoint(std::chrono::duration_cast<Common::Duration>(
       std::chrono::seconds(Value.tv_sec) +
       std::chrono::nanoseconds(Value.tv_nsec)));
--- a/Source/Core/Settings/SettingsReader.cpp
+++ b/Source/Core/Settings/SettingsReader.cpp
@@ -1,12 +1,15 @@
 #include "Settings/SettingsReader.h"
 
 #include <absl/strings/ascii.h>
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_replace.h>
 #include <absl/strings/str_split.h>
 #include <charconv>
+#include <cmath>
 #include <cstdlib>
 #include <docopt/docopt.h>
+#include <fstream>
 #include <iostream>
 
 namespace Settings {
@@ -51,8 +54,35 @@
   const auto Given = this->Values.find(Flag);
   if (Given != this->Values.end())
     return Given->second;
-  const char *FromEnvironment = std::getenv(variableOf(Flag).c_str());
-  return FromEnvironment ? FromEnvironment : Default;
+  const std::string *Set = this->variable(variableOf(Flag));
+  return Set ? *Set : Default;
+}
+
+const std::string *SettingsReader::variable(const std::string &Name) {
+  if (const char *FromEnvironment = std::getenv(Name.c_str()))
+    this->Variables[Name] = FromEnvironment;
+  const auto Found = this->Variables.find(Name);
+  return Found == this->Variables.end() ? nullptr : &Found->second;
+}
+
+absl::Status SettingsReader::loadFile(const std::string &Path) {
+  std::ifstream File(Path);
+  if (!File)
+    return absl::NotFoundError(absl::StrCat("cannot read the settings file ",
+                                            Path, "; check its path and mode"));
+  std::string Line;
+  std::size_t Number = 0;
+  while (std::getline(File, Line)) {
+    ++Number;
+    if (Line.empty() || Line.front() == '#')
+      continue;
+    const std::size_t Equals = Line.find('=');
+    if (Equals == std::string::npos || Equals == 0)
+      return absl::InvalidArgumentError(absl::StrCat(
+          Path, " line ", Number, " is no setting; write NAME=value"));
+    this->Variables[Line.substr(0, Equals)] = Line.substr(Equals + 1);
+  }
+  return absl::OkStatus();
 }
 
 std::string SettingsReader::required(const std::string &Flag) {
@@ -80,6 +110,31 @@
   return Result;
 }
 
+double SettingsReader::decimal(const std::string &Flag, double Default) {
+  const std::string Value = this->text(Flag, "");
+  if (Value.empty())
+    return Default;
+  double Result = 0;
+  if (absl::SimpleAtod(Value, &Result) && std::isfinite(Result) && Result >= 0)
+    return Result;
+  this->fault(Flag,
+              absl::StrCat("is '", Value, "'; use a number of 0 or more"));
+  return Default;
+}
+
+Common::Duration SettingsReader::span(const std::string &Flag,
+                                      Common::Duration Default,
+                                      Common::Duration Unit) {
+  constexpr double MostSeconds = 86'400;
+  const double Units =
+      this->decimal(Flag, Common::toSeconds(Default) / Common::toSeconds(Unit));
+  const double Seconds = Units * Common::toSeconds(Unit);
+  if (Seconds > 0 && Seconds <= MostSeconds)
+    return Common::fromSeconds(Seconds);
+  this->fault(Flag, "is out of range; use more than 0 and at most a day");
+  return Default;
+}
+
 Network::Address SettingsReader::address(const std::string &Flag) {
   const std::string Value = this->required(Flag);
   if (Value.empty())
@@ -123,8 +178,8 @@
 
 std::string SettingsReader::secret(const std::string &Variable,
                                    std::size_t LeastBytes) {
-  const char *Value = std::getenv(Variable.c_str());
-  std::string Result = Value ? Value : "";
+  const std::string *Set = this->variable(Variable);
+  std::string Result = Set ? *Set : "";
   if (Result.size() < LeastBytes)
     this->Faults.push_back(
         absl::StrCat(Variable, " must be set in the environment to at least ",
--- a/Source/Core/Settings/SettingsReader.h
+++ b/Source/Core/Settings/SettingsReader.h
@@ -1,6 +1,7 @@
 #ifndef SYCAMOREREACH_SETTINGS_SETTINGSREADER_H
 #define SYCAMOREREACH_SETTINGS_SETTINGSREADER_H
 
+#include "Common/Time.h"
 #include "Network/Address.h"
 
 #include <absl/status/statusor.h>
@@ -26,12 +27,22 @@
 
   Request request() const { return this->Asked; }
 
+  /// Reads lines of NAME=value, in the names of the environment variables.
+  /// The environment wins over the file. Blank lines and lines that begin with
+  /// '#' are skipped; InvalidArgument names the first other line.
+  absl::Status loadFile(const std::string &Path);
+
   /// "--some-flag", or the variable SYCAMORE_SOME_FLAG, or Default.
   std::string text(const std::string &Flag, const std::string &Default);
   /// As text, but it must be given.
   std::string required(const std::string &Flag);
   std::uint64_t number(const std::string &Flag, std::uint64_t Default,
                        std::uint64_t Least, std::uint64_t Most);
+  /// A decimal number of 0 or more.
+  double decimal(const std::string &Flag, double Default);
+  /// A decimal number of Units, more than 0.
+  Common::Duration span(const std::string &Flag, Common::Duration Default,
+                        Common::Duration Unit);
   Network::Address address(const std::string &Flag);
   /// Addresses separated by commas; empty when not given.
   std::vector<Network::Address> addresses(const std::string &Flag);
@@ -48,7 +59,11 @@
   std::string faults() const;
 
 private:
+  /// The environment's value of a variable, else the file's; null for neither.
+  const std::string *variable(const std::string &Name);
+
   Request Asked = Request::Run;
+  std::map<std::string, std::string> Variables;
   std::map<std::string, std::string> Values;
   std::map<std::string, std::vector<std::string>> Positionals;
   std::map<std::string, bool> Flags;
