Core: Routes, teams, registry of servers, allowances and voter plan

Cause: routed serving needs whole declarations under the operator's version, an order of what servers say of themselves (start, sequence), parts of the teams' allowances, and a group that replaces lost voters. All are plain classes that take the time as an argument.

--- /dev/null
+++ b/Source/Core/Admission/AllowanceAccount.h
@@ -0,0 +1,55 @@
+#ifndef SYCAMOREREACH_ADMISSION_ALLOWANCEACCOUNT_H
+#define SYCAMOREREACH_ADMISSION_ALLOWANCEACCOUNT_H
+
+#include "Common/Time.h"
+#include "Configuration/ServiceMap.h"
+
+#include <map>
+#include <vector>
+
+namespace Admission {
+
+/// An entry daemon's part of the teams' allowances. It spends only what the
+/// leader granted, and asks for as much as it spends in a short time.
+class AllowanceAccount {
+public:
+  struct Demand {
+    Configuration::TeamName Team;
+    double Tokens = 0;
+  };
+
+  /// False when the part does not hold Tokens; the shortfall is then asked
+  /// for with the next demands. A team without a limit spends freely.
+  bool take(const Configuration::Team &Limits, double Tokens,
+            Common::TimePoint Now);
+  /// As take, for a request that was counted by take before.
+  bool retake(const Configuration::Team &Limits, double Tokens);
+  /// The request did not run.
+  void giveBack(const Configuration::Team &Limits, double Tokens);
+  void granted(const Configuration::TeamName &Team, double Tokens);
+  /// What to ask the leader for now.
+  std::vector<Demand> demands(Common::TimePoint Now);
+  /// Drops parts that exceed a lowered limit, and teams that are gone.
+  void limitsChanged(const Configuration::ServiceMap &Declared);
+  /// How long until Tokens can be expected at the granted pace.
+  Common::Duration waitFor(const Configuration::Team &Limits,
+                           double Tokens) const;
+
+private:
+  struct Part {
+    double Held = 0;
+    /// Tokens a second that are asked for, smoothed.
+    double Pace = 0;
+    double AskedSince = 0;
+    double Shortfall = 0;
+    double Rate = 0;
+    Common::TimePoint PacedAt;
+  };
+  void updatePace(Part &Of, Common::TimePoint Now) const;
+
+  std::map<Configuration::TeamName, Part> Parts;
+};
+
+} // namespace Admission
+
+#endif
--- /dev/null
+++ b/Source/Core/Configuration/ServiceMap.cpp
@@ -0,0 +1,114 @@
+#include "Configuration/ServiceMap.h"
+
+#include <absl/strings/str_cat.h>
+#include <set>
+
+namespace Configuration {
+
+namespace {
+
+std::string placeOf(const std::string &Host, std::string_view Prefix) {
+  return absl::StrCat(Host, "\n", std::string(Prefix));
+}
+
+absl::Status checkRoute(const Route &Checked,
+                        const std::set<Common::ServiceName> &Known) {
+  const auto Fault = [&Checked](const std::string &What) {
+    return absl::InvalidArgumentError(
+        absl::StrCat("route '", Checked.Name, "' ", What));
+  };
+  if (Checked.Host.empty())
+    return Fault("has no host; name the host that callers send");
+  if (Checked.PathPrefix.empty() || Checked.PathPrefix.front() != '/' ||
+      Checked.PathPrefix.back() != '/')
+    return Fault("has a path prefix that does not begin and end with '/'");
+  if (Checked.Timeout <= Common::Duration::zero())
+    return Fault("has no time-out; give a number of milliseconds above 0");
+  std::uint64_t Sum = 0;
+  for (const WeightedService &Each : Checked.Services) {
+    if (Known.count(Each.Service) == 0)
+      return Fault(absl::StrCat("names the unknown service '",
+                                Each.Service.str(),
+                                "'; declare the service beside it"));
+    Sum += Each.Weight;
+  }
+  if (Sum == 0)
+    return Fault("has no service with a weight above 0; give one a weight");
+  return absl::OkStatus();
+}
+
+} // namespace
+
+absl::StatusOr<ServiceMap> ServiceMap::create(ServiceMapParts Parts) {
+  std::set<Common::ServiceName> Services;
+  for (const ServiceEntry &Each : Parts.Services)
+    if (!Services.insert(Each.Name).second)
+      return absl::InvalidArgumentError(absl::StrCat(
+          "service '", Each.Name.str(), "' stands twice; declare it once"));
+  std::set<std::string> Places;
+  for (const Route &Each : Parts.Routes) {
+    if (absl::Status Checked = checkRoute(Each, Services); !Checked.ok())
+      return Checked;
+    if (!Places.insert(placeOf(Each.Host, Each.PathPrefix)).second)
+      return absl::InvalidArgumentError(
+          absl::StrCat("route '", Each.Name,
+                       "' has the host and prefix of another route; "
+                       "give each route its own"));
+  }
+  std::set<std::string> Keys;
+  for (const Team &Each : Parts.Teams)
+    for (const std::string &Key : Each.Keys)
+      if (!Keys.insert(Key).second)
+        return absl::InvalidArgumentError(
+            absl::StrCat("team '", Each.Name.str(),
+                         "' shares a key with another team or lists it twice; "
+                         "give each key to one team"));
+  return ServiceMap(std::move(Parts));
+}
+
+ServiceMap::ServiceMap(ServiceMapParts Parts) : Held(std::move(Parts)) {
+  for (std::size_t I = 0; I < this->Held.Routes.size(); ++I) {
+    const Route &Each = this->Held.Routes[I];
+    this->RouteAt[placeOf(Each.Host, Each.PathPrefix)] = I;
+  }
+  for (std::size_t I = 0; I < this->Held.Teams.size(); ++I)
+    for (const std::string &Key : this->Held.Teams[I].Keys)
+      this->TeamAt[Key] = I;
+}
+
+const Route *ServiceMap::route(const std::string &Host,
+                               const std::string &Path) const {
+  std::size_t End = Path.rfind('/');
+  while (End != std::string::npos) {
+    const auto Found = this->RouteAt.find(
+        placeOf(Host, std::string_view(Path).substr(0, End + 1)));
+    if (Found != this->RouteAt.end())
+      return &this->Held.Routes[Found->second];
+    if (End == 0)
+      break;
+    End = Path.rfind('/', End - 1);
+  }
+  return nullptr;
+}
+
+const Team *ServiceMap::teamOfKey(const std::string &Key) const {
+  const auto Found = this->TeamAt.find(Key);
+  return Found == this->TeamAt.end() ? nullptr
+                                     : &this->Held.Teams[Found->second];
+}
+
+const Team *ServiceMap::team(const TeamName &Name) const {
+  for (const Team &Each : this->Held.Teams)
+    if (Each.Name == Name)
+      return &Each;
+  return nullptr;
+}
+
+const ServiceEntry *ServiceMap::service(const Common::ServiceName &Name) const {
+  for (const ServiceEntry &Each : this->Held.Services)
+    if (Each.Name == Name)
+      return &Each;
+  return nullptr;
+}
+
+} // namespace Configuration
--- /dev/null
+++ b/Source/Core/Configuration/ServiceMap.h
@@ -0,0 +1,156 @@
+#ifndef SYCAMOREREACH_CONFIGURATION_SERVICEMAP_H
+#define SYCAMOREREACH_CONFIGURATION_SERVICEMAP_H
+
+#include "Common/Ids.h"
+#include "Common/Time.h"
+
+#include <absl/status/statusor.h>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Configuration {
+
+using TeamName = Common::StrongId<struct TeamNameTag>;
+
+/// How often a request of a route may be run.
+enum class Repeatability {
+  /// Running it again does no harm.
+  Idempotent,
+  /// At most once for each request of a caller.
+  AtMostOnce,
+  /// Answered by a stream of events; at most once unless it is resumable.
+  Streamed,
+};
+
+struct WeightedService {
+  Common::ServiceName Service;
+  std::uint32_t Weight = 1;
+};
+
+/// What is served under one host and path prefix.
+struct Route {
+  std::string Name;
+  std::string Host;
+  std::string PathPrefix;
+  Repeatability Kind = Repeatability::AtMostOnce;
+  /// A broken stream may go on at another server after its last event.
+  bool Resumable = false;
+  Common::Duration Timeout{};
+  /// Time to a whole answer, or to a stream's first event.
+  Common::Duration Target{};
+  /// Longest pause between the events of a stream.
+  Common::Duration LongestPause{};
+  /// 0 is the most urgent.
+  std::uint32_t Priority = 0;
+  std::vector<WeightedService> Services;
+  std::uint32_t MaxAttempts = 1;
+  /// Needs no key.
+  bool Public = false;
+  /// Its requests carry prompt prefixes.
+  bool PrefixAffinity = false;
+
+  bool idempotent() const {
+    return this->Kind == Repeatability::Idempotent ||
+           (this->Kind == Repeatability::Streamed && this->Resumable);
+  }
+};
+
+/// The callers of one team and what they may use.
+struct Team {
+  TeamName Name;
+  std::vector<std::string> Keys;
+  std::optional<std::uint32_t> Priority;
+  /// Whether requests cost their tokens; else each costs the same.
+  bool CountsTokens = false;
+  /// Tokens a second; 0 for no limit.
+  double TokenRate = 0;
+  double TokenBurst = 0;
+  /// What a request without a token count costs.
+  double PlainRequestTokens = 0;
+};
+
+/// A model engine as its service declares it.
+struct EngineTraits {
+  std::uint32_t Slots = 0;
+  std::uint64_t MemoryTokens = 0;
+  std::uint64_t TokenBytes = 0;
+  /// Tokens in one event of a stream.
+  std::uint32_t EventTokens = 1;
+};
+
+/// How many servers of a service may be ordered in a data centre.
+struct ScalingBounds {
+  std::uint32_t Least = 0;
+  std::uint32_t Most = 0;
+  Common::Duration StartTime{};
+  /// Price of a reclaimable server as a share of the other kind's; 1 when
+  /// there are none.
+  double ReclaimablePrice = 1;
+  std::map<Common::DataCentreId, double> Prices;
+};
+
+struct ServiceEntry {
+  Common::ServiceName Name;
+  std::string HealthPath;
+  std::uint32_t MaxConnections = 0;
+  std::optional<EngineTraits> Engine;
+  std::optional<ScalingBounds> Scaling;
+};
+
+/// What a caller may send, and how long it may take.
+struct RequestLimits {
+  std::size_t MaxHeaderBytes = 16u << 10;
+  std::size_t MaxBodyBytes = 4u << 20;
+  Common::Duration HeaderTime = std::chrono::seconds(3);
+  Common::Duration IdleTime = std::chrono::seconds(15);
+};
+
+/// The parts of a whole declaration before they are checked together.
+struct ServiceMapParts {
+  Common::ConfigurationVersion Version;
+  std::vector<Route> Routes;
+  std::vector<ServiceEntry> Services;
+  std::vector<Team> Teams;
+  RequestLimits Limits;
+};
+
+/// A whole declaration of routes, services and teams under the operator's
+/// version. It never changes after it was made.
+class ServiceMap {
+public:
+  /// InvalidArgument names the first fault and what to write instead.
+  static absl::StatusOr<ServiceMap> create(ServiceMapParts Parts);
+
+  Common::ConfigurationVersion version() const { return this->Held.Version; }
+  /// The route of the host whose prefix is the longest that begins Path.
+  const Route *route(const std::string &Host, const std::string &Path) const;
+  /// The team that holds Key.
+  const Team *teamOfKey(const std::string &Key) const;
+  const Team *team(const TeamName &Name) const;
+  const ServiceEntry *service(const Common::ServiceName &Name) const;
+  /// Without teams no request needs a key.
+  bool keysNeeded() const { return !this->Held.Teams.empty(); }
+
+  const std::vector<Route> &routes() const { return this->Held.Routes; }
+  const std::vector<ServiceEntry> &services() const {
+    return this->Held.Services;
+  }
+  const std::vector<Team> &teams() const { return this->Held.Teams; }
+  const RequestLimits &limits() const { return this->Held.Limits; }
+
+private:
+  explicit ServiceMap(ServiceMapParts Parts);
+
+  ServiceMapParts Held;
+  /// Host and prefix, joined by a line break, to the index of the route.
+  std::unordered_map<std::string, std::size_t> RouteAt;
+  std::unordered_map<std::string, std::size_t> TeamAt;
+};
+
+} // namespace Configuration
+
+#endif
--- a/Source/Core/Consensus/Replica.cpp
+++ b/Source/Core/Consensus/Replica.cpp
@@ -71,6 +71,17 @@
     this->campaign(Now, true, false);
 }
 
+Common::TimePoint Replica::dueAt() const {
+  return this->Current == State::Leader ? this->HeartbeatAt : this->ElectionAt;
+}
+
+std::optional<Replica::PeerView> Replica::peer(const ReplicaId &Id) const {
+  const auto Found = this->Peers.find(Id);
+  if (Found == this->Peers.end())
+    return std::nullopt;
+  return PeerView{Found->second.Contact, Found->second.Match};
+}
+
 void Replica::step(Common::TimePoint Now, const Message &Received) {
   if (Received.Group != this->Options.Group ||
       Received.To != this->Options.Self || Received.From == this->Options.Self)
--- a/Source/Core/Consensus/Replica.h
+++ b/Source/Core/Consensus/Replica.h
@@ -109,6 +109,18 @@
   LogIndex appliedIndex() const { return this->Applied; }
   const ReplicatedLog &log() const { return this->Log; }
   const Membership &membership() const { return this->Log.membership(); }
+  /// When tick has something to do next, if no message comes before.
+  Common::TimePoint dueAt() const;
+  /// Where the entry stands that opened the term led now. It rises from
+  /// leader to leader; meaningful once canServe.
+  LogIndex termStart() const { return this->TermStartIndex; }
+  /// The newest request of a leader that each other replica has answered, by
+  /// send time, and the last index it is known to hold.
+  struct PeerView {
+    Common::TimePoint Contact;
+    LogIndex Match;
+  };
+  std::optional<PeerView> peer(const ReplicaId &Id) const;
   /// Leads, has applied an entry of its term, and its lease holds.
   bool canServe(Common::TimePoint Now) const;
   const ReplicaId &self() const { return this->Options.Self; }
--- /dev/null
+++ b/Source/Core/Routing/ServerTable.h
@@ -0,0 +1,134 @@
+#ifndef SYCAMOREREACH_ROUTING_SERVERTABLE_H
+#define SYCAMOREREACH_ROUTING_SERVERTABLE_H
+
+#include "Common/Random.h"
+#include "Common/Time.h"
+#include "Configuration/ServiceMap.h"
+#include "Membership/ServerRegistry.h"
+#include "Routing/ModelPrompt.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Routing {
+
+/// Why a request ended at a server, as far as the server's health goes.
+enum class ServerOutcome {
+  Answered,
+  /// The server said that it did not run the request.
+  Rejected,
+  /// It answered with a failure of its own, or with what is no answer.
+  Failed,
+  /// No connection, or one that broke.
+  Unreachable,
+  /// The caller left or the time was over; says nothing about the server.
+  Abandoned,
+};
+
+struct ServerTableOptions {
+  Common::DataCentreId Own;
+  /// A server that was not heard of for longer is used last.
+  Common::Duration FreshFor = std::chrono::milliseconds(4200);
+  std::uint64_t Seed = 1;
+};
+
+/// What is to be placed.
+struct Placement {
+  Common::ServiceName Service;
+  /// Null for a plain request.
+  const ModelPrompt *Prompt = nullptr;
+  /// Not to be used again.
+  std::set<Common::BackendServerId> Tried;
+};
+
+/// Where to send a request.
+struct PlacementChoice {
+  Common::BackendServerId Id;
+  std::uint64_t StartedAt = 0;
+  Network::Address Address;
+  /// Expected time until the server begins the request's output.
+  Common::Duration ExpectedWait{};
+  /// Prompt tokens that the server probably has to read.
+  std::uint64_t UncachedTokens = 0;
+};
+
+/// An entry daemon's view of the backend servers: who serves, how loaded each
+/// is by its own and the other daemons' work, and how each behaved lately.
+/// Choosing takes a bounded number of steps, however many servers there are.
+class ServerTable {
+public:
+  explicit ServerTable(ServerTableOptions Options);
+
+  bool apply(const Membership::ServerRecord &Said, Common::TimePoint Now);
+  void refresh(const Common::BackendServerId &Id, std::uint64_t StartedAt,
+               std::uint64_t Sequence, Common::TimePoint Now);
+  void forgetOld(Common::TimePoint Now);
+  /// The other daemons' work at a server.
+  void setOthersLoad(const Common::BackendServerId &Id, std::uint32_t Requests,
+                     std::uint64_t PromptTokens);
+  void clearOthersLoad();
+
+  std::optional<PlacementChoice> choose(const Placement &Wanted,
+                                        Common::TimePoint Now);
+  /// Whether any server of the service may be used at all.
+  bool anyServing(const Common::ServiceName &Service) const;
+
+  void started(const PlacementChoice &At, const ModelPrompt *Prompt,
+               Common::TimePoint Now);
+  /// The server has begun the request's output.
+  void beganOutput(const PlacementChoice &At);
+  void ended(const PlacementChoice &At, ServerOutcome Outcome,
+             Common::TimePoint Now);
+
+  struct Load {
+    Common::BackendServerId Id;
+    std::uint32_t Requests = 0;
+    std::uint64_t PromptTokens = 0;
+  };
+  /// This daemon's own work, without the idle servers.
+  std::vector<Load> ownLoads() const;
+  const Membership::ServerRegistry &registry() const { return this->Registry; }
+  /// Whether the server still takes new requests.
+  bool serving(const Common::BackendServerId &Id) const;
+
+private:
+  struct Condition {
+    std::uint32_t Running = 0;
+    std::uint64_t PendingTokens = 0;
+    std::uint32_t OthersRunning = 0;
+    std::uint64_t OthersPendingTokens = 0;
+    /// Share of failures lately, smoothed.
+    double FailureShare = 0;
+    Common::TimePoint AvoidUntil;
+    std::uint32_t FailuresInRow = 0;
+    /// When prompt parts were last sent here by this daemon.
+    std::unordered_map<std::string, Common::TimePoint> PartsSeen;
+  };
+  /// Servers of one service on a ring, for prefix affinity.
+  struct Ring {
+    std::map<std::uint64_t, Common::BackendServerId> Points;
+    std::vector<Common::BackendServerId> Servers;
+  };
+
+  void rebuildRing(const Common::ServiceName &Service);
+  std::vector<Common::BackendServerId>
+  candidates(const Ring &Of, const Placement &Wanted, std::uint64_t Key);
+  double expectedMilliseconds(const Membership::ServerRecord &Record,
+                              const Condition &State, const Placement &Wanted,
+                              bool Home, std::uint64_t &Uncached,
+                              Common::TimePoint Now) const;
+
+  ServerTableOptions Options;
+  Common::Random Randomness;
+  Membership::ServerRegistry Registry;
+  std::map<Common::BackendServerId, Condition> Conditions;
+  std::map<Common::ServiceName, Ring> Rings;
+};
+
+} // namespace Routing
+
+#endif
--- a/Source/Core/Storage/DataFolder.cpp
+++ b/Source/Core/Storage/DataFolder.cpp
@@ -114,6 +114,14 @@
 
 absl::StatusOr<Consensus::ReplicaId>
 DataFolder::format(const std::string &Path, const std::string &Name) {
+  Consensus::ReplicaId Identity(Name + "-" + Common::randomIdentity());
+  if (absl::Status Written = formatAs(Path, Identity); !Written.ok())
+    return Written;
+  return Identity;
+}
+
+absl::Status DataFolder::formatAs(const std::string &Path,
+                                  const Consensus::ReplicaId &Identity) {
   std::error_code Fault;
   std::filesystem::create_directories(Path, Fault);
   if (Fault)
@@ -122,11 +130,7 @@
   if (std::filesystem::exists(identityPath(Path)))
     return absl::AlreadyExistsError(absl::StrCat(
         Path, " is formatted already; use it as it is or another folder"));
-  const std::string Identity = Name + "-" + Common::randomIdentity();
-  if (absl::Status Written = replaceFile(identityPath(Path), Identity);
-      !Written.ok())
-    return Written;
-  return Consensus::ReplicaId(Identity);
+  return replaceFile(identityPath(Path), Identity.str());
 }
 
 absl::StatusOr<DataFolder> DataFolder::open(const std::string &Path,
--- a/Source/Core/Storage/DataFolder.h
+++ b/Source/Core/Storage/DataFolder.h
@@ -26,6 +26,11 @@
   static absl::StatusOr<Consensus::ReplicaId> format(const std::string &Path,
                                                      const std::string &Name);
 
+  /// As format, with an identity that others can compute. Only for a founder
+  /// whose disk is known to be new.
+  static absl::Status formatAs(const std::string &Path,
+                               const Consensus::ReplicaId &Identity);
+
   /// FailedPrecondition when the folder is not formatted or another process
   /// uses it; DataLoss when its files are damaged.
   static absl::StatusOr<DataFolder> open(const std::string &Path,
