--- a/Source/EntryDaemon/EntrySettings.cpp
+++ b/Source/EntryDaemon/EntrySettings.cpp
@@ -6,6 +6,7 @@
 
 Usage:
   sycamore-entry [options]
+  sycamore-entry gateway [options]
   sycamore-entry (-h | --help)
   sycamore-entry --version
 
@@ -23,6 +24,20 @@
   -h --help           Show this text.
   --version           Show the version.
 
+Gateway options: (name, datacentre, http and log-level are as above)
+  --settings-file=FILE     Lines of NAME=value in the environment's names; the
+                           environment wins over the file.
+  --ready=IP:PORT          Where the balancer asks whether to send callers.
+  --link-port=PORT         Port of the links between daemons, on all hosts.
+  --metrics-port=PORT      Port of /metrics; 0 for none.
+  --seeds=LIST             HTTP addresses of some state daemons.
+  --revoke-time=MS         Time after which a withdrawn key must not work.
+  --shutdown-time=S        Time for requests under way after SIGTERM.
+  --retry-ratio=N          Repeats allowed for each request to a service.
+  --retry-extra=N          Repeats allowed besides, of all daemons together.
+  --retry-window=S         Window in which repeats are counted.
+  --usage-window=S         Length of a usage window.
+
 Each option can be given in the environment: --log-level as
 SYCAMORE_LOG_LEVEL. SYCAMORE_CLUSTER_KEY, SYCAMORE_OPERATOR_TOKEN and
 SYCAMORE_BACKEND_TOKEN are read from the environment only.
--- /dev/null
+++ b/Source/EntryDaemon/Gateway.cpp
@@ -0,0 +1,288 @@
+#include "EntryDaemon/Gateway.h"
+
+#include "Common/Hash.h"
+#include "Telemetry/Log.h"
+#include "platform/ConfigurationDocument.h"
+#include "platform/ControlCalls.h"
+
+#include <absl/strings/str_cat.h>
+#include <csignal>
+
+namespace EntryDaemon {
+
+namespace {
+
+using Telemetry::logField;
+using Telemetry::LogLevel;
+
+constexpr Common::Duration HousekeepingPeriod = std::chrono::seconds(5);
+constexpr Common::Duration ReadinessPeriod = std::chrono::milliseconds(500);
+/// The balancer has stopped sending connections by then: it asks once a
+/// second and acts on two answers.
+constexpr Common::Duration BalancerLeaves = std::chrono::milliseconds(3300);
+/// Kept before the platform's own limit on shutting down.
+constexpr Common::Duration ShutdownMargin = std::chrono::milliseconds(400);
+constexpr Common::Duration ShutdownPoll = std::chrono::milliseconds(50);
+/// Settings are read again this often, as they may change without a signal.
+constexpr Common::Duration SettingsPeriod = std::chrono::seconds(5);
+
+} // namespace
+
+Routing::ServerTableOptions
+GatewayContext::tableOptions(const GatewaySettings &Chosen) {
+  Routing::ServerTableOptions Result;
+  Result.Own = Chosen.DataCentre;
+  Result.Seed = Common::hashBytes(Chosen.Name.str());
+  return Result;
+}
+
+Gateway::Gateway(Network::EventLoop &Loop, GatewaySettings Settings)
+    : Loop(Loop), Context(Loop, std::move(Settings)) {}
+
+absl::StatusOr<std::unique_ptr<Gateway>>
+Gateway::create(Network::EventLoop &Loop, GatewaySettings Settings,
+                std::function<absl::StatusOr<GatewaySettings>()> Reread) {
+  std::unique_ptr<Gateway> Made(new Gateway(Loop, std::move(Settings)));
+  Made->Reread = std::move(Reread);
+  if (absl::Status Listening = Made->listen(); !Listening.ok())
+    return Listening;
+  Made->openControlLink();
+  return Made;
+}
+
+absl::Status Gateway::listen() {
+  Network::Http1Server::Handlers Handle;
+  Handle.OnRequest = [this](std::shared_ptr<Network::Http1Exchange> Exchange) {
+    this->accept(Exchange);
+  };
+  Handle.OnRejected = [this](Network::Http1Server::Rejection Why) {
+    constexpr const char *Names[] = {"malformed", "headers_too_large",
+                                     "body_too_large", "header_timeout"};
+    const char *Name = Names[static_cast<std::size_t>(Why)];
+    this->Context.Metrics.count(
+        absl::StrCat("http_rejected_total{reason=\"", Name, "\"}"));
+    Telemetry::log(LogLevel::Info, "request_unreadable",
+                   logField("reason", Name));
+  };
+  auto Front = Network::Http1Server::create(
+      this->Loop, this->Context.Settings.Http, std::move(Handle));
+  if (!Front.ok())
+    return Front.status();
+  this->Callers = std::move(*Front);
+
+  Network::Http1Server::Handlers Asked;
+  Asked.OnRequest = [this](std::shared_ptr<Network::Http1Exchange> Exchange) {
+    const bool Path = Exchange->path() == Platform::ReadinessPath;
+    Exchange->reply(!Path ? 404 : this->ready() ? 200 : 503, {}, "");
+  };
+  auto Ready = Network::Http1Server::create(
+      this->Loop, this->Context.Settings.Ready, std::move(Asked));
+  if (!Ready.ok())
+    return Ready.status();
+  this->Readiness = std::move(*Ready);
+
+  if (this->Context.Settings.MetricsPort == 0)
+    return absl::OkStatus();
+  Network::Http1Server::Handlers Shown;
+  Shown.OnRequest = [this](std::shared_ptr<Network::Http1Exchange> Exchange) {
+    Exchange->reply(200, {{"Content-Type", "text/plain"}},
+                    this->Context.Metrics.render());
+  };
+  auto Opened = Network::Http1Server::create(
+      this->Loop,
+      Network::Address{this->Context.Settings.Http.Ip,
+                       this->Context.Settings.MetricsPort},
+      std::move(Shown));
+  if (!Opened.ok())
+    return Opened.status();
+  this->MetricsHttp = std::move(*Opened);
+  return absl::OkStatus();
+}
+
+void Gateway::openControlLink() {
+  ControlLink::Options Wanted;
+  Wanted.Self = this->Context.Settings.Name;
+  Wanted.DataCentre = this->Context.Settings.DataCentre;
+  Wanted.Key = this->Context.Settings.Key;
+  Wanted.Seeds = this->Context.Settings.seedLinks();
+  Wanted.RandomSeed = Common::hashBytes(this->Context.Settings.Name.str());
+  ControlLink::Handlers Handle;
+  Handle.OnServers = [this](const State::RegistryDelta &Delta) {
+    this->serversChanged(Delta);
+  };
+  Handle.OnDeclaration = [this](const State::DeclarationPush &Push) {
+    this->declared(Push);
+  };
+  Handle.FillPoll = [this](State::EntryPoll &Asked) { this->fillPoll(Asked); };
+  Handle.OnAnswer = [this](const State::EntryPollAnswer &Answer,
+                           Common::TimePoint AskedAt) {
+    this->answered(Answer, AskedAt);
+  };
+  this->Control = std::make_unique<ControlLink>(this->Loop, std::move(Wanted),
+                                                std::move(Handle));
+  this->Context.PollSoon = [this] { this->Control->pollSoon(); };
+}
+
+int Gateway::run() {
+  const auto Stop = [this] { this->shutDown(); };
+  this->Handles.push_back(this->Loop.onSignal(SIGTERM, Stop));
+  this->Handles.push_back(this->Loop.onSignal(SIGINT, Stop));
+  this->Handles.push_back(
+      this->Loop.onSignal(SIGHUP, [this] { this->reload(); }));
+  this->Handles.push_back(
+      this->Loop.callEvery(SettingsPeriod, [this] { this->reload(); }));
+  this->Handles.push_back(this->Loop.callEvery(HousekeepingPeriod, [this] {
+    this->Context.Servers.forgetOld(this->Loop.now());
+  }));
+  this->Handles.push_back(this->Loop.callEvery(
+      ReadinessPeriod, [this] { this->noticeReadiness(); }));
+  Telemetry::log(LogLevel::Info, "started",
+                 logField("http", this->Context.Settings.Http.str()));
+  this->Loop.run();
+  return 0;
+}
+
+void Gateway::accept(const std::shared_ptr<Network::Http1Exchange> &Exchange) {
+  this->Context.Metrics.count("requests_total");
+  std::make_shared<RoutedCall>(this->Context, Exchange)->begin();
+}
+
+void Gateway::serversChanged(const State::RegistryDelta &Delta) {
+  const Common::TimePoint Now = this->Loop.now();
+  for (const Membership::ServerRecord &Each : Delta.Changed) {
+    if (!this->Context.Servers.apply(Each, Now))
+      continue;
+    Telemetry::log(
+        LogLevel::Info, "server_known",
+        logField("server", Each.Id.str()) +
+            logField("phase", absl::StrCat(static_cast<int>(Each.Phase))) +
+            logField("started", absl::StrCat(Each.StartedAt)) +
+            logField("sequence", absl::StrCat(Each.Sequence)));
+  }
+  for (const State::ServerRefresh &Each : Delta.Refreshed)
+    this->Context.Servers.refresh(Each.Id, Each.StartedAt, Each.Sequence, Now);
+}
+
+void Gateway::declared(const State::DeclarationPush &Push) {
+  const bool Newer = !this->Context.Declared ||
+                     Push.Version > this->Context.Declared->version();
+  if (!Newer)
+    return;
+  auto Read = Platform::decodeConfiguration(Push.Document);
+  if (!Read.ok()) {
+    Telemetry::log(
+        LogLevel::Error, "declaration_unreadable",
+        logField("version", absl::StrCat(Push.Version.Value)) +
+            logField("detail", std::string(Read.status().message())));
+    return;
+  }
+  this->Context.Declared =
+      std::make_shared<const Configuration::ServiceMap>(std::move(*Read));
+  const Configuration::RequestLimits &Given = this->Context.Declared->limits();
+  Network::Http1Server::Limits Bounds;
+  Bounds.MaxHeaderBytes = Given.MaxHeaderBytes;
+  Bounds.MaxBodyBytes = Given.MaxBodyBytes;
+  Bounds.HeaderTime = Given.HeaderTime;
+  Bounds.IdleTime = Given.IdleTime;
+  if (!this->ShuttingDown)
+    this->Callers->setLimits(Bounds);
+  this->Context.Allowances.limitsChanged(*this->Context.Declared);
+  Telemetry::log(LogLevel::Info, "declaration_in_force",
+                 logField("version", absl::StrCat(Push.Version.Value)));
+  // The question that was answered before spoke of the older version.
+  this->Control->pollSoon();
+}
+
+void Gateway::fillPoll(State::EntryPoll &Asked) {
+  const Common::TimePoint Now = this->Loop.now();
+  if (this->Context.Declared)
+    Asked.Have = this->Context.Declared->version();
+  for (const auto &Each : this->Context.Allowances.demands(Now))
+    Asked.Demands.push_back({Each.Team, Each.Tokens});
+  Asked.Usage = this->Context.Usage.counts();
+  for (const auto &Each : this->Context.Servers.ownLoads())
+    Asked.Loads.push_back({Each.Id, Each.Requests, Each.PromptTokens});
+  Asked.Crashes = this->Context.Crashes;
+}
+
+void Gateway::answered(const State::EntryPollAnswer &Answer,
+                       Common::TimePoint AskedAt) {
+  const Common::TimePoint Now = this->Loop.now();
+  const bool Current = this->Context.Declared &&
+                       Answer.Newest <= this->Context.Declared->version();
+  if (Current &&
+      (!this->Context.ConfirmedAt || *this->Context.ConfirmedAt < AskedAt))
+    this->Context.ConfirmedAt = AskedAt;
+  this->Context.Retries.setDaemons(Answer.EntryCount);
+  if (Answer.Time.Milliseconds != 0)
+    this->Context.Usage.timeIs(Answer.Time, AskedAt, Now);
+  for (const std::uint64_t Content : Answer.Refused)
+    this->Context.RefusedContents.insert(Content);
+  this->Context.Servers.clearOthersLoad();
+  for (const State::ServerLoad &Each : Answer.Loads)
+    this->Context.Servers.setOthersLoad(Each.Id, Each.Requests,
+                                        Each.PromptTokens);
+  for (const State::TokenGrant &Each : Answer.Grants)
+    this->Context.Allowances.granted(Each.Team, Each.Tokens);
+  std::vector<std::shared_ptr<RoutedCall>> Waiting;
+  Waiting.swap(this->Context.AwaitingTokens);
+  for (const auto &Each : Waiting)
+    Each->tokensGranted();
+}
+
+bool Gateway::ready() const {
+  return !this->ShuttingDown && this->Context.trusted(this->Loop.now());
+}
+
+void Gateway::noticeReadiness() {
+  const bool Ready = this->ready();
+  if (Ready == this->WasReady)
+    return;
+  this->WasReady = Ready;
+  Telemetry::log(LogLevel::Info, "readiness",
+                 logField("ready", Ready ? "1" : "0"));
+}
+
+void Gateway::reload() {
+  const auto Fresh = this->Reread();
+  if (!Fresh.ok()) {
+    Telemetry::log(LogLevel::Error, "reload_failed",
+                   logField("detail", std::string(Fresh.status().message())));
+    return;
+  }
+  if (Fresh->Seeds == this->Context.Settings.Seeds)
+    return;
+  this->Context.Settings.Seeds = Fresh->Seeds;
+  this->Control->setSeeds(Fresh->seedLinks());
+  Telemetry::log(LogLevel::Info, "reload", logField("changed", "seeds"));
+}
+
+void Gateway::shutDown() {
+  if (this->ShuttingDown)
+    return;
+  this->ShuttingDown = true;
+  this->StoppingSince = this->Loop.now();
+  Telemetry::log(
+      LogLevel::Info, "shutting_down",
+      logField("open", absl::StrCat(this->Callers->openExchanges())));
+  // The listener stays open until the balancer has left.
+  this->Callers->startClosing(BalancerLeaves);
+  this->StopTimer =
+      this->Loop.callEvery(ShutdownPoll, [this] { this->checkShutdown(); });
+}
+
+void Gateway::checkShutdown() {
+  const Common::Duration Passed = std::chrono::duration_cast<Common::Duration>(
+      this->Loop.now() - this->StoppingSince);
+  const bool Idle = this->Callers->openExchanges() == 0;
+  const bool OutOfTime =
+      Passed > this->Context.Settings.ShutdownTime - ShutdownMargin;
+  if ((Idle && Passed > BalancerLeaves) || OutOfTime) {
+    Telemetry::log(
+        LogLevel::Info, "stopped",
+        logField("open", absl::StrCat(this->Callers->openExchanges())));
+    this->Loop.stop();
+  }
+}
+
+} // namespace EntryDaemon
--- /dev/null
+++ b/Source/EntryDaemon/GatewayContext.h
@@ -0,0 +1,61 @@
+#ifndef SYCAMOREREACH_ENTRYDAEMON_GATEWAYCONTEXT_H
+#define SYCAMOREREACH_ENTRYDAEMON_GATEWAYCONTEXT_H
+
+#include "Admission/AllowanceAccount.h"
+#include "Configuration/ServiceMap.h"
+#include "EntryDaemon/GatewaySettings.h"
+#include "EntryDaemon/UsageCounter.h"
+#include "Network/Http1Client.h"
+#include "Routing/RetryShare.h"
+#include "Routing/ServerTable.h"
+#include "State/ControlProtocol.h"
+#include "Telemetry/Metrics.h"
+
+#include <functional>
+#include <memory>
+#include <set>
+
+namespace EntryDaemon {
+
+class RoutedCall;
+
+/// What the requests of one gateway share.
+struct GatewayContext {
+  GatewayContext(Network::EventLoop &Loop, GatewaySettings Chosen)
+      : Loop(Loop), Settings(std::move(Chosen)), Client(Loop),
+        Servers(tableOptions(this->Settings)), Retries(this->Settings.Retries),
+        Usage(this->Settings.UsageWindow) {}
+
+  Network::EventLoop &Loop;
+  GatewaySettings Settings;
+  Network::Http1Client Client;
+  Routing::ServerTable Servers;
+  Routing::RetryShare Retries;
+  Admission::AllowanceAccount Allowances;
+  UsageCounter Usage;
+  Telemetry::Metrics Metrics;
+  /// Null before the first one arrived.
+  std::shared_ptr<const Configuration::ServiceMap> Declared;
+  /// When the newest question was asked whose answer confirmed it.
+  std::optional<Common::TimePoint> ConfirmedAt;
+  /// Contents that crash the servers which run them.
+  std::set<std::uint64_t> RefusedContents;
+  std::vector<State::CrashReport> Crashes;
+  /// Requests that wait for tokens of their team.
+  std::vector<std::shared_ptr<RoutedCall>> AwaitingTokens;
+  std::function<void()> PollSoon;
+
+  /// Whether the declaration may still be obeyed.
+  bool trusted(Common::TimePoint Now) const {
+    return this->Declared && this->ConfirmedAt &&
+           Now - *this->ConfirmedAt < this->Settings.TrustDeclaration;
+  }
+
+private:
+  static Routing::ServerTableOptions
+  tableOptions(const GatewaySettings &Chosen);
+};
+
+} // namespace EntryDaemon
+
+#endif
--- /dev/null
+++ b/Source/EntryDaemon/RoutedCall.h
@@ -0,0 +1,111 @@
+#ifndef SYCAMOREREACH_ENTRYDAEMON_ROUTEDCALL_H
+#define SYCAMOREREACH_ENTRYDAEMON_ROUTEDCALL_H
+
+#include "EntryDaemon/GatewayContext.h"
+#include "Network/EventSplitter.h"
+#include "Network/Http1Server.h"
+#include "platform/RequestHeaders.h"
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace EntryDaemon {
+
+/// Why a request was refused or failed by this system.
+enum class CallFailure {
+  NoDeclaration,
+  StaleDeclaration,
+  BadHeaders,
+  UnknownRoute,
+  UnknownKey,
+  OverAllowance,
+  ContentCrashesServers,
+  NoServer,
+  CannotBeInTime,
+  ServerRejected,
+  ServerLost,
+  BadAnswer,
+  RetriesExhausted,
+  DeadlinePassed,
+};
+
+/// One caller's request on its way through the system. Each attempt is in one
+/// of four states: not sent, may have run, said not run, answered; only the
+/// first and the third allow a status that promises that it did not run.
+class RoutedCall : public std::enable_shared_from_this<RoutedCall> {
+public:
+  RoutedCall(GatewayContext &Context,
+             std::shared_ptr<Network::Http1Exchange> Exchange);
+
+  void begin();
+  /// Tokens may have come for the request's team.
+  void tokensGranted();
+
+private:
+  enum class AttemptEnd { NotSent, MayHaveRun, SaidNotRun, Broken };
+
+  bool identify();
+  void admit();
+  void dispatch();
+  void send(const Routing::PlacementChoice &To);
+  bool headArrived(const Network::Http1Head &Head);
+  void bodyArrived(std::string Bytes);
+  void attemptDone(Network::CallEnd End);
+  void attemptFailed(AttemptEnd How, CallFailure Why,
+                     Routing::ServerOutcome Outcome);
+  bool mayRetry(AttemptEnd How) const;
+  void endAttempt(Routing::ServerOutcome Outcome);
+  void finishWhole();
+  void startStream(const Network::Http1Head &Head);
+  void noteBegan();
+  void suspect();
+
+  void callerGone();
+  void deadlinePassed();
+  void fail(CallFailure Why, int Status,
+            std::optional<Common::Duration> RetryAfter = std::nullopt);
+  void finish();
+  Common::Duration timeLeft() const;
+  const Configuration::Route &route() const { return *this->Route; }
+  std::uint64_t contentHash() const;
+
+  GatewayContext &Context;
+  std::shared_ptr<Network::Http1Exchange> Exchange;
+  Common::TimePoint ArrivedAt;
+  Common::TimePoint Deadline;
+  Platform::CallerHeaders Said;
+  /// Keeps the route and the team alive while a newer declaration is in force.
+  std::shared_ptr<const Configuration::ServiceMap> Declared;
+  const Configuration::Route *Route = nullptr;
+  const Configuration::Team *Team = nullptr;
+  Common::ServiceName Service;
+  double Tokens = 0;
+  bool TokensTaken = false;
+  bool Awaiting = false;
+  bool Done = false;
+
+  std::uint32_t Attempts = 0;
+  /// Some attempt may have run the request.
+  bool MayHaveRun = false;
+  std::set<Common::BackendServerId> Tried;
+  std::optional<Routing::PlacementChoice> At;
+  Network::Http1Client::CallPtr Call;
+  std::optional<Network::Http1Head> AnswerHead;
+  std::string AnswerBody;
+  std::optional<Network::EventSplitter> Events;
+  /// The last event that the caller got whole, over all attempts.
+  std::optional<std::string> LastEvent;
+  bool Streaming = false;
+  bool Began = false;
+  bool Counted = false;
+  bool Paused = false;
+  Network::EventHandle DeadlineTimer;
+  Network::EventHandle TokenTimer;
+  Network::EventHandle DrainTimer;
+};
+
+} // namespace EntryDaemon
+
+#endif
--- /dev/null
+++ b/Source/StateDaemon/EntryLedger.cpp
@@ -0,0 +1,102 @@
+#include "StateDaemon/EntryLedger.h"
+
+#include "Telemetry/Log.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace StateDaemon {
+
+State::EntryPollAnswer
+EntryLedger::answer(const State::EntryPoll &Asked,
+                    const Configuration::ServiceMap *Declared,
+                    Common::TimePoint Now) {
+  Entry &From = this->Entries[Asked.Entry];
+  From.HeardAt = Now;
+  From.Loads = Asked.Loads;
+  From.Services = Asked.Services;
+  this->Clocks.reading(Asked.Entry, Asked.Wall, Now);
+  this->Usage.counted(Asked.Entry, Asked.Life, Asked.Usage);
+  for (const State::CrashReport &Each : Asked.Crashes)
+    this->crashed(Each);
+
+  State::EntryPollAnswer Answer;
+  Answer.Entry = Asked.Entry;
+  Answer.Life = Asked.Life;
+  Answer.Sequence = Asked.Sequence;
+  Answer.EntryCount = static_cast<std::uint32_t>(this->entryCount(Now));
+  Answer.Time = this->Clocks.at(Now);
+  Answer.Loads = this->loadsWithout(Asked.Entry, Now);
+  if (Declared) {
+    Answer.Newest = Declared->version();
+    for (const State::TokenDemand &Each : Asked.Demands) {
+      const Configuration::Team *Limits = Declared->team(Each.Team);
+      if (!Limits)
+        continue;
+      const double Granted =
+          this->Allowances.grant(*Limits, Each.Tokens, Answer.EntryCount, Now);
+      if (Granted > 0)
+        Answer.Grants.push_back({Each.Team, Granted});
+    }
+  }
+  for (const std::uint64_t Content : this->Refused) {
+    if (Answer.Refused.size() >= MostRefused)
+      break;
+    Answer.Refused.push_back(Content);
+  }
+  return Answer;
+}
+
+void EntryLedger::crashed(const State::CrashReport &Report) {
+  if (this->Crashes.size() > MostContents)
+    this->Crashes.clear();
+  auto &Servers = this->Crashes[Report.Content];
+  Servers.insert({Report.Server, Report.StartedAt});
+  if (Servers.size() < CrashesToRefuse ||
+      !this->Refused.insert(Report.Content).second)
+    return;
+  Telemetry::log(
+      Telemetry::LogLevel::Warning, "content_refused",
+      Telemetry::logField("content", absl::StrCat(absl::Hex(Report.Content))) +
+          Telemetry::logField("servers", absl::StrCat(Servers.size())));
+}
+
+std::vector<State::ServerLoad>
+EntryLedger::loadsWithout(const Common::DaemonId &Asker,
+                          Common::TimePoint Now) const {
+  std::map<Common::BackendServerId, State::ServerLoad> Sum;
+  for (const auto &[Name, Each] : this->Entries) {
+    if (Name == Asker || Now - Each.HeardAt > EntryLivesFor)
+      continue;
+    for (const State::ServerLoad &Load : Each.Loads) {
+      State::ServerLoad &Into = Sum[Load.Id];
+      Into.Id = Load.Id;
+      Into.Requests += Load.Requests;
+      Into.PromptTokens += Load.PromptTokens;
+    }
+  }
+  std::vector<State::ServerLoad> Result;
+  Result.reserve(Sum.size());
+  for (auto &Each : Sum)
+    Result.push_back(std::move(Each.second));
+  return Result;
+}
+
+std::map<Common::ServiceName, double>
+EntryLedger::demand(Common::TimePoint Now) const {
+  std::map<Common::ServiceName, double> Sum;
+  for (const auto &Each : this->Entries)
+    if (Now - Each.second.HeardAt <= EntryLivesFor)
+      for (const State::ServiceDemand &Part : Each.second.Services)
+        Sum[Part.Service] += Part.Engines;
+  return Sum;
+}
+
+std::size_t EntryLedger::entryCount(Common::TimePoint Now) const {
+  std::size_t Count = 0;
+  for (const auto &Each : this->Entries)
+    if (Now - Each.second.HeardAt <= EntryLivesFor)
+      ++Count;
+  return Count;
+}
+
+} // namespace StateDaemon
--- /dev/null
+++ b/Source/StateDaemon/EntryLedger.h
@@ -0,0 +1,65 @@
+#ifndef SYCAMOREREACH_STATEDAEMON_ENTRYLEDGER_H
+#define SYCAMOREREACH_STATEDAEMON_ENTRYLEDGER_H
+
+#include "Admission/AllowanceLedger.h"
+#include "State/ClockMedian.h"
+#include "State/ControlProtocol.h"
+#include "State/UsageLedger.h"
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace StateDaemon {
+
+/// What the leader knows of the entry daemons: who lives, their clocks, their
+/// use of the teams' allowances, their load, and which contents crash servers.
+/// It is made anew with each leadership.
+class EntryLedger {
+public:
+  explicit EntryLedger(Common::TimePoint Now) : Allowances(Now) {}
+
+  State::EntryPollAnswer answer(const State::EntryPoll &Asked,
+                                const Configuration::ServiceMap *Declared,
+                                Common::TimePoint Now);
+  /// Adds this daemon's own clock to the median.
+  void ownClock(const Common::DaemonId &Self, Common::WallTime Wall,
+                Common::TimePoint Now) {
+    this->Clocks.reading(Self, Wall, Now);
+  }
+  Common::WallTime time(Common::TimePoint Now) { return this->Clocks.at(Now); }
+  State::UsageLedger &usage() { return this->Usage; }
+  /// Engine time that all entry daemons ask for.
+  std::map<Common::ServiceName, double> demand(Common::TimePoint Now) const;
+  std::size_t entryCount(Common::TimePoint Now) const;
+
+private:
+  /// An entry daemon that did not ask for longer counts no more.
+  static constexpr Common::Duration EntryLivesFor = std::chrono::seconds(3);
+  /// Servers that a content must have crashed before it is refused.
+  static constexpr std::size_t CrashesToRefuse = 3;
+  static constexpr std::size_t MostContents = 20'000;
+  /// Contents sent with each answer at most.
+  static constexpr std::size_t MostRefused = 256;
+
+  struct Entry {
+    Common::TimePoint HeardAt;
+    std::vector<State::ServerLoad> Loads;
+    std::vector<State::ServiceDemand> Services;
+  };
+  void crashed(const State::CrashReport &Report);
+  std::vector<State::ServerLoad> loadsWithout(const Common::DaemonId &Asker,
+                                              Common::TimePoint Now) const;
+
+  std::map<Common::DaemonId, Entry> Entries;
+  Admission::AllowanceLedger Allowances;
+  State::ClockMedian Clocks;
+  State::UsageLedger Usage;
+  using ServerLife = std::pair<Common::BackendServerId, std::uint64_t>;
+  std::map<std::uint64_t, std::set<ServerLife>> Crashes;
+  std::set<std::uint64_t> Refused;
+};
+
+} // namespace StateDaemon
+
+#endif
--- a/Source/StateDaemon/Main.cpp
+++ b/Source/StateDaemon/Main.cpp
@@ -1,3 +1,4 @@
+#include "StateDaemon/Controller.h"
 #include "StateDaemon/StateDaemon.h"
 
 #include <iostream>
@@ -37,6 +38,25 @@
   return (*Daemon)->run();
 }
 
+int runController(Settings::SettingsReader &Reader) {
+  auto Chosen = StateDaemon::ControllerSettings::create(Reader);
+  if (Settings::reportFaults(Reader))
+    return Settings::UsageExitCode;
+  Telemetry::startLog({"sycamore-state", Chosen.DataCentre, Chosen.Name},
+                      Chosen.Level);
+  auto Loop = Network::EventLoop::create();
+  if (!Loop.ok()) {
+    std::cerr << Loop.status().message() << "\n";
+    return 1;
+  }
+  auto Daemon = StateDaemon::Controller::create(**Loop, std::move(Chosen));
+  if (!Daemon.ok()) {
+    std::cerr << Daemon.status().message() << "\n";
+    return 1;
+  }
+  return (*Daemon)->run();
+}
+
 } // namespace
 
 int main(int ArgumentCount, char **Arguments) {
@@ -46,5 +66,7 @@
     return Start.ExitCode;
   if (Start.Reader->flag("format"))
     return formatFolder(*Start.Reader);
+  if (Start.Reader->flag("control"))
+    return runController(*Start.Reader);
   return runDaemon(*Start.Reader);
 }
--- a/Source/StateDaemon/StateSettings.cpp
+++ b/Source/StateDaemon/StateSettings.cpp
@@ -7,6 +7,7 @@
 Usage:
   sycamore-state format [options]
   sycamore-state run [options]
+  sycamore-state control [options]
   sycamore-state (-h | --help)
   sycamore-state --version
 
@@ -20,6 +21,20 @@
   --founders=LIST     First voters as IDENTITY@IP:PORT@DATACENTRE, separated
                       by commas; used on the first start only.
   --log-level=LEVEL   debug, info, warning or error.
+
+Control options: (name, datacentre, data, http and log-level are as above)
+  --settings-file=FILE     Lines of NAME=value in the environment's names; the
+                           environment wins over the file.
+  --link-port=PORT         Port of the links between daemons, on all hosts.
+  --metrics-port=PORT      Port of /metrics; 0 for none.
+  --seeds=LIST             HTTP addresses of some state daemons.
+  --first-start=BOOL       true when the whole system starts for the first time.
+  --tolerated-hosts=N      State daemons that may be lost at once.
+  --duty-address=IP:PORT   Where duty calls go.
+  --duty-rate=N            Duty calls a second of all daemons together.
+  --duties=LIST            usage_report and scale, separated by commas.
+  --duty-lease=MS          Least time between the turns of two holders.
+  --usage-window=S         Length of a usage window.
   -h --help           Show this text.
   --version           Show the version.
 
