--- a/Source/Core/Admission/AllowanceAccount.cpp
+++ b/Source/Core/Admission/AllowanceAccount.cpp
@@ -7,10 +7,9 @@
 
 namespace {
 
-/// How much of the recent spending is kept in stock, in seconds of it.
-constexpr double StockSeconds = 0.7;
-/// No entry daemon keeps more of a team's limit than this, in seconds of it.
-constexpr double MostStockSeconds = 0.25;
+/// How much of the recent spending is kept in stock, in seconds of it: longer
+/// than a change of the leader.
+constexpr double StockSeconds = 2;
 /// Time constant of the pace, in seconds.
 constexpr double PaceMemorySeconds = 2;
 /// Shortest time over which a pace is measured, in seconds.
@@ -37,6 +36,7 @@
   if (Fresh)
     Of.PacedAt = Now;
   Of.Rate = Limits.TokenRate;
+  Of.MostStock = this->mostStock(Limits);
   Of.AskedSince += Tokens;
   if (Of.Held < Tokens) {
     Of.Shortfall += Tokens;
@@ -71,17 +71,23 @@
     Found->second.Held += Tokens;
 }
 
+double AllowanceAccount::mostStock(const Configuration::Team &Limits) const {
+  return this->Borne.of(Limits) * AllowanceTolerance::StockShare /
+         static_cast<double>(this->Daemons);
+}
+
 std::vector<AllowanceAccount::Demand>
 AllowanceAccount::demands(Common::TimePoint Now) {
   std::vector<Demand> Result;
   for (auto &[Team, Of] : this->Parts) {
     this->updatePace(Of, Now);
-    const double Stock =
-        std::min(Of.Pace * StockSeconds, Of.Rate * MostStockSeconds);
-    const double Wanted = Stock + Of.Shortfall - Of.Held;
+    const double Stock = std::min(Of.Pace * StockSeconds, Of.MostStock);
+    // What is held is first put to what waits.
+    const double Needed = std::max(0.0, Of.Shortfall - Of.Held);
+    const double Spare = std::max(0.0, Of.Held - Of.Shortfall);
     Of.Shortfall = 0;
-    if (Wanted > 0)
-      Result.push_back({Team, Wanted});
+    if (Needed > 0 || Stock > Spare)
+      Result.push_back({Team, Needed, std::max(0.0, Stock - Spare)});
   }
   return Result;
 }
@@ -95,8 +101,9 @@
       continue;
     }
     Part &Of = Each->second;
+    Of.MostStock = this->mostStock(*Limits);
     if (Limits->TokenRate < Of.Rate)
-      Of.Held = std::min(Of.Held, Limits->TokenRate * MostStockSeconds);
+      Of.Held = std::min(Of.Held, Of.MostStock);
     Of.Rate = Limits->TokenRate;
     ++Each;
   }
--- a/Source/Core/Admission/AllowanceAccount.h
+++ b/Source/Core/Admission/AllowanceAccount.h
@@ -1,9 +1,11 @@
 #ifndef SYCAMOREREACH_ADMISSION_ALLOWANCEACCOUNT_H
 #define SYCAMOREREACH_ADMISSION_ALLOWANCEACCOUNT_H
 
+#include "Admission/AllowanceLedger.h"
 #include "Common/Time.h"
 #include "Configuration/ServiceMap.h"
 
+#include <algorithm>
 #include <map>
 #include <vector>
 
@@ -15,9 +17,17 @@
 public:
   struct Demand {
     Configuration::TeamName Team;
-    double Tokens = 0;
+    double Needed = 0;
+    double Stock = 0;
   };
 
+  explicit AllowanceAccount(AllowanceTolerance Borne) : Borne(Borne) {}
+
+  /// How many entry daemons share the allowances.
+  void setDaemons(std::size_t Count) {
+    this->Daemons = std::max<std::size_t>(Count, 1);
+  }
+
   /// False when the part does not hold Tokens; the shortfall is then asked
   /// for with the next demands. A team without a limit spends freely.
   bool take(const Configuration::Team &Limits, double Tokens,
@@ -34,6 +44,8 @@
   /// How long until Tokens can be expected at the granted pace.
   Common::Duration waitFor(const Configuration::Team &Limits,
                            double Tokens) const;
+  /// The smoothed pace at which tokens of the team are asked for here.
+  double pace(const Configuration::TeamName &Team) const;
 
 private:
   struct Part {
@@ -43,10 +55,15 @@
     double AskedSince = 0;
     double Shortfall = 0;
     double Rate = 0;
+    double MostStock = 0;
     Common::TimePoint PacedAt;
   };
   void updatePace(Part &Of, Common::TimePoint Now) const;
 
+  double mostStock(const Configuration::Team &Limits) const;
+
+  AllowanceTolerance Borne;
+  std::size_t Daemons = 8;
   std::map<Configuration::TeamName, Part> Parts;
 };
 
--- a/Source/Core/Admission/AllowanceLedger.h
+++ b/Source/Core/Admission/AllowanceLedger.h
@@ -8,24 +8,48 @@
 
 namespace Admission {
 
+/// What is borne beyond the declared limits of a team, in any window and of
+/// all daemons together.
+struct AllowanceTolerance {
+  double Tokens = 0;
+  /// Share of what the limits allow in the window.
+  double Share = 0;
+  Common::Duration Window = std::chrono::seconds(8);
+
+  double of(const Configuration::Team &Limits) const {
+    return this->Tokens +
+           this->Share * (Limits.TokenBurst +
+                          Limits.TokenRate * Common::toSeconds(this->Window));
+  }
+  /// The part of it that the leader's account uses.
+  static constexpr double AccountShare = 0.45;
+  /// The part of it that all entry daemons together keep in stock. The rest
+  /// is a margin for requests on their way.
+  static constexpr double StockShare = 0.4;
+};
+
 /// The leader's account of what teams may spend. It hands out parts to entry
-/// daemons; the sum of the parts never exceeds rate and burst.
+/// daemons; over any time the sum of the parts stays within rate, burst and
+/// a part of what is borne beyond them.
 class AllowanceLedger {
 public:
   /// Starts with empty allowances: what earlier leaders handed out before Now
   /// is not known here.
-  explicit AllowanceLedger(Common::TimePoint Now) : Since(Now) {}
+  AllowanceLedger(AllowanceTolerance Borne, Common::TimePoint Now)
+      : Borne(Borne), Since(Now) {}
 
-  /// Takes up to Wanted tokens from the team's allowance for one of Askers
-  /// entry daemons. A team without a limit is granted all.
-  double grant(const Configuration::Team &Limits, double Wanted,
-               std::size_t Askers, Common::TimePoint Now);
+  /// Takes tokens from the team's allowance for one entry daemon: what
+  /// waiting requests need, and what it wants in stock if there is plenty. A
+  /// team without a limit is granted all.
+  double grant(const Configuration::Team &Limits, double Needed, double Stock,
+               Common::TimePoint Now);
 
 private:
   struct Account {
     double Tokens = 0;
     Common::TimePoint RefilledAt;
   };
+  AllowanceTolerance Borne;
   Common::TimePoint Since;
   std::map<Configuration::TeamName, Account> Accounts;
 };
--- a/Source/Core/Fleet/ReplicaOrders.h
+++ b/Source/Core/Fleet/ReplicaOrders.h
@@ -6,7 +6,7 @@
 #include "Membership/ServerRegistry.h"
 
 #include <map>
-#include <tuple>
+#include <optional>
 #include <vector>
 
 namespace Fleet {
@@ -24,12 +24,37 @@
   std::uint32_t Servers = 0;
 };
 
+struct ReplicaOrdersOptions {
+  /// Reclaimable engines held for each engine that callers keep busy: bursts
+  /// are over before a new server has started.
+  double ReclaimableHeadroom = 2.6;
+  /// Engines that must stay when a data centre's reclaimable ones are taken,
+  /// for each engine that callers keep busy.
+  double SafeHeadroom = 1.35;
+  /// Engines that are held without any demand.
+  double LeastEngines = 4;
+  /// A peak of demand is remembered with this time constant.
+  Common::Duration PeakMemory = std::chrono::seconds(20);
+  /// A surplus of ordinary servers must last this long before it is given up.
+  Common::Duration SurplusLasts = std::chrono::seconds(4);
+  /// A pool that had none to give is asked again after this time.
+  Common::Duration RefusedFor = std::chrono::seconds(1);
+  /// Beyond the start time, until an order that shows no effect is repeated.
+  Common::Duration EffectSlack = std::chrono::seconds(3);
+  /// A server that was silent for longer does not count.
+  Common::Duration FreshFor = std::chrono::milliseconds(4200);
+};
+
 /// How many servers of each kind to order in each data centre, from what
-/// callers ask for. Reclaimable servers carry the load where they are to be
-/// had; ordinary ones hold the floor that the loss of a data centre leaves.
+/// callers ask for. Reclaimable servers carry the load, spread over the data
+/// centres, as each loses its own at once. Ordinary servers fill what would be
+/// missing after the loss of the largest part.
 class ReplicaOrders {
 public:
-  /// The orders that differ from what was last ordered.
+  explicit ReplicaOrders(ReplicaOrdersOptions Options = {})
+      : Options(Options) {}
+
+  /// The orders to make now; each is marked as under way.
   std::vector<ReplicaOrder>
   plan(const Configuration::ServiceMap &Declared,
        const Membership::ServerRegistry &Servers,
@@ -39,27 +64,37 @@
   void accepted(const ReplicaOrder &Order, Common::TimePoint Now);
   /// None are to be had there now.
   void refused(const ReplicaOrder &Order, Common::TimePoint Now);
-  /// No answer: it may be carried out late.
+  /// No answer, or none was sent: it may be carried out late.
   void lost(const ReplicaOrder &Order, Common::TimePoint Now);
 
 private:
+  /// Sound servers by pool.
+  using PoolCounts = std::map<ServerPoolKey, std::uint32_t>;
   struct Pool {
     std::optional<std::uint32_t> Ordered;
     Common::TimePoint OrderedAt;
     Common::TimePoint RefusedUntil;
-    bool InFlight = false;
+    /// Since when more were there than wanted.
+    std::optional<Common::TimePoint> SurplusSince;
+    bool UnderWay = false;
   };
-  struct Demand {
-    double Smoothed = 0;
+  struct Peak {
+    double Engines = 0;
     Common::TimePoint At;
-    Common::TimePoint Since;
   };
-  std::map<ServerPoolKey, std::uint32_t>
-  wanted(const Configuration::ServiceEntry &Service, double Engines,
-         Common::TimePoint Now) const;
+  double peak(const Common::ServiceName &Service, double Engines,
+              const PoolCounts &Sound, Common::TimePoint Now);
+  PoolCounts count(const Membership::ServerRegistry &Servers,
+                   Common::TimePoint Now) const;
+  PoolCounts wanted(const Configuration::ServiceEntry &Service, double Engines,
+                    const PoolCounts &Sound, Common::TimePoint Now) const;
+  std::optional<ReplicaOrder>
+  orderFor(const ServerPoolKey &Key, std::uint32_t Wanted, std::uint32_t Sound,
+           Common::Duration StartTime, Common::TimePoint Now);
 
+  ReplicaOrdersOptions Options;
   std::map<ServerPoolKey, Pool> Pools;
-  std::map<Common::ServiceName, Demand> Demands;
+  std::map<Common::ServiceName, Peak> Peaks;
 };
 
 } // namespace Fleet
--- a/Source/Core/Routing/ServerTable.cpp
+++ b/Source/Core/Routing/ServerTable.cpp
@@ -36,6 +36,9 @@
 constexpr double FailureWeight = 0.1;
 /// What a share of failures of one is taken for, in milliseconds of waiting.
 constexpr double FailureMilliseconds = 1500;
+/// What reading a shared prompt token again is taken for, in milliseconds of
+/// waiting: it costs the engine's time and that of the requests beside it.
+constexpr double RereadMillisecondsPerToken = 0.2;
 /// How long a server that cannot be reached is avoided, first and at most.
 constexpr Common::Duration FirstAvoid = std::chrono::milliseconds(400);
 constexpr Common::Duration MostAvoid = std::chrono::milliseconds(3200);
@@ -51,6 +54,14 @@
   return Prompt.Parts[Prompt.Parts.size() - 2].Id;
 }
 
+/// Prompt tokens that no other request shares.
+std::uint64_t ownTokens(const ModelPrompt &Prompt) {
+  std::uint64_t Shared = 0;
+  for (std::size_t I = 0; I + 1 < Prompt.Parts.size(); ++I)
+    Shared += Prompt.Parts[I].Tokens;
+  return Prompt.PromptTokens - std::min(Prompt.PromptTokens, Shared);
+}
+
 } // namespace
 
 ServerTable::ServerTable(ServerTableOptions Options)
@@ -222,6 +233,9 @@
     const double Expected = this->expectedMilliseconds(
         Entry->Record, State, Wanted, Id == HomeServer, Uncached, Now);
     double Cost = Expected + State.FailureShare * FailureMilliseconds;
+    if (Wanted.Prompt)
+      Cost += static_cast<double>(Uncached - ownTokens(*Wanted.Prompt)) *
+              RereadMillisecondsPerToken;
     if (Now < State.AvoidUntil)
       Cost += AvoidedMilliseconds;
     if (Now - Entry->HeardAt > this->Options.FreshFor)
--- a/Source/Core/Settings/RoutedSettings.cpp
+++ b/Source/Core/Settings/RoutedSettings.cpp
@@ -37,4 +37,13 @@
   return Result;
 }
 
+Admission::AllowanceTolerance readTolerance(SettingsReader &Reader) {
+  Admission::AllowanceTolerance Result;
+  Result.Tokens = Reader.decimal("--allowance-slack", 0);
+  Result.Share = Reader.decimal("--allowance-over", 0);
+  Result.Window =
+      Reader.span("--allowance-window", Result.Window, std::chrono::seconds(1));
+  return Result;
+}
+
 } // namespace Settings
--- a/Source/Core/Settings/RoutedSettings.h
+++ b/Source/Core/Settings/RoutedSettings.h
@@ -1,6 +1,7 @@
 #ifndef SYCAMOREREACH_SETTINGS_ROUTEDSETTINGS_H
 #define SYCAMOREREACH_SETTINGS_ROUTEDSETTINGS_H
 
+#include "Admission/AllowanceLedger.h"
 #include "Settings/DaemonSettings.h"
 
 #include <absl/status/statusor.h>
@@ -30,6 +31,9 @@
   std::vector<Network::Address> seedLinks() const;
 };
 
+/// What is borne beyond the teams' limits, which all daemons must agree on.
+Admission::AllowanceTolerance readTolerance(SettingsReader &Reader);
+
 } // namespace Settings
 
 #endif
--- a/Source/Core/State/ControlProtocol.h
+++ b/Source/Core/State/ControlProtocol.h
@@ -77,9 +77,12 @@
 /// Tokens that an entry daemon wants to be able to spend for a team.
 struct TokenDemand {
   Configuration::TeamName Team;
-  double Tokens = 0;
+  /// For requests that wait for them.
+  double Needed = 0;
+  /// To have at hand for what comes next.
+  double Stock = 0;
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(this->Team, this->Tokens);
+    Ar(this->Team, this->Needed, this->Stock);
   }
 };
 
--- a/Source/EntryDaemon/EntrySettings.cpp
+++ b/Source/EntryDaemon/EntrySettings.cpp
@@ -37,6 +37,9 @@
   --retry-extra=N          Repeats allowed besides, of all daemons together.
   --retry-window=S         Window in which repeats are counted.
   --usage-window=S         Length of a usage window.
+  --allowance-slack=N      Tokens borne beyond a team's limits in a window.
+  --allowance-over=N       Share of the limits borne beyond them.
+  --allowance-window=S     Window in which a team's use is counted.
 
 Each option can be given in the environment: --log-level as
 SYCAMORE_LOG_LEVEL. SYCAMORE_CLUSTER_KEY, SYCAMORE_OPERATOR_TOKEN and
--- a/Source/EntryDaemon/Gateway.cpp
+++ b/Source/EntryDaemon/Gateway.cpp
@@ -144,6 +144,15 @@
 
 void Gateway::accept(const std::shared_ptr<Network::Http1Exchange> &Exchange) {
   this->Context.Metrics.count("requests_total");
+  if (this->ShuttingDown &&
+      this->Loop.now() - this->StoppingSince > BalancerLeaves) {
+    // It could not be carried to its end any more; another daemon can.
+    this->Context.Metrics.count("failures_total{reason=\"shutting_down\"}");
+    Telemetry::log(LogLevel::Info, "request_refused",
+                   logField("reason", "shutting_down"));
+    Exchange->reply(503, {{"Retry-After", "0.05"}}, "");
+    return;
+  }
   std::make_shared<RoutedCall>(this->Context, Exchange)->begin();
 }
 
@@ -198,10 +207,12 @@
   if (this->Context.Declared)
     Asked.Have = this->Context.Declared->version();
   for (const auto &Each : this->Context.Allowances.demands(Now))
-    Asked.Demands.push_back({Each.Team, Each.Tokens});
+    Asked.Demands.push_back({Each.Team, Each.Needed, Each.Stock});
   Asked.Usage = this->Context.Usage.counts();
   for (const auto &Each : this->Context.Servers.ownLoads())
     Asked.Loads.push_back({Each.Id, Each.Requests, Each.PromptTokens});
+  for (const auto &[Service, Engines] : this->Context.Demand.engines(Now))
+    Asked.Services.push_back({Service, Engines});
   Asked.Crashes = this->Context.Crashes;
 }
 
@@ -214,6 +225,7 @@
       (!this->Context.ConfirmedAt || *this->Context.ConfirmedAt < AskedAt))
     this->Context.ConfirmedAt = AskedAt;
   this->Context.Retries.setDaemons(Answer.EntryCount);
+  this->Context.Allowances.setDaemons(Answer.EntryCount);
   if (Answer.Time.Milliseconds != 0)
     this->Context.Usage.timeIs(Answer.Time, AskedAt, Now);
   for (const std::uint64_t Content : Answer.Refused)
@@ -227,7 +239,7 @@
   std::vector<std::shared_ptr<RoutedCall>> Waiting;
   Waiting.swap(this->Context.AwaitingTokens);
   for (const auto &Each : Waiting)
-    Each->tokensGranted();
+    Each->tokensGranted(AskedAt);
 }
 
 bool Gateway::ready() const {
--- a/Source/EntryDaemon/GatewayContext.h
+++ b/Source/EntryDaemon/GatewayContext.h
@@ -5,6 +5,7 @@
 #include "Configuration/ServiceMap.h"
 #include "EntryDaemon/GatewaySettings.h"
 #include "EntryDaemon/UsageCounter.h"
+#include "Fleet/DemandMeter.h"
 #include "Network/Http1Client.h"
 #include "Routing/RetryShare.h"
 #include "Routing/ServerTable.h"
@@ -24,7 +25,7 @@
   GatewayContext(Network::EventLoop &Loop, GatewaySettings Chosen)
       : Loop(Loop), Settings(std::move(Chosen)), Client(Loop),
         Servers(tableOptions(this->Settings)), Retries(this->Settings.Retries),
-        Usage(this->Settings.UsageWindow) {}
+        Allowances(this->Settings.Borne), Usage(this->Settings.UsageWindow) {}
 
   Network::EventLoop &Loop;
   GatewaySettings Settings;
@@ -33,6 +34,9 @@
   Routing::RetryShare Retries;
   Admission::AllowanceAccount Allowances;
   UsageCounter Usage;
+  Fleet::DemandMeter Demand;
+  /// Tokens that the answers of a route had lately, on average.
+  std::map<std::string, double> OutputTokens;
   Telemetry::Metrics Metrics;
   /// Null before the first one arrived.
   std::shared_ptr<const Configuration::ServiceMap> Declared;
--- a/Source/EntryDaemon/GatewaySettings.cpp
+++ b/Source/EntryDaemon/GatewaySettings.cpp
@@ -31,6 +31,7 @@
       Reader.span("--retry-window", Result.Retries.Window, Second);
   Result.UsageWindow =
       Reader.span("--usage-window", Result.UsageWindow, Second);
+  Result.Borne = Settings::readTolerance(Reader);
   return Result;
 }
 
--- a/Source/EntryDaemon/GatewaySettings.h
+++ b/Source/EntryDaemon/GatewaySettings.h
@@ -15,6 +15,7 @@
   /// How long requests under way may go on after SIGTERM.
   Common::Duration ShutdownTime = std::chrono::seconds(8);
   Routing::RetryShareOptions Retries;
+  Admission::AllowanceTolerance Borne;
   Common::Duration UsageWindow = std::chrono::seconds(5);
 
   /// Faults are left in Reader.
--- a/Source/EntryDaemon/RoutedCall.cpp
+++ b/Source/EntryDaemon/RoutedCall.cpp
@@ -1,6 +1,7 @@
 #include "EntryDaemon/RoutedCall.h"
 
 #include "Common/Hash.h"
+#include "Routing/EngineCost.h"
 #include "Telemetry/Log.h"
 
 #include <absl/strings/match.h>
@@ -51,6 +52,8 @@
 constexpr Common::Duration RetryAfterNoControl = std::chrono::milliseconds(500);
 constexpr Common::Duration RetryAfterRejected = std::chrono::milliseconds(250);
 constexpr std::size_t MostCrashReports = 32;
+/// Weight of the newest answer in a route's average output.
+constexpr double OutputWeight = 0.1;
 
 constexpr std::array FailureNames = {
     "no_declaration",    "stale_declaration", "bad_headers",
@@ -179,23 +182,30 @@
   const Common::Duration Wait =
       std::clamp(Share, LeastTokenWait, MostTokenWait);
   this->Awaiting = true;
+  this->AwaitingSince = this->Context.Loop.now();
   this->Context.AwaitingTokens.push_back(this->shared_from_this());
   this->Context.PollSoon();
-  this->TokenTimer =
-      this->Context.Loop.callAfter(Wait, [Self = this->shared_from_this()] {
-        if (!Self->Awaiting || Self->Done)
-          return;
-        Self->Awaiting = false;
-        Self->fail(CallFailure::OverAllowance, TooManyRequests,
-                   Self->Context.Allowances.waitFor(*Self->Team, Self->Tokens));
-      });
+  this->TokenTimer = this->Context.Loop.callAfter(
+      Wait, [Self = this->shared_from_this()] { Self->refuseOverAllowance(); });
+}
+
+void RoutedCall::refuseOverAllowance() {
+  if (!this->Awaiting || this->Done)
+    return;
+  this->Awaiting = false;
+  this->fail(CallFailure::OverAllowance, TooManyRequests,
+             this->Context.Allowances.waitFor(*this->Team, this->Tokens));
 }
 
-void RoutedCall::tokensGranted() {
+void RoutedCall::tokensGranted(Common::TimePoint AskedAt) {
   if (!this->Awaiting || this->Done)
     return;
   if (!this->Context.Allowances.retake(*this->Team, this->Tokens)) {
-    this->Context.AwaitingTokens.push_back(this->shared_from_this());
+    // The leader knew of this request and had nothing left for it.
+    if (AskedAt > this->AwaitingSince)
+      this->refuseOverAllowance();
+    else
+      this->Context.AwaitingTokens.push_back(this->shared_from_this());
     return;
   }
   this->Awaiting = false;
@@ -211,6 +221,17 @@
   Wanted.Prompt = this->Said.Prompt ? &*this->Said.Prompt : nullptr;
   Wanted.Tried = this->Tried;
   const auto Chosen = this->Context.Servers.choose(Wanted, Now);
+  if (this->Said.Prompt && this->Attempts == 0 && this->Tried.empty()) {
+    const auto Known = this->Context.OutputTokens.find(this->route().Name);
+    const double Output =
+        Known != this->Context.OutputTokens.end()
+            ? Known->second
+            : static_cast<double>(this->Said.Prompt->MostOutputTokens) / 2;
+    const std::uint64_t Read =
+        Chosen ? Chosen->UncachedTokens : this->Said.Prompt->PromptTokens;
+    this->Context.Demand.asked(
+        this->Service, Routing::EngineCost::milliseconds(Read, Output), Now);
+  }
   if (!Chosen) {
     if (this->MayHaveRun && !this->route().idempotent())
       this->fail(CallFailure::ServerLost, BadGateway);
@@ -365,6 +386,7 @@
   if (this->Events) {
     if (Whole && !this->Events->midEvent()) {
       this->endAttempt(Routing::ServerOutcome::Answered);
+      this->noteOutput();
       this->Exchange->endStream();
       this->finish();
       return;
@@ -383,6 +405,18 @@
   this->finishWhole();
 }
 
+void RoutedCall::noteOutput() {
+  const Configuration::ServiceEntry *Entry =
+      this->Declared->service(this->Service);
+  if (!Entry || !Entry->Engine)
+    return;
+  const double Tokens =
+      static_cast<double>(this->Events->events()) * Entry->Engine->EventTokens;
+  const auto [Known, Fresh] =
+      this->Context.OutputTokens.try_emplace(this->route().Name, Tokens);
+  Known->second += OutputWeight * (Tokens - Known->second);
+}
+
 void RoutedCall::finishWhole() {
   const Network::Http1Head &Head = *this->AnswerHead;
   const Platform::AnswerFacts Facts =
--- a/Source/EntryDaemon/RoutedCall.h
+++ b/Source/EntryDaemon/RoutedCall.h
@@ -40,14 +40,16 @@
              std::shared_ptr<Network::Http1Exchange> Exchange);
 
   void begin();
-  /// Tokens may have come for the request's team.
-  void tokensGranted();
+  /// Tokens may have come for the request's team, in answer to a question
+  /// that was asked at AskedAt.
+  void tokensGranted(Common::TimePoint AskedAt);
 
 private:
   enum class AttemptEnd { NotSent, MayHaveRun, SaidNotRun, Broken };
 
   bool identify();
   void admit();
+  void refuseOverAllowance();
   void dispatch();
   void send(const Routing::PlacementChoice &To);
   bool headArrived(const Network::Http1Head &Head);
@@ -60,6 +62,7 @@
   void finishWhole();
   void startStream(const Network::Http1Head &Head);
   void noteBegan();
+  void noteOutput();
   void suspect();
 
   void callerGone();
@@ -84,6 +87,7 @@
   double Tokens = 0;
   bool TokensTaken = false;
   bool Awaiting = false;
+  Common::TimePoint AwaitingSince;
   bool Done = false;
 
   std::uint32_t Attempts = 0;
--- a/Source/StateDaemon/Controller.cpp
+++ b/Source/StateDaemon/Controller.cpp
@@ -235,7 +235,7 @@
   if (Leads && !this->Ledger) {
     const Common::TimePoint Now = this->Loop.now();
     this->LeadingSince = Now;
-    this->Ledger = std::make_unique<EntryLedger>(Now);
+    this->Ledger = std::make_unique<EntryLedger>(this->Settings.Borne, Now);
     this->Ledger->ownClock(this->Settings.Name, this->Loop.wallNow(), Now);
     if (!this->State.document().empty()) {
       auto Map = Platform::decodeConfiguration(this->State.document());
--- a/Source/StateDaemon/ControllerSettings.cpp
+++ b/Source/StateDaemon/ControllerSettings.cpp
@@ -21,6 +21,7 @@
       std::find(Duties.begin(), Duties.end(), "usage_report") != Duties.end();
   Result.OrdersServers =
       std::find(Duties.begin(), Duties.end(), "scale") != Duties.end();
+  Result.Borne = Settings::readTolerance(Reader);
   Result.DutyLease = Reader.span("--duty-lease", Result.DutyLease,
                                  std::chrono::milliseconds(1));
   Result.UsageWindow = Reader.span("--usage-window", Result.UsageWindow,
--- a/Source/StateDaemon/ControllerSettings.h
+++ b/Source/StateDaemon/ControllerSettings.h
@@ -1,6 +1,7 @@
 #ifndef SYCAMOREREACH_STATEDAEMON_CONTROLLERSETTINGS_H
 #define SYCAMOREREACH_STATEDAEMON_CONTROLLERSETTINGS_H
 
+#include "Admission/AllowanceLedger.h"
 #include "Settings/RoutedSettings.h"
 
 #include <string>
@@ -14,6 +15,8 @@
   bool FirstStart = false;
   /// State daemons that may be lost at once.
   std::uint32_t ToleratedHosts = 1;
+  /// What is borne beyond the teams' limits.
+  Admission::AllowanceTolerance Borne;
   /// Where duty calls go; empty where there are none.
   Network::Address DutyAddress;
   /// Duty calls a second, of all daemons together.
--- a/Source/StateDaemon/EntryLedger.cpp
+++ b/Source/StateDaemon/EntryLedger.cpp
@@ -33,7 +33,7 @@
       if (!Limits)
         continue;
       const double Granted =
-          this->Allowances.grant(*Limits, Each.Tokens, Answer.EntryCount, Now);
+          this->Allowances.grant(*Limits, Each.Needed, Each.Stock, Now);
       if (Granted > 0)
         Answer.Grants.push_back({Each.Team, Granted});
     }
--- a/Source/StateDaemon/EntryLedger.h
+++ b/Source/StateDaemon/EntryLedger.h
@@ -17,7 +17,8 @@
 /// It is made anew with each leadership.
 class EntryLedger {
 public:
-  explicit EntryLedger(Common::TimePoint Now) : Allowances(Now) {}
+  EntryLedger(Admission::AllowanceTolerance Borne, Common::TimePoint Now)
+      : Allowances(Borne, Now) {}
 
   State::EntryPollAnswer answer(const State::EntryPoll &Asked,
                                 const Configuration::ServiceMap *Declared,
--- a/Source/StateDaemon/StateSettings.cpp
+++ b/Source/StateDaemon/StateSettings.cpp
@@ -30,6 +30,9 @@
   --seeds=LIST             HTTP addresses of some state daemons.
   --first-start=BOOL       true when the whole system starts for the first time.
   --tolerated-hosts=N      State daemons that may be lost at once.
+  --allowance-slack=N      Tokens borne beyond a team's limits in a window.
+  --allowance-over=N       Share of the limits borne beyond them.
+  --allowance-window=S     Window in which a team's use is counted.
   --duty-address=IP:PORT   Where duty calls go.
   --duty-rate=N            Duty calls a second of all daemons together.
   --duties=LIST            usage_report and scale, separated by commas.
