StateDaemon, Telemetry: A new leader learns what was granted; logs never block

Cause: after each change of the leader teams were refused, as the new leader's accounts start empty; entry daemons now tell what they were granted in the last window, and daemons that cannot be reached are taken for as busy as the others. Elections start after 450 to 800 ms instead of 700 to 1200: after a power loss of all nothing is served before there is a leader.

--- a/Source/Core/Admission/AllowanceAccount.cpp
+++ b/Source/Core/Admission/AllowanceAccount.cpp
@@ -65,10 +65,28 @@
 }
 
 void AllowanceAccount::granted(const Configuration::TeamName &Team,
-                               double Tokens) {
+                               double Tokens, Common::TimePoint Now) {
   const auto Found = this->Parts.find(Team);
-  if (Found != this->Parts.end())
-    Found->second.Held += Tokens;
+  if (Found == this->Parts.end())
+    return;
+  Found->second.Held += Tokens;
+  Found->second.Grants.emplace_back(Now, Tokens);
+}
+
+std::vector<AllowanceAccount::Use>
+AllowanceAccount::grantedLately(Common::TimePoint Now) {
+  std::vector<Use> Result;
+  for (auto &[Team, Of] : this->Parts) {
+    while (!Of.Grants.empty() &&
+           Now - Of.Grants.front().first > this->Borne.Window)
+      Of.Grants.pop_front();
+    double Sum = 0;
+    for (const auto &Each : Of.Grants)
+      Sum += Each.second;
+    if (Sum > 0)
+      Result.push_back({Team, Sum});
+  }
+  return Result;
 }
 
 double AllowanceAccount::mostStock(const Configuration::Team &Limits) const {
--- a/Source/Core/Admission/AllowanceAccount.h
+++ b/Source/Core/Admission/AllowanceAccount.h
@@ -6,6 +6,7 @@
 #include "Configuration/ServiceMap.h"
 
 #include <algorithm>
+#include <deque>
 #include <map>
 #include <vector>
 
@@ -23,6 +24,13 @@
 
   explicit AllowanceAccount(AllowanceTolerance Borne) : Borne(Borne) {}
 
+  struct Use {
+    Configuration::TeamName Team;
+    double Tokens = 0;
+  };
+  /// What was granted here within the last window, for a new leader.
+  std::vector<Use> grantedLately(Common::TimePoint Now);
+
   /// How many entry daemons share the allowances.
   void setDaemons(std::size_t Count) {
     this->Daemons = std::max<std::size_t>(Count, 1);
@@ -36,7 +44,8 @@
   bool retake(const Configuration::Team &Limits, double Tokens);
   /// The request did not run.
   void giveBack(const Configuration::Team &Limits, double Tokens);
-  void granted(const Configuration::TeamName &Team, double Tokens);
+  void granted(const Configuration::TeamName &Team, double Tokens,
+               Common::TimePoint Now);
   /// What to ask the leader for now.
   std::vector<Demand> demands(Common::TimePoint Now);
   /// Drops parts that exceed a lowered limit, and teams that are gone.
@@ -56,6 +65,7 @@
     double Shortfall = 0;
     double Rate = 0;
     double MostStock = 0;
+    std::deque<std::pair<Common::TimePoint, double>> Grants;
     Common::TimePoint PacedAt;
   };
   void updatePace(Part &Of, Common::TimePoint Now) const;
--- a/Source/Core/Admission/AllowanceLedger.cpp
+++ b/Source/Core/Admission/AllowanceLedger.cpp
@@ -21,4 +21,16 @@
   return Granted;
 }
 
+void AllowanceLedger::grantedLately(const Configuration::Team &Limits,
+                                    double Tokens, Common::TimePoint Now) {
+  if (Limits.TokenRate <= 0)
+    return;
+  const double Most = Limits.TokenBurst +
+                      AllowanceTolerance::AccountShare * this->Borne.of(Limits);
+  const double InWindow =
+      Most + Limits.TokenRate * Common::toSeconds(this->Borne.Window);
+  this->Accounts[Limits.Name] =
+      Account{std::clamp(InWindow - Tokens, 0.0, Most), Now};
+}
+
 } // namespace Admission
--- a/Source/Core/Admission/AllowanceLedger.h
+++ b/Source/Core/Admission/AllowanceLedger.h
@@ -34,7 +34,7 @@
 class AllowanceLedger {
 public:
   /// Starts with empty allowances: what earlier leaders handed out before Now
-  /// is not known here.
+  /// is not known here until the entry daemons have told it.
   AllowanceLedger(AllowanceTolerance Borne, Common::TimePoint Now)
       : Borne(Borne), Since(Now) {}
 
@@ -44,6 +44,11 @@
   double grant(const Configuration::Team &Limits, double Needed, double Stock,
                Common::TimePoint Now);
 
+  /// What the entry daemons were granted of the team in the last window, by
+  /// earlier leaders and this one. Fills an account that started empty.
+  void grantedLately(const Configuration::Team &Limits, double Tokens,
+                     Common::TimePoint Now);
+
 private:
   struct Account {
     double Tokens = 0;
--- a/Source/Core/State/ControlProtocol.h
+++ b/Source/Core/State/ControlProtocol.h
@@ -86,6 +86,15 @@
   }
 };
 
+/// Tokens of a team that an entry daemon was granted in the last window.
+struct TokenUse {
+  Configuration::TeamName Team;
+  double Tokens = 0;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(this->Team, this->Tokens);
+  }
+};
+
 /// Tokens that an entry daemon may spend, beyond those granted before.
 struct TokenGrant {
   Configuration::TeamName Team;
@@ -145,7 +154,10 @@
   std::uint64_t Sequence = 0;
   Common::ConfigurationVersion Have;
   Common::WallTime Wall;
+  /// Entry daemons that lived at the last answer.
+  std::uint32_t EntryCount = 0;
   std::vector<TokenDemand> Demands;
+  std::vector<TokenUse> Used;
   std::vector<UsageCount> Usage;
   std::vector<ServiceDemand> Services;
   std::vector<ServerLoad> Loads;
@@ -153,8 +165,8 @@
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(this->Entry, this->Life, this->DataCentre, this->Sequence, this->Have,
-       this->Wall, this->Demands, this->Usage, this->Services, this->Loads,
-       this->Crashes);
+       this->Wall, this->EntryCount, this->Demands, this->Used, this->Usage,
+       this->Services, this->Loads, this->Crashes);
   }
 };
 
--- a/Source/Core/Telemetry/Log.cpp
+++ b/Source/Core/Telemetry/Log.cpp
@@ -4,18 +4,114 @@
 #include <boost/log/attributes/constant.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/utility/setup/console.hpp>
-#include <iostream>
+#include <boost/make_shared.hpp>
+#include <boost/smart_ptr/shared_ptr.hpp>
+#include <fcntl.h>
+#include <map>
+#include <unistd.h>
 
 namespace Telemetry {
 
 namespace {
 
 namespace expr = boost::log::expressions;
+namespace sinks = boost::log::sinks;
+
+/// Lines that wait for a slow reader of standard output, in bytes. Beyond it
+/// lines are dropped and counted.
+constexpr std::size_t MostWaitingBytes = 256u << 10;
+/// Lines of one event in a second. Warnings and errors tell of requests that
+/// failed, and get a wider budget.
+constexpr std::uint32_t InfoLinesPerSecond = 200;
+constexpr std::uint32_t WarningLinesPerSecond = 2000;
+
+/// Writes lines to standard output and never waits for its reader.
+class StandardOutput
+    : public sinks::basic_formatted_sink_backend<char,
+                                                 sinks::synchronized_feeding> {
+public:
+  StandardOutput() {
+    const int Flags = fcntl(STDOUT_FILENO, F_GETFL);
+    if (Flags >= 0)
+      fcntl(STDOUT_FILENO, F_SETFL, Flags | O_NONBLOCK);
+  }
+
+  void consume(const boost::log::record_view &, const std::string &Line) {
+    if (this->Waiting.size() > MostWaitingBytes) {
+      this->drain();
+      if (this->Waiting.size() > MostWaitingBytes) {
+        ++this->Dropped;
+        return;
+      }
+    }
+    if (this->Dropped != 0) {
+      absl::StrAppend(&this->Waiting,
+                      "event=log_lines_dropped count=", this->Dropped, "\n");
+      this->Dropped = 0;
+    }
+    this->Waiting += Line;
+    this->Waiting += '\n';
+    this->drain();
+  }
+
+private:
+  void drain() {
+    while (!this->Waiting.empty()) {
+      const ssize_t Written =
+          write(STDOUT_FILENO, this->Waiting.data(), this->Waiting.size());
+      if (Written <= 0)
+        return;
+      this->Waiting.erase(0, static_cast<std::size_t>(Written));
+    }
+  }
+
+  std::string Waiting;
+  std::uint64_t Dropped = 0;
+};
+
+/// Counts the lines of each event in the current second.
+class LineBudget {
+public:
+  /// False when the line is left out. Left receives how many lines of the
+  /// event were left out before this one.
+  bool take(LogLevel Level, const std::string &Event, std::uint64_t &Left) {
+    timespec Now{};
+    clock_gettime(CLOCK_MONOTONIC, &Now);
+    Spent &Of = this->Events[Event];
+    if (Of.Second != Now.tv_sec) {
+      Of.Second = Now.tv_sec;
+      Of.Lines = 0;
+    }
+    const std::uint32_t Most =
+        Level >= LogLevel::Warning ? WarningLinesPerSecond : InfoLinesPerSecond;
+    if (++Of.Lines > Most) {
+      ++Of.LeftOut;
+      return false;
+    }
+    Left = Of.LeftOut;
+    Of.LeftOut = 0;
+    return true;
+  }
+
+private:
+  struct Spent {
+    std::int64_t Second = 0;
+    std::uint32_t Lines = 0;
+    std::uint64_t LeftOut = 0;
+  };
+  std::map<std::string, Spent> Events;
+};
+
+LineBudget &lineBudget() {
+  static LineBudget Instance;
+  return Instance;
+}
 
 constexpr std::array LevelNames = {"debug", "info", "warning", "error"};
 
@@ -47,14 +143,14 @@
       "program=", Identity.Program, " datacentre=", Identity.DataCentre.str(),
       " host=", Identity.Daemon.str());
   boost::log::add_common_attributes();
-  boost::log::add_console_log(
-      std::clog,
-      boost::log::keywords::format =
-          (expr::stream << expr::format_date_time<boost::posix_time::ptime>(
+  using Sink = sinks::synchronous_sink<StandardOutput>;
+  const auto Output = boost::make_shared<Sink>();
+  Output->set_formatter(expr::stream
+                        << expr::format_date_time<boost::posix_time::ptime>(
                                "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
                         << " level=" << expr::attr<LogLevel>("Severity") << " "
-                        << Who << " " << expr::smessage),
-      boost::log::keywords::auto_flush = true);
+                        << Who << " " << expr::smessage);
+  boost::log::core::get()->add_sink(Output);
   boost::log::core::get()->set_filter(expr::attr<LogLevel>("Severity") >=
                                       Least);
 }
@@ -73,7 +169,14 @@
 }
 
 void log(LogLevel Level, const std::string &Event, const std::string &Fields) {
-  BOOST_LOG_SEV(logger(), Level) << "event=" << Event << Fields;
+  std::uint64_t LeftOut = 0;
+  if (!lineBudget().take(Level, Event, LeftOut))
+    return;
+  if (LeftOut != 0)
+    BOOST_LOG_SEV(logger(), Level)
+        << "event=" << Event << Fields << " lines_left_out=" << LeftOut;
+  else
+    BOOST_LOG_SEV(logger(), Level) << "event=" << Event << Fields;
 }
 
 } // namespace Telemetry
--- a/Source/Core/Telemetry/Log.h
+++ b/Source/Core/Telemetry/Log.h
@@ -21,7 +21,8 @@
   Common::DaemonId Daemon;
 };
 
-/// Sets up Boost.Log: one line an event on standard error.
+/// Sets up Boost.Log: one line an event on standard output. A reader that is
+/// too slow costs lines, which are counted, and never holds the process up.
 void startLog(const LogIdentity &Identity, LogLevel Least);
 
 /// Appends " key=value" with the value quoted where it needs to be.
--- a/Source/EntryDaemon/Gateway.cpp
+++ b/Source/EntryDaemon/Gateway.cpp
@@ -211,6 +211,9 @@
   Asked.Usage = this->Context.Usage.counts();
   for (const auto &Each : this->Context.Servers.ownLoads())
     Asked.Loads.push_back({Each.Id, Each.Requests, Each.PromptTokens});
+  Asked.EntryCount = this->EntryCount;
+  for (const auto &Each : this->Context.Allowances.grantedLately(Now))
+    Asked.Used.push_back({Each.Team, Each.Tokens});
   for (const auto &[Service, Engines] : this->Context.Demand.engines(Now))
     Asked.Services.push_back({Service, Engines});
   Asked.Crashes = this->Context.Crashes;
@@ -224,6 +227,7 @@
   if (Current &&
       (!this->Context.ConfirmedAt || *this->Context.ConfirmedAt < AskedAt))
     this->Context.ConfirmedAt = AskedAt;
+  this->EntryCount = Answer.EntryCount;
   this->Context.Retries.setDaemons(Answer.EntryCount);
   this->Context.Allowances.setDaemons(Answer.EntryCount);
   if (Answer.Time.Milliseconds != 0)
@@ -235,7 +239,7 @@
     this->Context.Servers.setOthersLoad(Each.Id, Each.Requests,
                                         Each.PromptTokens);
   for (const State::TokenGrant &Each : Answer.Grants)
-    this->Context.Allowances.granted(Each.Team, Each.Tokens);
+    this->Context.Allowances.granted(Each.Team, Each.Tokens, Now);
   std::vector<std::shared_ptr<RoutedCall>> Waiting;
   Waiting.swap(this->Context.AwaitingTokens);
   for (const auto &Each : Waiting)
--- a/Source/EntryDaemon/Gateway.h
+++ b/Source/EntryDaemon/Gateway.h
@@ -45,6 +45,7 @@
   std::unique_ptr<Network::Http1Server> Readiness;
   std::unique_ptr<Network::Http1Server> MetricsHttp;
   std::unique_ptr<ControlLink> Control;
+  std::uint32_t EntryCount = 0;
   bool WasReady = false;
   bool ShuttingDown = false;
   Common::TimePoint StoppingSince;
--- a/Source/EntryDaemon/RoutedCall.cpp
+++ b/Source/EntryDaemon/RoutedCall.cpp
@@ -499,7 +499,7 @@
     this->MayHaveRun = true;
     this->noteBegan();
   }
-  Telemetry::log(LogLevel::Info, "attempt_failed",
+  Telemetry::log(LogLevel::Warning, "attempt_failed",
                  logField("request", this->Said.RequestId) +
                      logField("server", Server) +
                      logField("reason", nameOf(Why)) +
@@ -558,7 +558,7 @@
   this->Context.Metrics.count(
       absl::StrCat("failures_total{reason=\"", nameOf(Why), "\"}"));
   Telemetry::log(
-      LogLevel::Info, "request_failed",
+      LogLevel::Warning, "request_failed",
       logField("request", this->Said.RequestId) +
           logField("route", this->Route ? this->Route->Name : "") +
           logField("reason", nameOf(Why)) +
--- a/Source/StateDaemon/Controller.cpp
+++ b/Source/StateDaemon/Controller.cpp
@@ -20,8 +20,8 @@
 /// Raft's times here: links cross data centres and hosts have a third of a
 /// core, and each message costs processor time.
 constexpr Consensus::ReplicaTiming Timing{
-    std::chrono::milliseconds(120), std::chrono::milliseconds(700),
-    std::chrono::milliseconds(1200), std::chrono::milliseconds(560)};
+    std::chrono::milliseconds(100), std::chrono::milliseconds(450),
+    std::chrono::milliseconds(800), std::chrono::milliseconds(360)};
 /// How often members are reviewed and an unknown leader is asked for.
 constexpr Common::Duration ReviewPeriod = std::chrono::milliseconds(300);
 /// A daemon without a leader for longer asks to be taken in.
--- a/Source/StateDaemon/EntryLedger.cpp
+++ b/Source/StateDaemon/EntryLedger.cpp
@@ -14,6 +14,11 @@
   From.HeardAt = Now;
   From.Loads = Asked.Loads;
   From.Services = Asked.Services;
+  From.Used = Asked.Used;
+  this->MostEntries = std::max(this->MostEntries, Asked.EntryCount);
+  if (Declared && !this->AllowancesLearned &&
+      Now - this->LeadingSince > LearnAllowancesFor)
+    this->learnAllowances(*Declared, Now);
   this->Clocks.reading(Asked.Entry, Asked.Wall, Now);
   this->Usage.counted(Asked.Entry, Asked.Life, Asked.Usage);
   for (const State::CrashReport &Each : Asked.Crashes)
@@ -46,6 +51,24 @@
   return Answer;
 }
 
+void EntryLedger::learnAllowances(const Configuration::ServiceMap &Declared,
+                                  Common::TimePoint Now) {
+  this->AllowancesLearned = true;
+  std::map<Configuration::TeamName, double> Used;
+  for (const auto &Each : this->Entries)
+    for (const State::TokenUse &Part : Each.second.Used)
+      Used[Part.Team] += Part.Tokens;
+  // Daemons that cannot be reached are taken for as busy as the others.
+  const double Known = static_cast<double>(this->Entries.size());
+  const double Scale = std::max(1.0, this->MostEntries / Known);
+  for (const Configuration::Team &Each : Declared.teams())
+    this->Allowances.grantedLately(Each, Used[Each.Name] * Scale, Now);
+  Telemetry::log(
+      Telemetry::LogLevel::Info, "allowances_learned",
+      Telemetry::logField("entries", absl::StrCat(Known)) +
+          Telemetry::logField("expected", absl::StrCat(this->MostEntries)));
+}
+
 void EntryLedger::crashed(const State::CrashReport &Report) {
   if (this->Crashes.size() > MostContents)
     this->Crashes.clear();
--- a/Source/StateDaemon/EntryLedger.h
+++ b/Source/StateDaemon/EntryLedger.h
@@ -18,7 +18,7 @@
 class EntryLedger {
 public:
   EntryLedger(Admission::AllowanceTolerance Borne, Common::TimePoint Now)
-      : Allowances(Borne, Now) {}
+      : LeadingSince(Now), Allowances(Borne, Now) {}
 
   State::EntryPollAnswer answer(const State::EntryPoll &Asked,
                                 const Configuration::ServiceMap *Declared,
@@ -37,6 +37,10 @@
 private:
   /// An entry daemon that did not ask for longer counts no more.
   static constexpr Common::Duration EntryLivesFor = std::chrono::seconds(3);
+  /// Longer than two polls of an entry daemon: by then those that can be
+  /// reached have told what they were granted.
+  static constexpr Common::Duration LearnAllowancesFor =
+      std::chrono::milliseconds(900);
   /// Servers that a content must have crashed before it is refused.
   static constexpr std::size_t CrashesToRefuse = 3;
   static constexpr std::size_t MostContents = 20'000;
@@ -47,11 +51,19 @@
     Common::TimePoint HeardAt;
     std::vector<State::ServerLoad> Loads;
     std::vector<State::ServiceDemand> Services;
+    std::vector<State::TokenUse> Used;
   };
+  /// Takes over the accounts of earlier leaders, once.
+  void learnAllowances(const Configuration::ServiceMap &Declared,
+                       Common::TimePoint Now);
   void crashed(const State::CrashReport &Report);
   std::vector<State::ServerLoad> loadsWithout(const Common::DaemonId &Asker,
                                               Common::TimePoint Now) const;
 
+  Common::TimePoint LeadingSince;
+  bool AllowancesLearned = false;
+  /// The most entry daemons that any of them knew of.
+  std::uint32_t MostEntries = 0;
   std::map<Common::DaemonId, Entry> Entries;
   Admission::AllowanceLedger Allowances;
   State::ClockMedian Clocks;
