UnitTests: What routed serving was built of, and four faults that it found

The tests failed first on: header names with a space before the colon and folded headers split between two reads, which http-parser lets pass; a server with one failure that was never tried again while others were idle (failures are now forgiven with time); team allowances that exceeded the bound by a thousandth after a change of the leader (each span of the last seconds now bounds what a new leader hands out); tokens that were granted for requests which do not wait any more and piled up as stock (now dropped).

--- a/Source/Core/Admission/AllowanceAccount.cpp
+++ b/Source/Core/Admission/AllowanceAccount.cpp
@@ -73,6 +73,11 @@
   Found->second.Grants.emplace_back(Now, Tokens);
 }
 
+void AllowanceAccount::dropSurplus() {
+  for (auto &Each : this->Parts)
+    Each.second.Held = std::min(Each.second.Held, Each.second.MostStock);
+}
+
 std::vector<AllowanceAccount::Use>
 AllowanceAccount::grantedLately(Common::TimePoint Now) {
   std::vector<Use> Result;
@@ -80,11 +85,17 @@
     while (!Of.Grants.empty() &&
            Now - Of.Grants.front().first > this->Borne.Window)
       Of.Grants.pop_front();
-    double Sum = 0;
-    for (const auto &Each : Of.Grants)
-      Sum += Each.second;
-    if (Sum > 0)
-      Result.push_back({Team, Sum});
+    if (Of.Grants.empty())
+      continue;
+    const auto Seconds = static_cast<std::size_t>(
+        std::ceil(Common::toSeconds(this->Borne.Window)));
+    std::vector<double> Within(Seconds, 0);
+    for (const auto &[At, Tokens] : Of.Grants) {
+      const auto First = static_cast<std::size_t>(Common::toSeconds(Now - At));
+      for (std::size_t I = First; I < Seconds; ++I)
+        Within[I] += Tokens;
+    }
+    Result.push_back({Team, std::move(Within)});
   }
   return Result;
 }
--- a/Source/Core/Admission/AllowanceAccount.h
+++ b/Source/Core/Admission/AllowanceAccount.h
@@ -26,9 +26,10 @@
 
   struct Use {
     Configuration::TeamName Team;
-    double Tokens = 0;
+    /// Within the last second, the last two seconds, and so on.
+    std::vector<double> Within;
   };
-  /// What was granted here within the last window, for a new leader.
+  /// What was granted here up to the window's length ago, for a new leader.
   std::vector<Use> grantedLately(Common::TimePoint Now);
 
   /// How many entry daemons share the allowances.
@@ -46,6 +47,9 @@
   void giveBack(const Configuration::Team &Limits, double Tokens);
   void granted(const Configuration::TeamName &Team, double Tokens,
                Common::TimePoint Now);
+  /// Drops what was granted for requests that do not wait any more; call it
+  /// after the waiting ones were served.
+  void dropSurplus();
   /// What to ask the leader for now.
   std::vector<Demand> demands(Common::TimePoint Now);
   /// Drops parts that exceed a lowered limit, and teams that are gone.
--- a/Source/Core/Admission/AllowanceLedger.cpp
+++ b/Source/Core/Admission/AllowanceLedger.cpp
@@ -22,15 +22,19 @@
 }
 
 void AllowanceLedger::grantedLately(const Configuration::Team &Limits,
-                                    double Tokens, Common::TimePoint Now) {
+                                    const std::vector<double> &Within,
+                                    Common::TimePoint Now) {
   if (Limits.TokenRate <= 0)
     return;
   const double Most = Limits.TokenBurst +
                       AllowanceTolerance::AccountShare * this->Borne.of(Limits);
-  const double InWindow =
-      Most + Limits.TokenRate * Common::toSeconds(this->Borne.Window);
-  this->Accounts[Limits.Name] =
-      Account{std::clamp(InWindow - Tokens, 0.0, Most), Now};
+  // Each span by itself bounds what one account could have left.
+  double Left = Most;
+  for (std::size_t Seconds = 0; Seconds < Within.size(); ++Seconds)
+    Left =
+        std::min(Left, Most + Limits.TokenRate * static_cast<double>(Seconds) -
+                           Within[Seconds]);
+  this->Accounts[Limits.Name] = Account{std::max(Left, 0.0), Now};
 }
 
 } // namespace Admission
--- a/Source/Core/Admission/AllowanceLedger.h
+++ b/Source/Core/Admission/AllowanceLedger.h
@@ -5,6 +5,7 @@
 #include "Configuration/ServiceMap.h"
 
 #include <map>
+#include <vector>
 
 namespace Admission {
 
@@ -44,10 +45,11 @@
   double grant(const Configuration::Team &Limits, double Needed, double Stock,
                Common::TimePoint Now);
 
-  /// What the entry daemons were granted of the team in the last window, by
-  /// earlier leaders and this one. Fills an account that started empty.
-  void grantedLately(const Configuration::Team &Limits, double Tokens,
-                     Common::TimePoint Now);
+  /// What the entry daemons were granted of the team by earlier leaders and
+  /// this one: within the last second, the last two seconds, and so on. Fills
+  /// an account that started empty.
+  void grantedLately(const Configuration::Team &Limits,
+                     const std::vector<double> &Within, Common::TimePoint Now);
 
 private:
   struct Account {
--- a/Source/Core/Network/Http1Reader.cpp
+++ b/Source/Core/Network/Http1Reader.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
+#include <algorithm>
 #include <climits>
 #include <http_parser.h>
 
@@ -73,6 +74,19 @@
   return (Status >= 100 && Status < 200) || Status == 204 || Status == 304;
 }
 
+/// The library lets names pass that others read differently.
+bool wellNamed(const HttpHeaders &Headers) {
+  return std::all_of(
+      Headers.begin(), Headers.end(), [](const HttpHeader &Each) {
+        return !Each.Name.empty() &&
+               std::all_of(Each.Name.begin(), Each.Name.end(), [](char C) {
+                 return absl::ascii_isalnum(C) ||
+                        std::string_view("!#$%&'*+-.^_`|~").find(C) !=
+                            std::string_view::npos;
+               });
+      });
+}
+
 /// Framing headers that two programs could read in two ways.
 bool ambiguousFraming(const Http1Head &Head) {
   int Lengths = 0;
@@ -106,7 +120,8 @@
                       (From->flags & F_CHUNKED) != 0 ||
                       hasNoBody(Head.Status) || Self.WithoutBody;
   Head.EndsWithConnection = Self.Of == Kind::Answers && !Framed;
-  if (ambiguousFraming(Head) || From->upgrade != 0) {
+  if (ambiguousFraming(Head) || !wellNamed(Head.Headers) ||
+      From->upgrade != 0) {
     Self.Now = State::Malformed;
     return -1;
   }
@@ -139,6 +154,19 @@
   this->Head = Http1Head();
   this->Body.clear();
   this->LastWasValue = false;
+  this->AtLineStart = false;
+}
+
+bool Http1Reader::continuesHeader(std::string_view Bytes) {
+  for (const char C : Bytes) {
+    if (this->AtLineStart && (C == ' ' || C == '\t'))
+      return true;
+    // A blank line ends the head.
+    if (this->AtLineStart && (C == '\r' || C == '\n'))
+      return false;
+    this->AtLineStart = C == '\n';
+  }
+  return false;
 }
 
 std::size_t Http1Reader::feed(std::string_view Bytes) {
@@ -146,17 +174,9 @@
     return 0;
   this->Started = true;
   const bool InHead = !this->HeadDone;
-  if (InHead) {
-    // Continuation lines are obsolete and read differently by others.
-    for (std::size_t At = Bytes.find('\n'); At != std::string_view::npos;
-         At = Bytes.find('\n', At + 1)) {
-      if (At + 1 >= Bytes.size() || Bytes[At + 1] == '\r')
-        break;
-      if (Bytes[At + 1] == ' ' || Bytes[At + 1] == '\t') {
-        this->Now = State::Malformed;
-        return 0;
-      }
-    }
+  if (InHead && this->continuesHeader(Bytes)) {
+    this->Now = State::Malformed;
+    return 0;
   }
   const std::size_t Taken = http_parser_execute(
       &this->Raw->Raw, &Parser::settings(), Bytes.data(), Bytes.size());
--- a/Source/Core/Network/Http1Reader.h
+++ b/Source/Core/Network/Http1Reader.h
@@ -71,6 +71,10 @@
   struct Parser;
   friend struct Parser;
 
+  /// Whether Bytes hold a header line that continues the one before: obsolete,
+  /// and read differently by others.
+  bool continuesHeader(std::string_view Bytes);
+
   Kind Of;
   Limits Bounds;
   std::unique_ptr<Parser> Raw;
@@ -82,6 +86,8 @@
   Http1Head Head;
   std::string Body;
   bool LastWasValue = false;
+  /// The last byte fed ended a line.
+  bool AtLineStart = false;
   bool WithoutBody = false;
 };
 
--- a/Source/Core/Routing/ServerTable.cpp
+++ b/Source/Core/Routing/ServerTable.cpp
@@ -4,6 +4,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
+#include <cmath>
 
 namespace Routing {
 
@@ -34,6 +35,9 @@
 constexpr double OtherDataCentreMilliseconds = 4;
 /// Weight of the newest outcome in the share of failures.
 constexpr double FailureWeight = 0.1;
+/// A server that is not used is forgiven with this time constant, so that it
+/// is tried again.
+constexpr double FailureMemorySeconds = 3;
 /// What a share of failures of one is taken for, in milliseconds of waiting.
 constexpr double FailureMilliseconds = 1500;
 /// What reading a shared prompt token again is taken for, in milliseconds of
@@ -209,6 +213,13 @@
   return Expected;
 }
 
+double ServerTable::failureShare(const Condition &State,
+                                 Common::TimePoint Now) {
+  return State.FailureShare *
+         std::exp(-Common::toSeconds(Now - State.FailedAt) /
+                  FailureMemorySeconds);
+}
+
 std::optional<PlacementChoice> ServerTable::choose(const Placement &Wanted,
                                                    Common::TimePoint Now) {
   const auto Found = this->Rings.find(Wanted.Service);
@@ -232,7 +243,7 @@
     std::uint64_t Uncached = 0;
     const double Expected = this->expectedMilliseconds(
         Entry->Record, State, Wanted, Id == HomeServer, Uncached, Now);
-    double Cost = Expected + State.FailureShare * FailureMilliseconds;
+    double Cost = Expected + failureShare(State, Now) * FailureMilliseconds;
     if (Wanted.Prompt)
       Cost += static_cast<double>(Uncached - ownTokens(*Wanted.Prompt)) *
               RereadMillisecondsPerToken;
@@ -287,16 +298,17 @@
     return;
   case ServerOutcome::Rejected:
   case ServerOutcome::Failed:
-    Of.FailureShare += FailureWeight * (1 - Of.FailureShare);
-    return;
+    break;
   case ServerOutcome::Unreachable:
-    Of.FailureShare += FailureWeight * (1 - Of.FailureShare);
     ++Of.FailuresInRow;
     Of.AvoidUntil =
         Now + std::min(MostAvoid,
                        FirstAvoid * (1 << std::min(Of.FailuresInRow - 1, 3u)));
-    return;
+    break;
   }
+  const double Share = failureShare(Of, Now);
+  Of.FailureShare = Share + FailureWeight * (1 - Share);
+  Of.FailedAt = Now;
 }
 
 std::vector<ServerTable::Load> ServerTable::ownLoads() const {
--- a/Source/Core/Routing/ServerTable.h
+++ b/Source/Core/Routing/ServerTable.h
@@ -103,6 +103,7 @@
     std::uint64_t OthersPendingTokens = 0;
     /// Share of failures lately, smoothed.
     double FailureShare = 0;
+    Common::TimePoint FailedAt;
     Common::TimePoint AvoidUntil;
     std::uint32_t FailuresInRow = 0;
     /// When prompt parts were last sent here by this daemon.
@@ -117,6 +118,7 @@
   void rebuildRing(const Common::ServiceName &Service);
   std::vector<Common::BackendServerId>
   candidates(const Ring &Of, const Placement &Wanted, std::uint64_t Key);
+  static double failureShare(const Condition &State, Common::TimePoint Now);
   double expectedMilliseconds(const Membership::ServerRecord &Record,
                               const Condition &State, const Placement &Wanted,
                               bool Home, std::uint64_t &Uncached,
--- a/Source/Core/State/ControlProtocol.h
+++ b/Source/Core/State/ControlProtocol.h
@@ -86,12 +86,13 @@
   }
 };
 
-/// Tokens of a team that an entry daemon was granted in the last window.
+/// Tokens of a team that an entry daemon was granted lately.
 struct TokenUse {
   Configuration::TeamName Team;
-  double Tokens = 0;
+  /// Within the last second, the last two seconds, and so on.
+  std::vector<double> Within;
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(this->Team, this->Tokens);
+    Ar(this->Team, this->Within);
   }
 };
 
--- a/Source/EntryDaemon/Gateway.cpp
+++ b/Source/EntryDaemon/Gateway.cpp
@@ -213,7 +213,7 @@
     Asked.Loads.push_back({Each.Id, Each.Requests, Each.PromptTokens});
   Asked.EntryCount = this->EntryCount;
   for (const auto &Each : this->Context.Allowances.grantedLately(Now))
-    Asked.Used.push_back({Each.Team, Each.Tokens});
+    Asked.Used.push_back({Each.Team, Each.Within});
   for (const auto &[Service, Engines] : this->Context.Demand.engines(Now))
     Asked.Services.push_back({Service, Engines});
   Asked.Crashes = this->Context.Crashes;
@@ -244,6 +244,7 @@
   Waiting.swap(this->Context.AwaitingTokens);
   for (const auto &Each : Waiting)
     Each->tokensGranted(AskedAt);
+  this->Context.Allowances.dropSurplus();
 }
 
 bool Gateway::ready() const {
--- a/Source/StateDaemon/EntryLedger.cpp
+++ b/Source/StateDaemon/EntryLedger.cpp
@@ -54,15 +54,20 @@
 void EntryLedger::learnAllowances(const Configuration::ServiceMap &Declared,
                                   Common::TimePoint Now) {
   this->AllowancesLearned = true;
-  std::map<Configuration::TeamName, double> Used;
-  for (const auto &Each : this->Entries)
-    for (const State::TokenUse &Part : Each.second.Used)
-      Used[Part.Team] += Part.Tokens;
   // Daemons that cannot be reached are taken for as busy as the others.
   const double Known = static_cast<double>(this->Entries.size());
   const double Scale = std::max(1.0, this->MostEntries / Known);
+  std::map<Configuration::TeamName, std::vector<double>> Used;
+  for (const auto &Each : this->Entries) {
+    for (const State::TokenUse &Part : Each.second.Used) {
+      std::vector<double> &Sum = Used[Part.Team];
+      Sum.resize(std::max(Sum.size(), Part.Within.size()));
+      for (std::size_t I = 0; I < Part.Within.size(); ++I)
+        Sum[I] += Part.Within[I] * Scale;
+    }
+  }
   for (const Configuration::Team &Each : Declared.teams())
-    this->Allowances.grantedLately(Each, Used[Each.Name] * Scale, Now);
+    this->Allowances.grantedLately(Each, Used[Each.Name], Now);
   Telemetry::log(
       Telemetry::LogLevel::Info, "allowances_learned",
       Telemetry::logField("entries", absl::StrCat(Known)) +
--- /dev/null
+++ b/Source/UnitTests/Configuration/ServiceMapTest.cpp
@@ -0,0 +1,107 @@
+#include "Configuration/ServiceMap.h"
+
+#include <boost/test/unit_test.hpp>
+#include <functional>
+
+namespace UnitTests {
+
+namespace {
+
+using namespace Configuration;
+
+Route routeAt(const std::string &Host, const std::string &Prefix) {
+  Route Result;
+  Result.Name = Host + Prefix;
+  Result.Host = Host;
+  Result.PathPrefix = Prefix;
+  Result.Timeout = std::chrono::seconds(1);
+  Result.Services = {{Common::ServiceName("shop"), 1}};
+  return Result;
+}
+
+ServiceMapParts soundParts() {
+  ServiceMapParts Parts;
+  Parts.Version = Common::ConfigurationVersion{3};
+  Parts.Services.push_back({Common::ServiceName("shop"), "", 0, {}, {}});
+  Parts.Routes = {routeAt("a", "/"), routeAt("a", "/x/"),
+                  routeAt("a", "/x/y/")};
+  Team Mill;
+  Mill.Name = TeamName("mill");
+  Mill.Keys = {"k1", "k2"};
+  Parts.Teams = {Mill};
+  return Parts;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ServiceMap_)
+
+BOOST_AUTO_TEST_CASE(TheLongestPrefixOfTheHostWins) {
+  const auto Map = ServiceMap::create(soundParts());
+  BOOST_REQUIRE(Map.ok());
+  const auto PrefixOf = [&Map](const char *Host, const char *Path) {
+    const Route *Found = Map->route(Host, Path);
+    return Found ? Found->PathPrefix : std::string("none");
+  };
+  BOOST_TEST(PrefixOf("a", "/x/y/z") == "/x/y/");
+  BOOST_TEST(PrefixOf("a", "/x/yy") == "/x/");
+  BOOST_TEST(PrefixOf("a", "/x") == "/");
+  BOOST_TEST(PrefixOf("a", "/") == "/");
+  BOOST_TEST(PrefixOf("b", "/x/") == "none");
+  BOOST_TEST(PrefixOf("a", "") == "none");
+}
+
+BOOST_AUTO_TEST_CASE(KeysNameTheirTeam) {
+  const auto Map = ServiceMap::create(soundParts());
+  BOOST_REQUIRE(Map.ok());
+  BOOST_TEST(Map->teamOfKey("k2")->Name.str() == "mill");
+  BOOST_TEST(Map->teamOfKey("k3") == nullptr);
+  BOOST_TEST(Map->teamOfKey("") == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(InvalidDeclarationsNameTheirFault) {
+  struct Row {
+    const char *What;
+    std::function<void(ServiceMapParts &)> Spoil;
+    const char *Named;
+  };
+  const std::vector<Row> Rows = {
+      {"an unknown service",
+       [](ServiceMapParts &P) {
+         P.Routes[0].Services[0].Service = Common::ServiceName("none");
+       },
+       "unknown service"},
+      {"two routes at one place",
+       [](ServiceMapParts &P) { P.Routes.push_back(P.Routes[1]); },
+       "another route"},
+      {"weights that add up to 0",
+       [](ServiceMapParts &P) { P.Routes[0].Services[0].Weight = 0; },
+       "weight"},
+      {"a time-out of 0", [](ServiceMapParts &P) { P.Routes[0].Timeout = {}; },
+       "time-out"},
+      {"a key of two teams",
+       [](ServiceMapParts &P) {
+         P.Teams.push_back(P.Teams[0]);
+         P.Teams[1].Name = TeamName("yard");
+       },
+       "shares a key"},
+      {"a prefix without its slashes",
+       [](ServiceMapParts &P) { P.Routes[1].PathPrefix = "/x"; }, "'/'"},
+      {"a service that stands twice",
+       [](ServiceMapParts &P) { P.Services.push_back(P.Services[0]); },
+       "twice"}};
+  for (const Row &Each : Rows) {
+    ServiceMapParts Parts = soundParts();
+    Each.Spoil(Parts);
+    const auto Map = ServiceMap::create(std::move(Parts));
+    BOOST_TEST_CONTEXT(Each.What) {
+      BOOST_REQUIRE(!Map.ok());
+      BOOST_TEST(std::string(Map.status().message()).find(Each.Named) !=
+                 std::string::npos);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace UnitTests
--- /dev/null
+++ b/Source/UnitTests/Membership/ServerRegistryTest.cpp
@@ -0,0 +1,86 @@
+#include "Membership/ServerRegistry.h"
+
+#include "Common/Random.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+
+namespace UnitTests {
+
+namespace {
+
+using namespace Membership;
+using Outcome = ServerRegistry::Outcome;
+
+ServerRecord record(const char *Id, std::uint64_t StartedAt,
+                    std::uint64_t Sequence,
+                    ServerPhase Phase = ServerPhase::Serving,
+                    std::uint16_t Port = 80) {
+  ServerRecord Result;
+  Result.Id = Common::BackendServerId(Id);
+  Result.Service = Common::ServiceName("shop");
+  Result.Address = {"10.0.0.1", Port};
+  Result.Slots = 4;
+  Result.StartedAt = StartedAt;
+  Result.Sequence = Sequence;
+  Result.Phase = Phase;
+  return Result;
+}
+
+ServerPhase phaseOf(const ServerRegistry &Of, const char *Id) {
+  return Of.find(Common::BackendServerId(Id))->Record.Phase;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ServerRegistry_)
+
+BOOST_AUTO_TEST_CASE(WhatEndsLastDoesNotDependOnTheOrderOfArrival) {
+  // Two lives at one address, the first one leaving; every order of arrival.
+  std::vector<ServerRecord> Said = {record("a", 100, 1), record("a", 100, 2),
+                                    record("a", 100, 3, ServerPhase::Leaving),
+                                    record("b", 200, 1), record("b", 200, 2)};
+  std::vector<std::size_t> Order = {0, 1, 2, 3, 4};
+  do {
+    ServerRegistry Registry;
+    for (const std::size_t I : Order)
+      Registry.offer(Said[I], Common::TimePoint());
+    BOOST_CHECK(phaseOf(Registry, "b") == ServerPhase::Serving);
+    const auto *Old = Registry.find(Common::BackendServerId("a"));
+    BOOST_CHECK(!Old || Old->Record.Phase != ServerPhase::Serving);
+  } while (std::next_permutation(Order.begin(), Order.end()));
+}
+
+BOOST_AUTO_TEST_CASE(LeavingNeverGoesBackWithinALife) {
+  ServerRegistry Registry;
+  Registry.offer(record("a", 1, 1), {});
+  Registry.offer(record("a", 1, 2, ServerPhase::Leaving), {});
+  Registry.offer(record("a", 1, 3), {});
+  BOOST_CHECK(phaseOf(Registry, "a") == ServerPhase::Leaving);
+  Registry.leave(Common::BackendServerId("a"), 1, {});
+  Registry.offer(record("a", 1, 4), {});
+  BOOST_CHECK(phaseOf(Registry, "a") == ServerPhase::Gone);
+}
+
+BOOST_AUTO_TEST_CASE(ANewLifeUnderTheSameIdServesAgain) {
+  ServerRegistry Registry;
+  Registry.offer(record("a", 1, 9), {});
+  Registry.leave(Common::BackendServerId("a"), 1, {});
+  BOOST_CHECK(Registry.offer(record("a", 2, 1), {}) == Outcome::Changed);
+  BOOST_CHECK(phaseOf(Registry, "a") == ServerPhase::Serving);
+  BOOST_CHECK(Registry.offer(record("a", 1, 10), {}) == Outcome::Stale);
+  BOOST_TEST(!Registry.leave(Common::BackendServerId("a"), 1, {}));
+  BOOST_CHECK(phaseOf(Registry, "a") == ServerPhase::Serving);
+}
+
+BOOST_AUTO_TEST_CASE(RepeatsAndOlderMessagesAreStale) {
+  ServerRegistry Registry;
+  BOOST_CHECK(Registry.offer(record("a", 1, 2), {}) == Outcome::Changed);
+  BOOST_CHECK(Registry.offer(record("a", 1, 2), {}) == Outcome::Stale);
+  BOOST_CHECK(Registry.offer(record("a", 1, 1), {}) == Outcome::Stale);
+  BOOST_CHECK(Registry.offer(record("a", 1, 3), {}) == Outcome::Refreshed);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace UnitTests
--- /dev/null
+++ b/Source/UnitTests/Routing/RetryShareTest.cpp
@@ -0,0 +1,42 @@
+#include "Routing/RetryShare.h"
+
+#include "Common/Random.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace UnitTests {
+
+BOOST_AUTO_TEST_SUITE(RetryShare_)
+
+// Pattern: every request fails and would be repeated, at daemons with uneven
+// shares of the traffic.
+BOOST_AUTO_TEST_CASE(AllDaemonsTogetherStayWithinTheBudget) {
+  using namespace std::chrono_literals;
+  const Routing::RetryShareOptions Options{0.2, 56, 10s};
+  const Common::ServiceName Shop("shop");
+  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    Common::Random Randomness(Seed);
+    std::vector<Routing::RetryShare> Daemons(8, Routing::RetryShare(Options));
+    for (auto &Each : Daemons)
+      Each.setDaemons(Daemons.size());
+    std::deque<Common::TimePoint> Requests;
+    std::deque<Common::TimePoint> Repeats;
+    for (Common::TimePoint Now(0s); Now < Common::TimePoint(40s); Now += 10ms) {
+      auto &At = Daemons[Randomness.below(Randomness.below(8) + 1)];
+      Requests.push_back(Now);
+      At.requestSeen(Shop, Now);
+      while (At.take(Shop, Now))
+        Repeats.push_back(Now);
+      while (Now - Requests.front() > 10s)
+        Requests.pop_front();
+      while (!Repeats.empty() && Now - Repeats.front() > 10s)
+        Repeats.pop_front();
+      BOOST_REQUIRE_LE(static_cast<double>(Repeats.size()),
+                       0.2 * static_cast<double>(Requests.size()) + 56);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace UnitTests
