--- /dev/null
+++ b/Source/FaultTests/RoutedServingTest.cpp
@@ -0,0 +1,151 @@
+#include "FaultTests/RoutedCluster.h"
+
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+
+namespace FaultTests {
+
+namespace {
+
+constexpr const char *ReadCall = "/sycamorereach/config/read";
+constexpr const char *ReplaceCall = "/sycamorereach/config/replace";
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RoutedServing)
+
+BOOST_AUTO_TEST_CASE(RequestsFollowTheDeclarationInForce) {
+  RoutedCluster Of;
+  Of.startAll();
+  const RoutedReply Served = Of.ask("/a/b?c=%20d");
+  BOOST_TEST(Served.Body == "served /a/b for mill");
+  BOOST_TEST(Of.ask("/none/").Status == 404);
+  BOOST_TEST(Of.ask("/a/b", "other-key").Status == 401);
+  BOOST_TEST(Of.call(Of.ready(), "GET", "/sycamorereach/ready").Status == 200);
+  // A newer declaration moves the routes; an older one and other content
+  // under the same version change nothing.
+  const std::string Newer = RoutedCluster::declaration(8, "/b/");
+  BOOST_TEST(Of.operatorCall("POST", ReplaceCall, Newer, 200));
+  BOOST_TEST(Of.await([&] { return Of.ask("/b/x").Status == 200; }));
+  BOOST_TEST(Of.ask("/a/x").Status == 404);
+  BOOST_TEST(Of.operatorCall("POST", ReplaceCall,
+                             RoutedCluster::declaration(8, "/c/"), 200));
+  BOOST_TEST(Of.operatorCall("POST", ReplaceCall,
+                             RoutedCluster::declaration(5, "/d/"), 200));
+  BOOST_TEST(Of.operatorCall("POST", ReplaceCall,
+                             Newer.substr(0, Newer.size() / 2), 400));
+  std::string Held;
+  BOOST_TEST(Of.operatorCall("GET", ReadCall, "", 200, &Held));
+  BOOST_TEST(Held == Newer);
+  BOOST_TEST(Of.ask("/c/x").Status == 404);
+}
+
+BOOST_AUTO_TEST_CASE(AServerThatLeavesGetsNothingMore) {
+  RoutedCluster Of;
+  Of.startAll();
+  Of.announce("draining");
+  BOOST_TEST(Of.await([&] { return Of.ask("/a/x").Status == 503; }));
+  const int Before = Of.Served;
+  for (int I = 0; I < 10; ++I)
+    BOOST_TEST(Of.ask("/a/x").Status == 503);
+  BOOST_TEST(Of.Served == Before);
+}
+
+BOOST_AUTO_TEST_CASE(WhatMayNotBeRepeatedRunsOnce) {
+  RoutedCluster Of;
+  Of.startAll();
+  // The server runs the request and its answer is lost.
+  Of.OnServed = [](const std::shared_ptr<Network::Http1Exchange> &Exchange) {
+    Exchange->abort();
+  };
+  int Before = Of.Served;
+  BOOST_TEST(Of.ask("/a/once/x").Status == 502);
+  BOOST_TEST(Of.Served == Before + 1);
+  // A server that answers 503 without saying that it did not run the request
+  // gets no promise made of it.
+  Of.OnServed = [](const std::shared_ptr<Network::Http1Exchange> &Exchange) {
+    RoutedCluster::answer(*Exchange, 503);
+  };
+  Before = Of.Served;
+  BOOST_TEST(Of.ask("/a/once/x").Status == 502);
+  BOOST_TEST(Of.Served == Before + 1);
+}
+
+BOOST_AUTO_TEST_CASE(DeclarationsOutliveTheLeader) {
+  RoutedCluster Of;
+  Of.startAll();
+  const int Leader = Of.leader();
+  BOOST_REQUIRE(Leader != 0);
+  Of.kill("state" + std::to_string(Leader));
+  const std::string Newer = RoutedCluster::declaration(9, "/b/");
+  BOOST_TEST(Of.operatorCall("POST", ReplaceCall, Newer, 200));
+  BOOST_TEST(Of.await([&] { return Of.ask("/b/x").Status == 200; }));
+  Of.startState(Leader, false);
+  std::string Held;
+  BOOST_TEST(Of.operatorCall("GET", ReadCall, "", 200, &Held));
+  BOOST_TEST(Held == Newer);
+}
+
+BOOST_AUTO_TEST_CASE(ALostDiskIsReplacedBeforeTheNextOneIsLost) {
+  RoutedCluster Of;
+  Of.startAll();
+  std::uint64_t Version = 10;
+  // Each of the founders loses its disk, one after the other. The group lives
+  // on only if every lost voter was replaced by one that holds everything.
+  for (int Lost = 1; Lost <= 3; ++Lost) {
+    Of.kill("state" + std::to_string(Lost));
+    Of.wipe(Lost);
+    Of.startState(Lost, false);
+    for (int I = 0; I < 3; ++I)
+      BOOST_TEST(Of.operatorCall("POST", ReplaceCall,
+                                 RoutedCluster::declaration(++Version, "/a/"),
+                                 200));
+    Of.await([&, Until = Of.loop().now() + std::chrono::seconds(4)] {
+      return Of.loop().now() > Until;
+    });
+  }
+  std::string Held;
+  BOOST_TEST(Of.operatorCall("GET", ReadCall, "", 200, &Held));
+  BOOST_TEST(Held == RoutedCluster::declaration(Version, "/a/"));
+}
+
+BOOST_AUTO_TEST_CASE(EverythingRestartsAtOnceAndNothingIsLost) {
+  RoutedCluster Of;
+  Of.startAll();
+  const std::string Newer = RoutedCluster::declaration(12, "/b/");
+  BOOST_TEST(Of.operatorCall("POST", ReplaceCall, Newer, 200));
+  for (int I = 1; I <= RoutedCluster::StateDaemons; ++I)
+    Of.kill("state" + std::to_string(I));
+  Of.kill("entry");
+  for (int I = 1; I <= RoutedCluster::StateDaemons; ++I)
+    Of.startState(I, false);
+  Of.startEntry();
+  std::string Held;
+  BOOST_TEST(Of.operatorCall("GET", ReadCall, "", 200, &Held));
+  BOOST_TEST(Held == Newer);
+  Of.announce("ready");
+  BOOST_TEST(Of.await([&] { return Of.ask("/b/x").Status == 200; }));
+}
+
+BOOST_AUTO_TEST_CASE(AShutdownEndsWhatItTookAndThenRefuses) {
+  RoutedCluster Of;
+  Of.startAll();
+  std::shared_ptr<Network::Http1Exchange> Held;
+  Of.OnServed = [&](const std::shared_ptr<Network::Http1Exchange> &Exchange) {
+    // The signal comes while the request is at its server.
+    Of.process("entry").signal(SIGTERM);
+    Held = Exchange;
+    Of.loop().defer([&Held] { RoutedCluster::answer(*Held); });
+  };
+  const RoutedReply Reply = Of.ask("/a/x");
+  BOOST_TEST(Reply.Status == 200);
+  BOOST_TEST(Of.await([&] {
+    return Of.call(Of.ready(), "GET", "/sycamorereach/ready").Status == 503;
+  }));
+  BOOST_TEST(Of.await([&] { return Of.process("entry").ended(); }));
+  BOOST_TEST(Of.process("entry").exitCode() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace FaultTests
