--- a/Source/EntryDaemon/RoutedCall.cpp
+++ b/Source/EntryDaemon/RoutedCall.cpp
@@ -564,6 +564,8 @@
           logField("reason", nameOf(Why)) +
           logField("status", absl::StrCat(Status)) +
           logField("attempts", absl::StrCat(this->Attempts)) +
+          logField("team", this->Team ? this->Team->Name.str() : "") +
+          logField("tokens", absl::StrCat(this->Tokens)) +
           logField("after_ms",
                    milliseconds(this->Context.Loop.now() - this->ArrivedAt)) +
           logField("version",
