StateDaemon: A daemon that lags gets the declaration from the leader

The entry daemon polled the leader through a state daemon that got nothing from the new leader itself yet; it was told of the newer version and had nobody to get it from. Now it says what it has heard of, asks again after 100 ms, and the leader sends the declaration along. Ruled out: moving on to another state daemon, as that one may lag as well.

--- a/Source/Core/Fleet/ReplicaOrders.h
+++ b/Source/Core/Fleet/ReplicaOrders.h
@@ -27,7 +27,7 @@
 struct ReplicaOrdersOptions {
   /// Reclaimable engines held for each engine that callers keep busy: bursts
   /// are over before a new server has started.
-  double ReclaimableHeadroom = 3.6;
+  double ReclaimableHeadroom = 5.0;
   /// Engines that must stay when a data centre's reclaimable ones are taken,
   /// for each engine that callers keep busy.
   double SafeHeadroom = 1.35;
--- a/Source/Core/State/ControlProtocol.h
+++ b/Source/Core/State/ControlProtocol.h
@@ -7,6 +7,7 @@
 #include "State/ControlState.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -154,6 +155,8 @@
   Common::DataCentreId DataCentre;
   std::uint64_t Sequence = 0;
   Common::ConfigurationVersion Have;
+  /// The newest version that an answer spoke of.
+  Common::ConfigurationVersion HeardOf;
   Common::WallTime Wall;
   /// Entry daemons that lived at the last answer.
   std::uint32_t EntryCount = 0;
@@ -166,8 +169,8 @@
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(this->Entry, this->Life, this->DataCentre, this->Sequence, this->Have,
-       this->Wall, this->EntryCount, this->Demands, this->Used, this->Usage,
-       this->Services, this->Loads, this->Crashes);
+       this->HeardOf, this->Wall, this->EntryCount, this->Demands, this->Used,
+       this->Usage, this->Services, this->Loads, this->Crashes);
   }
 };
 
@@ -185,10 +188,13 @@
   std::vector<ServerLoad> Loads;
   /// Contents that are refused as they crash servers.
   std::vector<std::uint64_t> Refused;
+  /// The newest declaration, for a daemon that has heard of it and did not get
+  /// it from its state daemon.
+  std::optional<DeclarationPush> Declaration;
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(this->Entry, this->Life, this->Sequence, this->Newest, this->EntryCount,
-       this->Time, this->Grants, this->Loads, this->Refused);
+       this->Time, this->Grants, this->Loads, this->Refused, this->Declaration);
   }
 };
 
--- a/Source/EntryDaemon/ControlLink.cpp
+++ b/Source/EntryDaemon/ControlLink.cpp
@@ -98,10 +98,16 @@
 }
 
 void ControlLink::pollSoon() {
+  this->SoonTimer.cancel();
+  this->Soon = false;
+  this->pollAfter(SoonDelay);
+}
+
+void ControlLink::pollAfter(Common::Duration Delay) {
   if (this->Soon)
     return;
   this->Soon = true;
-  this->SoonTimer = this->Loop.callAfter(SoonDelay, [this] {
+  this->SoonTimer = this->Loop.callAfter(Delay, [this] {
     this->Soon = false;
     this->poll();
   });
--- a/Source/EntryDaemon/ControlLink.h
+++ b/Source/EntryDaemon/ControlLink.h
@@ -38,6 +38,8 @@
 
   /// Polls within a moment rather than at the next turn.
   void pollSoon();
+  /// Polls after Delay, if none was asked for sooner.
+  void pollAfter(Common::Duration Delay);
   /// New seeds from the settings.
   void setSeeds(std::vector<Network::Address> Seeds);
 
--- a/Source/EntryDaemon/Gateway.cpp
+++ b/Source/EntryDaemon/Gateway.cpp
@@ -23,6 +23,8 @@
 /// Kept before the platform's own limit on shutting down.
 constexpr Common::Duration ShutdownMargin = std::chrono::milliseconds(400);
 constexpr Common::Duration ShutdownPoll = std::chrono::milliseconds(50);
+/// A daemon that was told of a newer declaration asks again after this time.
+constexpr Common::Duration CatchUpDelay = std::chrono::milliseconds(100);
 /// Settings are read again this often, as they may change without a signal.
 constexpr Common::Duration SettingsPeriod = std::chrono::seconds(5);
 
@@ -211,6 +213,7 @@
   Asked.Usage = this->Context.Usage.counts();
   for (const auto &Each : this->Context.Servers.ownLoads())
     Asked.Loads.push_back({Each.Id, Each.Requests, Each.PromptTokens});
+  Asked.HeardOf = this->HeardOf;
   Asked.EntryCount = this->EntryCount;
   for (const auto &Each : this->Context.Allowances.grantedLately(Now))
     Asked.Used.push_back({Each.Team, Each.Within});
@@ -222,12 +225,17 @@
 void Gateway::answered(const State::EntryPollAnswer &Answer,
                        Common::TimePoint AskedAt) {
   const Common::TimePoint Now = this->Loop.now();
+  this->HeardOf = std::max(this->HeardOf, Answer.Newest);
+  if (Answer.Declaration)
+    this->declared(*Answer.Declaration);
   const bool Current = this->Context.Declared &&
                        Answer.Newest <= this->Context.Declared->version();
   if (Current &&
       (!this->Context.ConfirmedAt || *this->Context.ConfirmedAt < AskedAt))
     this->Context.ConfirmedAt = AskedAt;
   this->EntryCount = Answer.EntryCount;
+  if (!Current)
+    this->Control->pollAfter(CatchUpDelay);
   this->Context.Retries.setDaemons(Answer.EntryCount);
   this->Context.Allowances.setDaemons(Answer.EntryCount);
   if (Answer.Time.Milliseconds != 0)
--- a/Source/EntryDaemon/Gateway.h
+++ b/Source/EntryDaemon/Gateway.h
@@ -46,6 +46,7 @@
   std::unique_ptr<Network::Http1Server> MetricsHttp;
   std::unique_ptr<ControlLink> Control;
   std::uint32_t EntryCount = 0;
+  Common::ConfigurationVersion HeardOf;
   bool WasReady = false;
   bool ShuttingDown = false;
   Common::TimePoint StoppingSince;
--- a/Source/StateDaemon/Controller.cpp
+++ b/Source/StateDaemon/Controller.cpp
@@ -491,9 +491,9 @@
 void Controller::poll(Network::ConnectionId From, State::EntryPoll Asked) {
   if (this->Host->leads() && this->Ledger) {
     const bool Known = this->State.version().Value != 0;
-    auto Answer = this->Ledger->answer(
-        Asked, Known ? this->Declared.get() : nullptr, this->Loop.now());
-    Answer.Newest = this->State.version();
+    auto Answer =
+        this->Ledger->answer(Asked, Known ? this->Declared.get() : nullptr,
+                             this->State, this->Loop.now());
     this->sendTo(From, Answer);
     return;
   }
--- a/Source/StateDaemon/EntryLedger.cpp
+++ b/Source/StateDaemon/EntryLedger.cpp
@@ -9,7 +9,7 @@
 State::EntryPollAnswer
 EntryLedger::answer(const State::EntryPoll &Asked,
                     const Configuration::ServiceMap *Declared,
-                    Common::TimePoint Now) {
+                    const State::ControlState &State, Common::TimePoint Now) {
   Entry &From = this->Entries[Asked.Entry];
   From.HeardAt = Now;
   From.Loads = Asked.Loads;
@@ -31,8 +31,12 @@
   Answer.EntryCount = static_cast<std::uint32_t>(this->entryCount(Now));
   Answer.Time = this->Clocks.at(Now);
   Answer.Loads = this->loadsWithout(Asked.Entry, Now);
+  Answer.Newest = State.version();
+  // Its own state daemon should have pushed it since the last answer.
+  if (Asked.Have < Answer.Newest && Asked.HeardOf >= Answer.Newest)
+    Answer.Declaration =
+        State::DeclarationPush{State.version(), State.document()};
   if (Declared) {
-    Answer.Newest = Declared->version();
     for (const State::TokenDemand &Each : Asked.Demands) {
       const Configuration::Team *Limits = Declared->team(Each.Team);
       if (!Limits)
--- a/Source/StateDaemon/EntryLedger.h
+++ b/Source/StateDaemon/EntryLedger.h
@@ -22,6 +22,7 @@
 
   State::EntryPollAnswer answer(const State::EntryPoll &Asked,
                                 const Configuration::ServiceMap *Declared,
+                                const State::ControlState &State,
                                 Common::TimePoint Now);
   /// Adds this daemon's own clock to the median.
   void ownClock(const Common::DaemonId &Self, Common::WallTime Wall,
