--- a/Source/FaultTests/RoutedServingTest.cpp
+++ b/Source/FaultTests/RoutedServingTest.cpp
@@ -125,6 +125,23 @@
   BOOST_TEST(Of.await([&] { return Of.ask("/b/x").Status == 200; }));
 }
 
+BOOST_AUTO_TEST_CASE(KeysAreNotObeyedOnceNoLeaderStandsBehindThem) {
+  RoutedCluster Of;
+  Of.startAll();
+  // Frozen, not killed: the entry daemon's link stays open and silent.
+  for (int I = 1; I <= RoutedCluster::StateDaemons; ++I)
+    Of.process("state" + std::to_string(I)).signal(SIGSTOP);
+  BOOST_TEST(Of.await([&] { return Of.ask("/a/x").Status == 503; }));
+  const int Before = Of.Served;
+  for (int I = 0; I < 5; ++I)
+    BOOST_TEST(Of.ask("/a/x").Status == 503);
+  BOOST_TEST(Of.Served == Before);
+  BOOST_TEST(Of.call(Of.ready(), "GET", "/sycamorereach/ready").Status == 503);
+  for (int I = 1; I <= RoutedCluster::StateDaemons; ++I)
+    Of.process("state" + std::to_string(I)).signal(SIGCONT);
+  BOOST_TEST(Of.await([&] { return Of.ask("/a/x").Status == 200; }));
+}
+
 BOOST_AUTO_TEST_CASE(AShutdownEndsWhatItTookAndThenRefuses) {
   RoutedCluster Of;
   Of.startAll();
