--- a/Source/EntryDaemon/Gateway.cpp
+++ b/Source/EntryDaemon/Gateway.cpp
@@ -54,9 +54,10 @@
 
 absl::Status Gateway::listen() {
   Network::Http1Server::Handlers Handle;
-  Handle.OnRequest = [this](std::shared_ptr<Network::Http1Exchange> Exchange) {
-    this->accept(Exchange);
-  };
+  Handle.OnRequest =
+      [this](const std::shared_ptr<Network::Http1Exchange> &Exchange) {
+        this->accept(Exchange);
+      };
   Handle.OnRejected = [this](Network::Http1Server::Rejection Why) {
     constexpr const char *Names[] = {"malformed", "headers_too_large",
                                      "body_too_large", "header_timeout"};
@@ -72,10 +73,11 @@
   this->Callers = std::move(*Front);
 
   Network::Http1Server::Handlers Asked;
-  Asked.OnRequest = [this](std::shared_ptr<Network::Http1Exchange> Exchange) {
-    const bool Path = Exchange->path() == Platform::ReadinessPath;
-    Exchange->reply(!Path ? 404 : this->ready() ? 200 : 503, {}, "");
-  };
+  Asked.OnRequest =
+      [this](const std::shared_ptr<Network::Http1Exchange> &Exchange) {
+        const bool Path = Exchange->path() == Platform::ReadinessPath;
+        Exchange->reply(!Path ? 404 : this->ready() ? 200 : 503, {}, "");
+      };
   auto Ready = Network::Http1Server::create(
       this->Loop, this->Context.Settings.Ready, std::move(Asked));
   if (!Ready.ok())
@@ -85,10 +87,11 @@
   if (this->Context.Settings.MetricsPort == 0)
     return absl::OkStatus();
   Network::Http1Server::Handlers Shown;
-  Shown.OnRequest = [this](std::shared_ptr<Network::Http1Exchange> Exchange) {
-    Exchange->reply(200, {{"Content-Type", "text/plain"}},
-                    this->Context.Metrics.render());
-  };
+  Shown.OnRequest =
+      [this](const std::shared_ptr<Network::Http1Exchange> &Exchange) {
+        Exchange->reply(200, {{"Content-Type", "text/plain"}},
+                        this->Context.Metrics.render());
+      };
   auto Opened = Network::Http1Server::create(
       this->Loop,
       Network::Address{this->Context.Settings.Http.Ip,
--- a/Source/EntryDaemon/RoutedCall.cpp
+++ b/Source/EntryDaemon/RoutedCall.cpp
@@ -277,8 +277,8 @@
   Handle.OnHead = [Self](const Network::Http1Head &Head) {
     return Self->headArrived(Head);
   };
-  Handle.OnBody = [Self](std::string Bytes) {
-    Self->bodyArrived(std::move(Bytes));
+  Handle.OnBody = [Self](const std::string &Bytes) {
+    Self->bodyArrived(Bytes);
   };
   Handle.OnDone = [Self](Network::CallEnd End) { Self->attemptDone(End); };
   this->Context.Servers.started(
@@ -342,7 +342,7 @@
     this->Context.Usage.began(this->Team->Name, this->Context.Loop.now());
 }
 
-void RoutedCall::bodyArrived(std::string Bytes) {
+void RoutedCall::bodyArrived(const std::string &Bytes) {
   if (this->Done)
     return;
   if (!this->Events) {
--- a/Source/EntryDaemon/RoutedCall.h
+++ b/Source/EntryDaemon/RoutedCall.h
@@ -53,7 +53,7 @@
   void dispatch();
   void send(const Routing::PlacementChoice &To);
   bool headArrived(const Network::Http1Head &Head);
-  void bodyArrived(std::string Bytes);
+  void bodyArrived(const std::string &Bytes);
   void attemptDone(Network::CallEnd End);
   void attemptFailed(AttemptEnd How, CallFailure Why,
                      Routing::ServerOutcome Outcome);
--- a/Source/FaultTests/RoutedCluster.cpp
+++ b/Source/FaultTests/RoutedCluster.cpp
@@ -48,10 +48,11 @@
     answer(*Exchange);
   };
   Network::Http1Server::Handlers Handle;
-  Handle.OnRequest = [this](std::shared_ptr<Network::Http1Exchange> Exchange) {
-    ++this->Served;
-    this->OnServed(Exchange);
-  };
+  Handle.OnRequest =
+      [this](const std::shared_ptr<Network::Http1Exchange> &Exchange) {
+        ++this->Served;
+        this->OnServed(Exchange);
+      };
   auto Listening = Network::Http1Server::create(
       *this->Loop, {ServerIp, ServerPort}, std::move(Handle));
   BOOST_REQUIRE_MESSAGE(Listening.ok(), Listening.status().message());
@@ -155,7 +156,7 @@
     Result->Headers = Head.Headers;
     return true;
   };
-  Handle.OnBody = [Result](std::string Bytes) { Result->Body += Bytes; };
+  Handle.OnBody = [Result](const std::string &Bytes) { Result->Body += Bytes; };
   Handle.OnDone = [Result, Done](Network::CallEnd End) {
     Result->End = End;
     *Done = true;
--- a/Source/StateDaemon/Controller.cpp
+++ b/Source/StateDaemon/Controller.cpp
@@ -84,9 +84,10 @@
   this->Frames = std::move(*Server);
 
   Network::Http1Server::Handlers Plain;
-  Plain.OnRequest = [this](std::shared_ptr<Network::Http1Exchange> Exchange) {
-    this->handleHttp(Exchange);
-  };
+  Plain.OnRequest =
+      [this](const std::shared_ptr<Network::Http1Exchange> &Exchange) {
+        this->handleHttp(Exchange);
+      };
   Plain.OnRejected = [this](Network::Http1Server::Rejection) {
     this->Metrics.count("http_rejected_total");
   };
@@ -102,11 +103,12 @@
 
   if (this->Settings.MetricsPort != 0) {
     Network::Http1Server::Handlers Shown;
-    Shown.OnRequest = [this](std::shared_ptr<Network::Http1Exchange> Exchange) {
-      this->updateGauges();
-      Exchange->reply(200, {{"Content-Type", "text/plain"}},
-                      this->Metrics.render());
-    };
+    Shown.OnRequest =
+        [this](const std::shared_ptr<Network::Http1Exchange> &Exchange) {
+          this->updateGauges();
+          Exchange->reply(200, {{"Content-Type", "text/plain"}},
+                          this->Metrics.render());
+        };
     auto Opened = Network::Http1Server::create(
         this->Loop,
         Network::Address{this->Settings.Http.Ip, this->Settings.MetricsPort},
--- a/Source/UnitTests/Network/Http1ContractTest.cpp
+++ b/Source/UnitTests/Network/Http1ContractTest.cpp
@@ -44,7 +44,7 @@
     Result->Status = Head.Status;
     return true;
   };
-  Handle.OnBody = [Result](std::string Bytes) { Result->Body += Bytes; };
+  Handle.OnBody = [Result](const std::string &Bytes) { Result->Body += Bytes; };
   Handle.OnDone = [Result](CallEnd End) { Result->End = End; };
   Client.start(std::move(Wanted), std::move(Handle));
   return Result;
@@ -70,8 +70,7 @@
      {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", true},
      CallEnd::Broken},
     {"chunks without their end",
-     {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
-      true},
+     {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", true},
      CallEnd::Broken},
     {"closes without an answer", {"", true}, CallEnd::Lost},
     {"resets without an answer", {"", false, true}, CallEnd::Lost},
@@ -191,7 +190,9 @@
     int Rejected = 0;
     int Handled = 0;
     Http1Server::Handlers Handle;
-    Handle.OnRequest = [&](std::shared_ptr<Http1Exchange>) { ++Handled; };
+    Handle.OnRequest = [&](const std::shared_ptr<Http1Exchange> &) {
+      ++Handled;
+    };
     Handle.OnRejected = [&](Http1Server::Rejection) { ++Rejected; };
     const Address At = freshAddress();
     auto Server = Http1Server::create(*Loop, At, std::move(Handle));
@@ -214,7 +215,7 @@
   const auto Loop = freshLoop();
   std::vector<std::string> Seen;
   Http1Server::Handlers Handle;
-  Handle.OnRequest = [&](std::shared_ptr<Http1Exchange> Exchange) {
+  Handle.OnRequest = [&](const std::shared_ptr<Http1Exchange> &Exchange) {
     Seen.push_back(Exchange->path() + "|" + Exchange->body());
     Exchange->reply(200, {}, "");
   };
@@ -236,7 +237,7 @@
   bool Gone = false;
   std::shared_ptr<Http1Exchange> Held;
   Http1Server::Handlers Handle;
-  Handle.OnRequest = [&](std::shared_ptr<Http1Exchange> Exchange) {
+  Handle.OnRequest = [&](const std::shared_ptr<Http1Exchange> &Exchange) {
     Held = Exchange;
     Exchange->onCallerGone([&] { Gone = true; });
   };
@@ -255,7 +256,7 @@
 BOOST_AUTO_TEST_CASE(AnAbortedStreamDoesNotLookComplete) {
   const auto Loop = freshLoop();
   Http1Server::Handlers Handle;
-  Handle.OnRequest = [&](std::shared_ptr<Http1Exchange> Exchange) {
+  Handle.OnRequest = [&](const std::shared_ptr<Http1Exchange> &Exchange) {
     Exchange->startStream(200, {});
     Exchange->sendChunk("part");
     Exchange->abort();
