Gateway: A request at the start waits for the first declaration

It is not known at that moment that the request cannot be served: it now waits, at most 0.9 s, in the first 2.5 s of a daemon. A daemon that loses its leader later refuses at once, as before. The test fails with a start time of 0 (503 instead of 200).

--- a/Source/EntryDaemon/Gateway.cpp
+++ b/Source/EntryDaemon/Gateway.cpp
@@ -236,6 +236,12 @@
   if (Current &&
       (!this->Context.ConfirmedAt || *this->Context.ConfirmedAt < AskedAt))
     this->Context.ConfirmedAt = AskedAt;
+  if (Current) {
+    std::vector<std::shared_ptr<RoutedCall>> Early;
+    Early.swap(this->Context.AwaitingDeclaration);
+    for (const auto &Each : Early)
+      Each->declarationArrived();
+  }
   this->EntryCount = Answer.EntryCount;
   if (!Current)
     this->Control->pollAfter(CatchUpDelay);
--- a/Source/EntryDaemon/GatewayContext.h
+++ b/Source/EntryDaemon/GatewayContext.h
@@ -25,7 +25,8 @@
   GatewayContext(Network::EventLoop &Loop, GatewaySettings Chosen)
       : Loop(Loop), Settings(std::move(Chosen)), Client(Loop),
         Servers(tableOptions(this->Settings)), Retries(this->Settings.Retries),
-        Allowances(this->Settings.Borne), Usage(this->Settings.UsageWindow) {}
+        Allowances(this->Settings.Borne), Usage(this->Settings.UsageWindow),
+        StartedAt(Loop.now()) {}
 
   Network::EventLoop &Loop;
   GatewaySettings Settings;
@@ -47,8 +48,16 @@
   std::vector<State::CrashReport> Crashes;
   /// Requests that wait for tokens of their team.
   std::vector<std::shared_ptr<RoutedCall>> AwaitingTokens;
+  /// Requests that came before this daemon had a confirmed declaration.
+  std::vector<std::shared_ptr<RoutedCall>> AwaitingDeclaration;
+  Common::TimePoint StartedAt;
   std::function<void()> PollSoon;
 
+  /// Whether a first declaration is still to be expected: its way takes less
+  /// than an election and two connections.
+  bool starting(Common::TimePoint Now) const {
+    return !this->ConfirmedAt && Now - this->StartedAt < StartTime;
+  }
   /// Whether the declaration may still be obeyed.
   bool trusted(Common::TimePoint Now) const {
     return this->Declared && this->ConfirmedAt &&
@@ -56,6 +65,7 @@
   }
 
 private:
+  static constexpr Common::Duration StartTime = std::chrono::milliseconds(2500);
   static Routing::ServerTableOptions
   tableOptions(const GatewaySettings &Chosen);
 };
--- a/Source/EntryDaemon/RoutedCall.cpp
+++ b/Source/EntryDaemon/RoutedCall.cpp
@@ -51,6 +51,8 @@
 constexpr Common::Duration RetryAfterNoServer = std::chrono::milliseconds(300);
 constexpr Common::Duration RetryAfterNoControl = std::chrono::milliseconds(500);
 constexpr Common::Duration RetryAfterRejected = std::chrono::milliseconds(250);
+/// How long a request waits for a daemon that has just started.
+constexpr Common::Duration LongestStartWait = std::chrono::milliseconds(900);
 constexpr std::size_t MostCrashReports = 32;
 /// Weight of the newest answer in a route's average output.
 constexpr double OutputWeight = 0.1;
@@ -90,6 +92,21 @@
 void RoutedCall::begin() {
   this->Exchange->onCallerGone(
       [Self = this->shared_from_this()] { Self->callerGone(); });
+  if (!this->Context.starting(this->ArrivedAt)) {
+    this->declarationArrived();
+    return;
+  }
+  this->Context.AwaitingDeclaration.push_back(this->shared_from_this());
+  this->StartTimer = this->Context.Loop.callAfter(
+      LongestStartWait,
+      [Self = this->shared_from_this()] { Self->declarationArrived(); });
+}
+
+void RoutedCall::declarationArrived() {
+  if (this->Identified || this->Done)
+    return;
+  this->Identified = true;
+  this->StartTimer.cancel();
   if (this->identify())
     this->admit();
 }
@@ -106,7 +123,7 @@
     return false;
   }
   this->Said = std::move(*Headers);
-  const bool Trusted = this->Context.trusted(this->ArrivedAt);
+  const bool Trusted = this->Context.trusted(this->Context.Loop.now());
   this->Route = this->Declared->route(hostWithoutPort(this->Said.Host),
                                       this->Exchange->path());
   if (!this->Route) {
@@ -136,7 +153,8 @@
     Limit = DefaultDeadline;
   this->Deadline = this->ArrivedAt + Limit;
   this->DeadlineTimer = this->Context.Loop.callAfter(
-      Limit, [Self = this->shared_from_this()] { Self->deadlinePassed(); });
+      this->timeLeft(),
+      [Self = this->shared_from_this()] { Self->deadlinePassed(); });
   if (this->Context.RefusedContents.count(this->contentHash()) != 0) {
     this->fail(CallFailure::ContentCrashesServers, Unavailable);
     return false;
@@ -600,6 +618,7 @@
                                this->Context.Loop.now() - this->ArrivedAt);
   this->DeadlineTimer.cancel();
   this->TokenTimer.cancel();
+  this->StartTimer.cancel();
   this->DrainTimer.cancel();
   const Network::Http1Client::CallPtr Open = this->Call;
   if (this->At) {
--- a/Source/EntryDaemon/RoutedCall.h
+++ b/Source/EntryDaemon/RoutedCall.h
@@ -40,6 +40,8 @@
              std::shared_ptr<Network::Http1Exchange> Exchange);
 
   void begin();
+  /// The daemon's first declaration is confirmed, or will not be soon.
+  void declarationArrived();
   /// Tokens may have come for the request's team, in answer to a question
   /// that was asked at AskedAt.
   void tokensGranted(Common::TimePoint AskedAt);
@@ -88,6 +90,7 @@
   Common::ServiceName Service;
   double Tokens = 0;
   bool TokensTaken = false;
+  bool Identified = false;
   bool Awaiting = false;
   Common::TimePoint AwaitingSince;
   bool Done = false;
@@ -109,6 +112,7 @@
   bool Paused = false;
   Network::EventHandle DeadlineTimer;
   Network::EventHandle TokenTimer;
+  Network::EventHandle StartTimer;
   Network::EventHandle DrainTimer;
 };
 
--- a/Source/FaultTests/RoutedServingTest.cpp
+++ b/Source/FaultTests/RoutedServingTest.cpp
@@ -125,6 +125,19 @@
   BOOST_TEST(Of.await([&] { return Of.ask("/b/x").Status == 200; }));
 }
 
+BOOST_AUTO_TEST_CASE(AnEntryDaemonThatStartsServesItsFirstRequest) {
+  RoutedCluster Of;
+  Of.startAll();
+  Of.kill("entry");
+  Of.startEntry();
+  RoutedReply First;
+  BOOST_TEST(Of.await([&] {
+    First = Of.ask("/a/x");
+    return First.End != Network::CallEnd::NotSent;
+  }));
+  BOOST_TEST(First.Status == 200);
+}
+
 BOOST_AUTO_TEST_CASE(KeysAreNotObeyedOnceNoLeaderStandsBehindThem) {
   RoutedCluster Of;
   Of.startAll();
