--- a/Source/StateDaemon/Main.cpp
+++ b/Source/StateDaemon/Main.cpp
@@ -19,42 +19,24 @@
   return 0;
 }
 
+template <typename Daemon, typename Chosen>
 int runDaemon(Settings::SettingsReader &Reader) {
-  auto Chosen = StateDaemon::StateSettings::create(Reader);
+  auto Given = Chosen::create(Reader);
   if (Settings::reportFaults(Reader))
     return Settings::UsageExitCode;
-  Telemetry::startLog({"sycamore-state", Chosen.DataCentre, Chosen.Name},
-                      Chosen.Level);
+  Telemetry::startLog({"sycamore-state", Given.DataCentre, Given.Name},
+                      Given.Level);
   auto Loop = Network::EventLoop::create();
   if (!Loop.ok()) {
     std::cerr << Loop.status().message() << "\n";
     return 1;
   }
-  auto Daemon = StateDaemon::StateDaemon::create(**Loop, std::move(Chosen));
-  if (!Daemon.ok()) {
-    std::cerr << Daemon.status().message() << "\n";
+  auto Made = Daemon::create(**Loop, std::move(Given));
+  if (!Made.ok()) {
+    std::cerr << Made.status().message() << "\n";
     return 1;
   }
-  return (*Daemon)->run();
-}
-
-int runController(Settings::SettingsReader &Reader) {
-  auto Chosen = StateDaemon::ControllerSettings::create(Reader);
-  if (Settings::reportFaults(Reader))
-    return Settings::UsageExitCode;
-  Telemetry::startLog({"sycamore-state", Chosen.DataCentre, Chosen.Name},
-                      Chosen.Level);
-  auto Loop = Network::EventLoop::create();
-  if (!Loop.ok()) {
-    std::cerr << Loop.status().message() << "\n";
-    return 1;
-  }
-  auto Daemon = StateDaemon::Controller::create(**Loop, std::move(Chosen));
-  if (!Daemon.ok()) {
-    std::cerr << Daemon.status().message() << "\n";
-    return 1;
-  }
-  return (*Daemon)->run();
+  return (*Made)->run();
 }
 
 } // namespace
@@ -67,6 +49,8 @@
   if (Start.Reader->flag("format"))
     return formatFolder(*Start.Reader);
   if (Start.Reader->flag("control"))
-    return runController(*Start.Reader);
-  return runDaemon(*Start.Reader);
+    return runDaemon<StateDaemon::Controller, StateDaemon::ControllerSettings>(
+        *Start.Reader);
+  return runDaemon<StateDaemon::StateDaemon, StateDaemon::StateSettings>(
+      *Start.Reader);
 }
--- a/Source/UnitTests/Admission/AllowanceTest.cpp
+++ b/Source/UnitTests/Admission/AllowanceTest.cpp
@@ -58,7 +58,7 @@
   void spend(AllowanceAccount &Of) {
     const double Tokens = this->Randomness.chance(0.2)
                               ? 12'000
-                              : 200 + this->Randomness.below(2000);
+                              : 200 + 2000 * this->Randomness.fraction();
     if (Of.take(this->Limits, Tokens, this->Now))
       this->Spent.emplace_back(this->Now, Tokens);
     else
--- a/Source/UnitTests/Network/Http1ContractTest.cpp
+++ b/Source/UnitTests/Network/Http1ContractTest.cpp
@@ -27,7 +27,8 @@
 
 /// Makes one call that accepts answers which name Id.
 std::shared_ptr<Outcome> call(Http1Client &Client, const Address &To,
-                              std::string Body = "", std::string Id = "1") {
+                              std::string Body = "",
+                              const std::string &Id = "1") {
   auto Result = std::make_shared<Outcome>();
   Http1Call Wanted;
   Wanted.To = To;
--- a/Source/UnitTests/Settings/SettingsFileTest.cpp
+++ b/Source/UnitTests/Settings/SettingsFileTest.cpp
@@ -18,7 +18,7 @@
 )";
 
 std::string fileWith(const std::string &Text) {
-  const std::string Path = "settings-file-test.tmp";
+  std::string Path = "settings-file-test.tmp";
   std::ofstream(Path) << Text;
   return Path;
 }
