Admission, Routing: More stock at the entry daemons; rereading weighs twice

Causes: in the second without a leader teams were refused, as the parts at the entry daemons were used up; shared parts of prompts were read again when their engine was half a second behind.

--- a/Source/Core/Admission/AllowanceLedger.h
+++ b/Source/Core/Admission/AllowanceLedger.h
@@ -23,10 +23,10 @@
                           Limits.TokenRate * Common::toSeconds(this->Window));
   }
   /// The part of it that the leader's account uses.
-  static constexpr double AccountShare = 0.45;
+  static constexpr double AccountShare = 0.25;
   /// The part of it that all entry daemons together keep in stock. The rest
   /// is a margin for requests on their way.
-  static constexpr double StockShare = 0.4;
+  static constexpr double StockShare = 0.6;
 };
 
 /// The leader's account of what teams may spend. It hands out parts to entry
--- a/Source/Core/Routing/ServerTable.cpp
+++ b/Source/Core/Routing/ServerTable.cpp
@@ -42,7 +42,7 @@
 constexpr double FailureMilliseconds = 1500;
 /// What reading a shared prompt token again is taken for, in milliseconds of
 /// waiting: it costs the engine's time and that of the requests beside it.
-constexpr double RereadMillisecondsPerToken = 0.2;
+constexpr double RereadMillisecondsPerToken = 0.4;
 /// How long a server that cannot be reached is avoided, first and at most.
 constexpr Common::Duration FirstAvoid = std::chrono::milliseconds(400);
 constexpr Common::Duration MostAvoid = std::chrono::milliseconds(3200);
