EntryDaemon, StateDaemon: Contents are refused for crashes only

Failures now count together within 30 s, a content that was answered is not suspected by that daemon, and refusals end after two minutes. The test FailuresFarApartAreNotPutDownToTheContent failed first (old failures were dropped only after the new one had counted). An answer that is no stream is bounded, as its constant said.

--- a/Source/EntryDaemon/Gateway.cpp
+++ b/Source/EntryDaemon/Gateway.cpp
@@ -222,7 +222,7 @@
     Asked.Used.push_back({Each.Team, Each.Within});
   for (const auto &[Service, Engines] : this->Context.Demand.engines(Now))
     Asked.Services.push_back({Service, Engines});
-  Asked.Crashes = this->Context.Crashes;
+  Asked.Crashes = this->Context.Contents.reports(Now);
 }
 
 void Gateway::answered(const State::EntryPollAnswer &Answer,
@@ -249,8 +249,7 @@
   this->Context.Allowances.setDaemons(Answer.EntryCount);
   if (Answer.Time.Milliseconds != 0)
     this->Context.Usage.timeIs(Answer.Time, AskedAt, Now);
-  for (const std::uint64_t Content : Answer.Refused)
-    this->Context.RefusedContents.insert(Content);
+  this->Context.Contents.refuse(Answer.Refused, Now);
   this->Context.Servers.clearOthersLoad();
   for (const State::ServerLoad &Each : Answer.Loads)
     this->Context.Servers.setOthersLoad(Each.Id, Each.Requests,
--- a/Source/EntryDaemon/GatewayContext.h
+++ b/Source/EntryDaemon/GatewayContext.h
@@ -3,6 +3,7 @@
 
 #include "Admission/AllowanceAccount.h"
 #include "Configuration/ServiceMap.h"
+#include "EntryDaemon/ContentWatch.h"
 #include "EntryDaemon/GatewaySettings.h"
 #include "EntryDaemon/UsageCounter.h"
 #include "Fleet/DemandMeter.h"
@@ -14,7 +15,6 @@
 
 #include <functional>
 #include <memory>
-#include <set>
 
 namespace EntryDaemon {
 
@@ -43,9 +43,7 @@
   std::shared_ptr<const Configuration::ServiceMap> Declared;
   /// When the newest question was asked whose answer confirmed it.
   std::optional<Common::TimePoint> ConfirmedAt;
-  /// Contents that crash the servers which run them.
-  std::set<std::uint64_t> RefusedContents;
-  std::vector<State::CrashReport> Crashes;
+  ContentWatch Contents;
   /// Requests that wait for tokens of their team.
   std::vector<std::shared_ptr<RoutedCall>> AwaitingTokens;
   /// Requests that came before this daemon had a confirmed declaration.
--- a/Source/EntryDaemon/RoutedCall.cpp
+++ b/Source/EntryDaemon/RoutedCall.cpp
@@ -16,7 +16,6 @@
 using Telemetry::logField;
 using Telemetry::LogLevel;
 
-constexpr int Ok = 200;
 constexpr int BadRequest = 400;
 constexpr int Unauthorized = 401;
 constexpr int NotFound = 404;
@@ -38,9 +37,7 @@
 /// A caller that reads slowly is waited for beyond this many bytes.
 constexpr std::size_t MostUnsent = 256u << 10;
 constexpr Common::Duration DrainCheck = std::chrono::milliseconds(50);
-/// Time without progress on a stream that counts as broken, beyond the
-/// longest pause that its route allows.
-constexpr int PausesToBreak = 4;
+/// Beyond a request's own time, before its connection counts as silent.
 constexpr Common::Duration LeastSilence = std::chrono::seconds(2);
 /// Routes without a deadline of the caller's and without a time-out.
 constexpr Common::Duration DefaultDeadline = std::chrono::seconds(60);
@@ -53,16 +50,14 @@
 constexpr Common::Duration RetryAfterRejected = std::chrono::milliseconds(250);
 /// How long a request waits for a daemon that has just started.
 constexpr Common::Duration LongestStartWait = std::chrono::milliseconds(900);
-constexpr std::size_t MostCrashReports = 32;
 /// Weight of the newest answer in a route's average output.
 constexpr double OutputWeight = 0.1;
 
 constexpr std::array FailureNames = {
-    "no_declaration",    "stale_declaration", "bad_headers",
-    "unknown_route",     "unknown_key",       "over_allowance",
-    "content_refused",   "no_server",         "cannot_be_in_time",
-    "server_rejected",   "server_lost",       "bad_answer",
-    "retries_exhausted", "deadline_passed"};
+    "no_declaration",  "stale_declaration", "bad_headers",
+    "unknown_route",   "unknown_key",       "over_allowance",
+    "content_refused", "no_server",         "server_rejected",
+    "server_lost",     "bad_answer",        "deadline_passed"};
 
 const char *nameOf(CallFailure Why) {
   return FailureNames[static_cast<std::size_t>(Why)];
@@ -155,7 +150,8 @@
   this->DeadlineTimer = this->Context.Loop.callAfter(
       this->timeLeft(),
       [Self = this->shared_from_this()] { Self->deadlinePassed(); });
-  if (this->Context.RefusedContents.count(this->contentHash()) != 0) {
+  if (this->Context.Contents.refused(this->contentHash(),
+                                     this->Context.Loop.now())) {
     this->fail(CallFailure::ContentCrashesServers, Unavailable);
     return false;
   }
@@ -365,6 +361,11 @@
     return;
   if (!this->Events) {
     this->AnswerBody += Bytes;
+    if (this->AnswerBody.size() > MostWholeAnswer) {
+      Network::Http1Client::cancel(this->Call);
+      this->attemptFailed(AttemptEnd::MayHaveRun, CallFailure::BadAnswer,
+                          Routing::ServerOutcome::Failed);
+    }
     return;
   }
   const std::string Whole = this->Events->feed(Bytes);
@@ -487,6 +488,8 @@
 void RoutedCall::endAttempt(Routing::ServerOutcome Outcome) {
   if (!this->At)
     return;
+  if (Outcome == Routing::ServerOutcome::Answered)
+    this->Context.Contents.answered(this->contentHash());
   if (!this->Began)
     this->Context.Servers.beganOutput(*this->At);
   this->Context.Servers.ended(*this->At, Outcome, this->Context.Loop.now());
@@ -496,12 +499,10 @@
 }
 
 void RoutedCall::suspect() {
-  if (!this->At)
-    return;
-  if (this->Context.Crashes.size() >= MostCrashReports)
-    this->Context.Crashes.erase(this->Context.Crashes.begin());
-  this->Context.Crashes.push_back(
-      {this->contentHash(), this->At->Id, this->At->StartedAt});
+  if (this->At)
+    this->Context.Contents.serverFailed(this->contentHash(), this->At->Id,
+                                        this->At->StartedAt,
+                                        this->Context.Loop.now());
 }
 
 bool RoutedCall::mayRetry(AttemptEnd How) const {
--- a/Source/EntryDaemon/RoutedCall.h
+++ b/Source/EntryDaemon/RoutedCall.h
@@ -23,11 +23,9 @@
   OverAllowance,
   ContentCrashesServers,
   NoServer,
-  CannotBeInTime,
   ServerRejected,
   ServerLost,
   BadAnswer,
-  RetriesExhausted,
   DeadlinePassed,
 };
 
--- a/Source/StateDaemon/EntryLedger.cpp
+++ b/Source/StateDaemon/EntryLedger.cpp
@@ -21,8 +21,9 @@
     this->learnAllowances(*Declared, Now);
   this->Clocks.reading(Asked.Entry, Asked.Wall, Now);
   this->Usage.counted(Asked.Entry, Asked.Life, Asked.Usage);
+  this->forgetCrashes(Now);
   for (const State::CrashReport &Each : Asked.Crashes)
-    this->crashed(Each);
+    this->crashed(Each, Now);
 
   State::EntryPollAnswer Answer;
   Answer.Entry = Asked.Entry;
@@ -47,10 +48,10 @@
         Answer.Grants.push_back({Each.Team, Granted});
     }
   }
-  for (const std::uint64_t Content : this->Refused) {
+  for (const auto &Each : this->Refused) {
     if (Answer.Refused.size() >= MostRefused)
       break;
-    Answer.Refused.push_back(Content);
+    Answer.Refused.push_back(Each.first);
   }
   return Answer;
 }
@@ -78,13 +79,14 @@
           Telemetry::logField("expected", absl::StrCat(this->MostEntries)));
 }
 
-void EntryLedger::crashed(const State::CrashReport &Report) {
+void EntryLedger::crashed(const State::CrashReport &Report,
+                          Common::TimePoint Now) {
   if (this->Crashes.size() > MostContents)
     this->Crashes.clear();
   auto &Servers = this->Crashes[Report.Content];
-  Servers.insert({Report.Server, Report.StartedAt});
+  Servers.emplace(ServerLife{Report.Server, Report.StartedAt}, Now);
   if (Servers.size() < CrashesToRefuse ||
-      !this->Refused.insert(Report.Content).second)
+      !this->Refused.emplace(Report.Content, Now).second)
     return;
   Telemetry::log(
       Telemetry::LogLevel::Warning, "content_refused",
@@ -92,6 +94,18 @@
           Telemetry::logField("servers", absl::StrCat(Servers.size())));
 }
 
+void EntryLedger::forgetCrashes(Common::TimePoint Now) {
+  for (auto Each = this->Crashes.begin(); Each != this->Crashes.end();) {
+    std::erase_if(Each->second, [Now](const auto &Failure) {
+      return Now - Failure.second > CrashMemory;
+    });
+    Each = Each->second.empty() ? this->Crashes.erase(Each) : std::next(Each);
+  }
+  std::erase_if(this->Refused, [Now](const auto &Each) {
+    return Now - Each.second > RefuseFor;
+  });
+}
+
 std::vector<State::ServerLoad>
 EntryLedger::loadsWithout(const Common::DaemonId &Asker,
                           Common::TimePoint Now) const {
--- a/Source/StateDaemon/EntryLedger.h
+++ b/Source/StateDaemon/EntryLedger.h
@@ -44,6 +44,9 @@
       std::chrono::milliseconds(900);
   /// Servers that a content must have crashed before it is refused.
   static constexpr std::size_t CrashesToRefuse = 3;
+  /// Failures further apart than this are not put down to one content.
+  static constexpr Common::Duration CrashMemory = std::chrono::seconds(30);
+  static constexpr Common::Duration RefuseFor = std::chrono::minutes(2);
   static constexpr std::size_t MostContents = 20'000;
   /// Contents sent with each answer at most.
   static constexpr std::size_t MostRefused = 256;
@@ -57,7 +60,8 @@
   /// Takes over the accounts of earlier leaders, once.
   void learnAllowances(const Configuration::ServiceMap &Declared,
                        Common::TimePoint Now);
-  void crashed(const State::CrashReport &Report);
+  void crashed(const State::CrashReport &Report, Common::TimePoint Now);
+  void forgetCrashes(Common::TimePoint Now);
   std::vector<State::ServerLoad> loadsWithout(const Common::DaemonId &Asker,
                                               Common::TimePoint Now) const;
 
@@ -70,8 +74,10 @@
   State::ClockMedian Clocks;
   State::UsageLedger Usage;
   using ServerLife = std::pair<Common::BackendServerId, std::uint64_t>;
-  std::map<std::uint64_t, std::set<ServerLife>> Crashes;
-  std::set<std::uint64_t> Refused;
+  /// Servers that failed while they ran a content, and when.
+  std::map<std::uint64_t, std::map<ServerLife, Common::TimePoint>> Crashes;
+  /// Refused contents, and since when.
+  std::map<std::uint64_t, Common::TimePoint> Refused;
 };
 
 } // namespace StateDaemon
--- a/Source/UnitTests/StateDaemon/EntryLedgerTest.cpp
+++ b/Source/UnitTests/StateDaemon/EntryLedgerTest.cpp
@@ -1,5 +1,7 @@
 #include "StateDaemon/EntryLedger.h"
 
+#include "EntryDaemon/ContentWatch.h"
+
 #include <boost/test/unit_test.hpp>
 
 namespace UnitTests {
@@ -62,6 +64,47 @@
   }
 }
 
+// Pattern: a read that comes again and again, whose answers are lost now and
+// then at one server after the other.
+BOOST_AUTO_TEST_CASE(FailuresFarApartAreNotPutDownToTheContent) {
+  EntryLedger Ledger({}, Common::TimePoint(10s));
+  const State::ControlState Newest = stateWith(1);
+  for (std::uint64_t Server = 1; Server <= 6; ++Server) {
+    State::EntryPoll Asked = pollFrom("e1", Server);
+    Asked.Crashes = {{77, Common::BackendServerId("s"), Server}};
+    const auto Answer =
+        Ledger.answer(Asked, nullptr, Newest, Common::TimePoint(Server * 20s));
+    BOOST_TEST(Answer.Refused.empty());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ARefusalEnds) {
+  EntryLedger Ledger({}, Common::TimePoint(10s));
+  const State::ControlState Newest = stateWith(1);
+  State::EntryPoll Asked = pollFrom("e1", 1);
+  for (std::uint64_t Server = 1; Server <= 3; ++Server)
+    Asked.Crashes.push_back({77, Common::BackendServerId("s"), Server});
+  BOOST_TEST(Ledger.answer(Asked, nullptr, Newest, Common::TimePoint(11s))
+                 .Refused.size() == 1u);
+  BOOST_TEST(
+      Ledger.answer(pollFrom("e1", 2), nullptr, Newest, Common::TimePoint(200s))
+          .Refused.empty());
+}
+
+BOOST_AUTO_TEST_CASE(AContentThatWasAnsweredIsNotSuspected) {
+  EntryDaemon::ContentWatch Watch;
+  const Common::BackendServerId Server("s");
+  Watch.serverFailed(5, Server, 1, Common::TimePoint(1s));
+  BOOST_TEST(Watch.reports(Common::TimePoint(2s)).size() == 1u);
+  Watch.answered(6);
+  Watch.serverFailed(6, Server, 1, Common::TimePoint(2s));
+  BOOST_TEST(Watch.reports(Common::TimePoint(2s)).size() == 1u);
+  BOOST_TEST(Watch.reports(Common::TimePoint(20s)).empty());
+  Watch.refuse({5}, Common::TimePoint(3s));
+  BOOST_TEST(Watch.refused(5, Common::TimePoint(4s)));
+  BOOST_TEST(!Watch.refused(5, Common::TimePoint(40s)));
+}
+
 BOOST_AUTO_TEST_CASE(OthersLoadsAreSummedWhileTheirDaemonsLive) {
   EntryLedger Ledger({}, Common::TimePoint(10s));
   const State::ControlState Newest = stateWith(1);
