--- a/Source/UnitTests/Network/RawPeer.cpp
+++ b/Source/UnitTests/Network/RawPeer.cpp
@@ -44,8 +44,7 @@
 RawServer::RawServer(Network::EventLoop &Loop, std::vector<Step> Script)
     : Loop(Loop), Script(std::move(Script)), Where(freshAddress()) {
   this->Listener = boundSocket(this->Where);
-  this->Watch =
-      Loop.onReadable(this->Listener, [this] { this->accept(); });
+  this->Watch = Loop.onReadable(this->Listener, [this] { this->accept(); });
 }
 
 RawServer::~RawServer() {
