EntryDaemon, Admission: A choice that was always the prompt; a call without a body

The pointer handed to ServerTable::started was the prompt in every branch. AllowanceAccount::pace was declared, never written and never called. No change of behaviour.

--- a/Source/Core/Admission/AllowanceAccount.h
+++ b/Source/Core/Admission/AllowanceAccount.h
@@ -57,8 +57,6 @@
   /// How long until Tokens can be expected at the granted pace.
   Common::Duration waitFor(const Configuration::Team &Limits,
                            double Tokens) const;
-  /// The smoothed pace at which tokens of the team are asked for here.
-  double pace(const Configuration::TeamName &Team) const;
 
 private:
   struct Part {
--- a/Source/EntryDaemon/RoutedCall.cpp
+++ b/Source/EntryDaemon/RoutedCall.cpp
@@ -296,10 +296,7 @@
   };
   Handle.OnDone = [Self](Network::CallEnd End) { Self->attemptDone(End); };
   this->Context.Servers.started(
-      To,
-      Wanted.Body.empty() && !this->Said.Prompt
-          ? nullptr
-          : (this->Said.Prompt ? &*this->Said.Prompt : nullptr),
+      To, this->Said.Prompt ? &*this->Said.Prompt : nullptr,
       this->Context.Loop.now());
   this->Call = this->Context.Client.start(std::move(Wanted), std::move(Handle));
 }
