StateDaemon, Fleet: A new group's first leader acts at once

A group whose log begins with this leader's term had no holder before: acting takes a term that is committed, and a committed term would be in the log. Before the first caller a surplus serves nobody either.

The two tests name the pattern: a new installation before its first caller, and one that is called while servers start.

--- a/Source/Core/Consensus/Replica.h
+++ b/Source/Core/Consensus/Replica.h
@@ -114,6 +114,9 @@
   /// Where the entry stands that opened the term led now. It rises from
   /// leader to leader; meaningful once canServe.
   LogIndex termStart() const { return this->TermStartIndex; }
+  /// Whether the group's log begins with this leader's term. Once it may serve
+  /// as such, no other leader ever could before.
+  bool isFirstLeader() const { return this->TermStartIndex == LogIndex{1}; }
   /// The newest request of a leader that each other replica has answered, by
   /// send time, and the last index it is known to hold.
   struct PeerView {
--- a/Source/Core/Fleet/ReplicaOrders.cpp
+++ b/Source/Core/Fleet/ReplicaOrders.cpp
@@ -87,6 +87,9 @@
         Bounds.Least > Beside ? Bounds.Least - Beside : 0;
     const std::uint32_t Most = Bounds.Most > Beside ? Bounds.Most - Beside : 0;
     Result[Key] = std::clamp(Missing, Least, std::max(Least, Most));
+    // What is there will do until the reclaimable ones have started.
+    if (this->idle())
+      Result[Key] = std::min(Result[Key], std::max(Least, SoundAt(Key)));
     Missing -= std::min(Missing, Result[Key]);
   }
   return Result;
@@ -104,7 +107,7 @@
   if (Wanted < Held) {
     if (!Of.SurplusSince)
       Of.SurplusSince = Now;
-    if (Now - *Of.SurplusSince < this->Options.SurplusLasts)
+    if (!this->idle() && Now - *Of.SurplusSince < this->Options.SurplusLasts)
       return std::nullopt;
   } else {
     Of.SurplusSince.reset();
@@ -127,6 +130,8 @@
                     Common::TimePoint Now) {
   std::vector<ReplicaOrder> Result;
   const PoolCounts Sound = this->count(Servers, Now);
+  for (const auto &[Service, Engines] : EnginesAsked)
+    this->DemandSeen = this->DemandSeen || Engines > 0;
   for (const Configuration::ServiceEntry &Service : Declared.services()) {
     if (!Service.Scaling)
       continue;
--- a/Source/Core/Fleet/ReplicaOrders.h
+++ b/Source/Core/Fleet/ReplicaOrders.h
@@ -41,6 +41,9 @@
   Common::Duration RefusedFor = std::chrono::seconds(1);
   /// Beyond the start time, until an order that shows no effect is repeated.
   Common::Duration EffectSlack = std::chrono::seconds(3);
+  /// The group has just been founded: no caller has asked for anything before
+  /// the first demand that is seen.
+  bool NewGroup = false;
   /// A server that was silent for longer does not count.
   Common::Duration FreshFor = std::chrono::milliseconds(4200);
 };
@@ -88,6 +91,8 @@
                    Common::TimePoint Now) const;
   PoolCounts wanted(const Configuration::ServiceEntry &Service, double Engines,
                     const PoolCounts &Sound, Common::TimePoint Now) const;
+  /// No caller has asked for anything yet.
+  bool idle() const { return this->Options.NewGroup && !this->DemandSeen; }
   std::optional<ReplicaOrder>
   orderFor(const ServerPoolKey &Key, std::uint32_t Wanted, std::uint32_t Sound,
            Common::Duration StartTime, Common::TimePoint Now);
@@ -95,6 +100,7 @@
   ReplicaOrdersOptions Options;
   std::map<ServerPoolKey, Pool> Pools;
   std::map<Common::ServiceName, Peak> Peaks;
+  bool DemandSeen = false;
 };
 
 } // namespace Fleet
--- a/Source/StateDaemon/DutyRunner.cpp
+++ b/Source/StateDaemon/DutyRunner.cpp
@@ -29,8 +29,16 @@
 
 } // namespace
 
+Fleet::ReplicaOrdersOptions
+DutyRunner::orderOptions(const Consensus::Replica &Leader) {
+  Fleet::ReplicaOrdersOptions Result;
+  Result.NewGroup = Leader.isFirstLeader();
+  return Result;
+}
+
 DutyRunner::DutyRunner(Parts Held)
-    : Held(Held), LeadingSince(Held.Loop.now()), RatedAt(Held.Loop.now()) {
+    : Held(Held), LeadingSince(Held.Loop.now()),
+      Orders(orderOptions(*Held.Host.replica())), RatedAt(Held.Loop.now()) {
   this->Timer = this->Held.Loop.callEvery(ActPeriod, [this] { this->act(); });
 }
 
@@ -39,6 +47,8 @@
 bool DutyRunner::mayAct() const {
   if (this->Superseded || !this->Held.Host.leads())
     return false;
+  if (this->Held.Host.replica()->isFirstLeader())
+    return true;
   const auto Turn = std::chrono::duration_cast<Common::Duration>(
       this->Held.Settings.DutyLease * LeaseMargin);
   return this->Held.Loop.now() - this->LeadingSince > Turn;
--- a/Source/StateDaemon/DutyRunner.h
+++ b/Source/StateDaemon/DutyRunner.h
@@ -43,6 +43,8 @@
   }
 
 private:
+  static Fleet::ReplicaOrdersOptions
+  orderOptions(const Consensus::Replica &Leader);
   void act();
   /// Leads, and the last holder's turn is over for good.
   bool mayAct() const;
--- a/Source/UnitTests/Fleet/ReplicaOrdersTest.cpp
+++ b/Source/UnitTests/Fleet/ReplicaOrdersTest.cpp
@@ -16,7 +16,7 @@
 /// centre's reclaimable servers back.
 class Cloud {
 public:
-  Cloud() {
+  explicit Cloud(bool NewGroup = false) : Orders(optionsOf(NewGroup)) {
     Configuration::ServiceEntry Service;
     Service.Name = Models;
     Configuration::ScalingBounds Bounds;
@@ -75,6 +75,11 @@
   std::uint32_t Least = 100;
 
 private:
+  static ReplicaOrdersOptions optionsOf(bool NewGroup) {
+    ReplicaOrdersOptions Result;
+    Result.NewGroup = NewGroup;
+    return Result;
+  }
   struct Start {
     Common::TimePoint At;
     ReplicaOrder Order;
@@ -148,6 +153,26 @@
   BOOST_TEST(Of.Least >= 5u);
 }
 
+// Pattern: a new installation before its first caller.
+BOOST_AUTO_TEST_CASE(ANewGroupGivesUpItsOrdinarySurplusAtOnce) {
+  Cloud Of(true);
+  Of.run(500ms, 0);
+  BOOST_TEST(Of.ordinary() <= 4u);
+  // The start time of the reclaimable ones, and a second to see them.
+  Of.run(4500ms, 0);
+  BOOST_TEST(Of.ordinary() == 0u);
+  BOOST_TEST(Of.total() >= 8u);
+  // Never fewer than are held without any demand.
+  BOOST_TEST(Of.Least >= 4u);
+}
+
+// Pattern: as above, and a caller comes while the reclaimable ones start.
+BOOST_AUTO_TEST_CASE(ANewGroupThatIsAskedKeepsItsSurplusForAWhile) {
+  Cloud Of(true);
+  Of.run(2s, 2.5);
+  BOOST_TEST(Of.ordinary() == 12u);
+}
+
 // Pattern: reclaims in a wave while none can be had anew.
 BOOST_AUTO_TEST_CASE(AWaveOfReclaimsLeavesWhatTheLoadNeeds) {
   Cloud Of;
