Routing, EntryDaemon: Servers that fall silent are left

New requests went there too until the server had been silent for 4.2 s. A connection was given 600 ms, so each server of a cut data centre cost each entry daemon 600 ms.

Change: ServerTable notes when bytes last came from a server; silence beyond twice the time to read the prompts there counts as waiting. A request that may be repeated or resumed leaves a server that said nothing to this daemon for half of the route's target (three of its pauses once it streams), if other servers did say something. A connection is given 250 ms. Every attempt and answer is logged with what decided it. A request that may have run is never answered 503.

Tests: two patterns of ServerTable, and two cases of RoutedServing, of which ARefusalIsNotPromisedOnceAServerRanTheRequest was seen to fail before.

--- a/Source/Core/Admission/AllowanceAccount.cpp
+++ b/Source/Core/Admission/AllowanceAccount.cpp
@@ -138,6 +138,11 @@
   }
 }
 
+double AllowanceAccount::held(const Configuration::TeamName &Team) const {
+  const auto Found = this->Parts.find(Team);
+  return Found == this->Parts.end() ? 0 : Found->second.Held;
+}
+
 Common::Duration AllowanceAccount::waitFor(const Configuration::Team &Limits,
                                            double Tokens) const {
   if (Limits.TokenRate <= 0)
--- a/Source/Core/Admission/AllowanceAccount.h
+++ b/Source/Core/Admission/AllowanceAccount.h
@@ -54,6 +54,8 @@
   std::vector<Demand> demands(Common::TimePoint Now);
   /// Drops parts that exceed a lowered limit, and teams that are gone.
   void limitsChanged(const Configuration::ServiceMap &Declared);
+  /// What the part holds now.
+  double held(const Configuration::TeamName &Team) const;
   /// How long until Tokens can be expected at the granted pace.
   Common::Duration waitFor(const Configuration::Team &Limits,
                            double Tokens) const;
--- a/Source/Core/Network/Http1Client.h
+++ b/Source/Core/Network/Http1Client.h
@@ -34,7 +34,7 @@
   HttpHeaders Headers;
   std::string Body;
   /// Longest time to open a connection.
-  Common::Duration ConnectTime = std::chrono::milliseconds(600);
+  Common::Duration ConnectTime = std::chrono::milliseconds(250);
   /// Longest silence before the answer's head, and between parts of its body.
   Common::Duration Silence = std::chrono::seconds(30);
   /// A kept connection that was idle for longer is not used.
--- a/Source/Core/Routing/ServerTable.cpp
+++ b/Source/Core/Routing/ServerTable.cpp
@@ -46,6 +46,12 @@
 /// How long a server that cannot be reached is avoided, first and at most.
 constexpr Common::Duration FirstAvoid = std::chrono::milliseconds(400);
 constexpr Common::Duration MostAvoid = std::chrono::milliseconds(3200);
+/// Silence that says nothing, beyond twice the time that reading the prompts
+/// there takes.
+constexpr double UsualSilenceMilliseconds = 100;
+/// What each further millisecond of silence is taken for, in milliseconds of
+/// waiting: a server that has stopped mostly stays so for seconds.
+constexpr double SilenceWeight = 10;
 /// Penalties that put a server behind all others, in milliseconds.
 constexpr double AvoidedMilliseconds = 20'000;
 constexpr double StaleMilliseconds = 10'000;
@@ -220,6 +226,17 @@
                   FailureMemorySeconds);
 }
 
+double ServerTable::silenceMilliseconds(const Condition &State,
+                                        Common::TimePoint Now) {
+  if (State.Running == 0)
+    return 0;
+  const double Reading =
+      static_cast<double>(State.PendingTokens + State.OthersPendingTokens) /
+      PromptTokensPerMillisecond;
+  const double Silent = 1000 * Common::toSeconds(Now - State.HeardAt);
+  return std::max(0.0, Silent - 2 * Reading - UsualSilenceMilliseconds);
+}
+
 std::optional<PlacementChoice> ServerTable::choose(const Placement &Wanted,
                                                    Common::TimePoint Now) {
   const auto Found = this->Rings.find(Wanted.Service);
@@ -251,13 +268,21 @@
       Cost += AvoidedMilliseconds;
     if (Now - Entry->HeardAt > this->Options.FreshFor)
       Cost += StaleMilliseconds;
+    Cost += silenceMilliseconds(State, Now) * SilenceWeight;
     // Equal servers are taken by lot.
     Cost += this->Randomness.fraction();
     if (Best && Cost >= BestCost)
       continue;
     BestCost = Cost;
-    Best = PlacementChoice{Id, Entry->Record.StartedAt, Entry->Record.Address,
-                           Common::fromSeconds(Expected / 1000), Uncached};
+    Best = PlacementChoice{
+        Id,
+        Entry->Record.StartedAt,
+        Entry->Record.Address,
+        Common::fromSeconds(Expected / 1000),
+        Uncached,
+        State.Running,
+        State.OthersRunning,
+        std::chrono::duration_cast<Common::Duration>(Now - Entry->HeardAt)};
   }
   return Best;
 }
@@ -265,6 +290,8 @@
 void ServerTable::started(const PlacementChoice &At, const ModelPrompt *Prompt,
                           Common::TimePoint Now) {
   Condition &Of = this->Conditions[At.Id];
+  if (Of.Running == 0)
+    Of.HeardAt = Now;
   ++Of.Running;
   Of.PendingTokens += At.UncachedTokens;
   if (!Prompt)
@@ -277,6 +304,20 @@
     Of.PartsSeen[Prompt->Parts[I].Id] = Now;
 }
 
+void ServerTable::heard(const PlacementChoice &At, Common::TimePoint Now) {
+  this->Conditions[At.Id].HeardAt = Now;
+  this->AnyHeardAt = Now;
+}
+
+Common::Duration ServerTable::silence(const PlacementChoice &At,
+                                      Common::TimePoint Now) const {
+  const auto Found = this->Conditions.find(At.Id);
+  if (Found == this->Conditions.end() || Found->second.Running == 0)
+    return {};
+  return std::chrono::duration_cast<Common::Duration>(Now -
+                                                      Found->second.HeardAt);
+}
+
 void ServerTable::beganOutput(const PlacementChoice &At) {
   Condition &Of = this->Conditions[At.Id];
   Of.PendingTokens -= std::min(Of.PendingTokens, At.UncachedTokens);
--- a/Source/Core/Routing/ServerTable.h
+++ b/Source/Core/Routing/ServerTable.h
@@ -54,6 +54,11 @@
   Common::Duration ExpectedWait{};
   /// Prompt tokens that the server probably has to read.
   std::uint64_t UncachedTokens = 0;
+  /// What decided: requests there, of this daemon and of the others, and how
+  /// long ago the server announced itself.
+  std::uint32_t OwnRequests = 0;
+  std::uint32_t OthersRequests = 0;
+  Common::Duration AnnouncedAgo{};
 };
 
 /// An entry daemon's view of the backend servers: who serves, how loaded each
@@ -79,6 +84,14 @@
 
   void started(const PlacementChoice &At, const ModelPrompt *Prompt,
                Common::TimePoint Now);
+  /// Bytes arrived from the server.
+  void heard(const PlacementChoice &At, Common::TimePoint Now);
+  /// How long the server has said nothing to this daemon while requests of it
+  /// were there; zero while there are none.
+  Common::Duration silence(const PlacementChoice &At,
+                           Common::TimePoint Now) const;
+  /// When bytes last arrived from any server.
+  Common::TimePoint lastHeard() const { return this->AnyHeardAt; }
   /// The server has begun the request's output.
   void beganOutput(const PlacementChoice &At);
   void ended(const PlacementChoice &At, ServerOutcome Outcome,
@@ -99,6 +112,9 @@
   struct Condition {
     std::uint32_t Running = 0;
     std::uint64_t PendingTokens = 0;
+    /// When this daemon last had bytes from the server, or began to wait for
+    /// some.
+    Common::TimePoint HeardAt;
     std::uint32_t OthersRunning = 0;
     std::uint64_t OthersPendingTokens = 0;
     /// Share of failures lately, smoothed.
@@ -119,6 +135,8 @@
   std::vector<Common::BackendServerId>
   candidates(const Ring &Of, const Placement &Wanted, std::uint64_t Key);
   static double failureShare(const Condition &State, Common::TimePoint Now);
+  static double silenceMilliseconds(const Condition &State,
+                                    Common::TimePoint Now);
   double expectedMilliseconds(const Membership::ServerRecord &Record,
                               const Condition &State, const Placement &Wanted,
                               bool Home, std::uint64_t &Uncached,
@@ -129,6 +147,7 @@
   Membership::ServerRegistry Registry;
   std::map<Common::BackendServerId, Condition> Conditions;
   std::map<Common::ServiceName, Ring> Rings;
+  Common::TimePoint AnyHeardAt;
 };
 
 } // namespace Routing
--- a/Source/EntryDaemon/RoutedCall.cpp
+++ b/Source/EntryDaemon/RoutedCall.cpp
@@ -39,6 +39,14 @@
 constexpr Common::Duration DrainCheck = std::chrono::milliseconds(50);
 /// Beyond a request's own time, before its connection counts as silent.
 constexpr Common::Duration LeastSilence = std::chrono::seconds(2);
+/// A server from which this daemon has had no byte for this share of the
+/// route's target, or this many times its longest pause between events, is
+/// given up for requests that another server may go on with.
+constexpr double SilentShareOfTarget = 0.5;
+constexpr int SilentPauses = 3;
+/// Bounds of that silence, beyond twice the expected wait.
+constexpr Common::Duration LeastServerSilence = std::chrono::milliseconds(250);
+constexpr Common::Duration MostServerSilence = std::chrono::seconds(2);
 /// Routes without a deadline of the caller's and without a time-out.
 constexpr Common::Duration DefaultDeadline = std::chrono::seconds(60);
 /// Kept connections for calls that may not be repeated are used only while
@@ -54,10 +62,10 @@
 constexpr double OutputWeight = 0.1;
 
 constexpr std::array FailureNames = {
-    "no_declaration",  "stale_declaration", "bad_headers",
-    "unknown_route",   "unknown_key",       "over_allowance",
-    "content_refused", "no_server",         "server_rejected",
-    "server_lost",     "bad_answer",        "deadline_passed"};
+    "no_declaration",  "stale_declaration", "bad_headers",     "unknown_route",
+    "unknown_key",     "over_allowance",    "content_refused", "no_server",
+    "server_rejected", "server_lost",       "server_silent",   "bad_answer",
+    "deadline_passed"};
 
 const char *nameOf(CallFailure Why) {
   return FailureNames[static_cast<std::size_t>(Why)];
@@ -207,8 +215,21 @@
   if (!this->Awaiting || this->Done)
     return;
   this->Awaiting = false;
-  this->fail(CallFailure::OverAllowance, TooManyRequests,
-             this->Context.Allowances.waitFor(*this->Team, this->Tokens));
+  const Common::Duration Wait =
+      this->Context.Allowances.waitFor(*this->Team, this->Tokens);
+  Telemetry::log(
+      LogLevel::Warning, "allowance_short",
+      logField("request", this->Said.RequestId) +
+          logField("team", this->Team->Name.str()) +
+          logField("tokens", absl::StrCat(this->Tokens)) +
+          logField("held", absl::StrCat(this->Context.Allowances.held(
+                               this->Team->Name))) +
+          logField("rate", absl::StrCat(this->Team->TokenRate)) +
+          logField("burst", absl::StrCat(this->Team->TokenBurst)) +
+          logField("waited_ms", milliseconds(this->Context.Loop.now() -
+                                             this->AwaitingSince)) +
+          logField("retry_after_ms", milliseconds(Wait)));
+  this->fail(CallFailure::OverAllowance, TooManyRequests, Wait);
 }
 
 void RoutedCall::tokensGranted(Common::TimePoint AskedAt) {
@@ -247,7 +268,7 @@
         this->Service, Routing::EngineCost::milliseconds(Read, Output), Now);
   }
   if (!Chosen) {
-    if (this->MayHaveRun && !this->route().idempotent())
+    if (this->MayHaveRun)
       this->fail(CallFailure::ServerLost, BadGateway);
     else
       this->fail(CallFailure::NoServer, Unavailable, RetryAfterNoServer);
@@ -295,10 +316,68 @@
     Self->bodyArrived(Bytes);
   };
   Handle.OnDone = [Self](Network::CallEnd End) { Self->attemptDone(End); };
+  Telemetry::log(
+      LogLevel::Info, "request_sent",
+      logField("request", this->Said.RequestId) +
+          logField("route", this->route().Name) +
+          logField("team", this->Team ? this->Team->Name.str() : "") +
+          logField("tokens", absl::StrCat(this->Tokens)) +
+          logField("version", absl::StrCat(this->Declared->version().Value)) +
+          logField("server", To.Id.str()) +
+          logField("attempts", absl::StrCat(this->Attempts)) +
+          logField("expected_ms", milliseconds(To.ExpectedWait)) +
+          logField("uncached", absl::StrCat(To.UncachedTokens)) +
+          logField("own", absl::StrCat(To.OwnRequests)) +
+          logField("others", absl::StrCat(To.OthersRequests)) +
+          logField("announced_ms_ago", milliseconds(To.AnnouncedAgo)) +
+          logField("left_ms", milliseconds(this->timeLeft())));
   this->Context.Servers.started(
       To, this->Said.Prompt ? &*this->Said.Prompt : nullptr,
       this->Context.Loop.now());
   this->Call = this->Context.Client.start(std::move(Wanted), std::move(Handle));
+  this->watchSilence();
+}
+
+/// Another attempt is worth its cost only where the server says nothing to any
+/// request of this daemon: one that answers others has this one in its queue.
+void RoutedCall::watchSilence() {
+  this->SilenceTimer.cancel();
+  if (!this->At || !this->mayRetry(AttemptEnd::MayHaveRun))
+    return;
+  Common::Duration Bound;
+  if (this->Began)
+    Bound = this->route().LongestPause * SilentPauses;
+  else
+    Bound = std::chrono::duration_cast<Common::Duration>(this->route().Target *
+                                                         SilentShareOfTarget);
+  Bound = std::clamp(Bound, LeastServerSilence, MostServerSilence);
+  if (!this->Began)
+    Bound += 2 * this->At->ExpectedWait;
+  const Common::TimePoint Now = this->Context.Loop.now();
+  const Common::Duration Silent = this->Context.Servers.silence(*this->At, Now);
+  // Where no other server was heard from either, the fault may lie here.
+  const bool OthersHeard =
+      this->Context.Servers.lastHeard() > Now - Silent + Bound / 2;
+  if (Silent >= Bound && OthersHeard && !this->Paused) {
+    this->serverSilent();
+    return;
+  }
+  this->SilenceTimer = this->Context.Loop.callAfter(
+      std::max(LeastServerSilence, Bound - Silent),
+      [Self = this->shared_from_this()] { Self->watchSilence(); });
+}
+
+void RoutedCall::serverSilent() {
+  Telemetry::log(
+      LogLevel::Warning, "server_silent",
+      logField("request", this->Said.RequestId) +
+          logField("server", this->At->Id.str()) +
+          logField("silent_ms", milliseconds(this->Context.Servers.silence(
+                                    *this->At, this->Context.Loop.now()))));
+  Network::Http1Client::cancel(this->Call);
+  this->attemptFailed(this->Began ? AttemptEnd::Broken : AttemptEnd::MayHaveRun,
+                      CallFailure::ServerSilent,
+                      Routing::ServerOutcome::Unreachable);
 }
 
 bool RoutedCall::headArrived(const Network::Http1Head &Head) {
@@ -311,6 +390,7 @@
     this->Context.Metrics.count("foreign_answers_total");
     return false;
   }
+  this->heard();
   this->AnswerHead = Head;
   const bool Success = Head.Status >= 200 && Head.Status < 300;
   if (!Success || !Facts.Signed ||
@@ -353,9 +433,15 @@
     this->Context.Usage.began(this->Team->Name, this->Context.Loop.now());
 }
 
+void RoutedCall::heard() {
+  if (this->At)
+    this->Context.Servers.heard(*this->At, this->Context.Loop.now());
+}
+
 void RoutedCall::bodyArrived(const std::string &Bytes) {
   if (this->Done)
     return;
+  this->heard();
   if (!this->Events) {
     this->AnswerBody += Bytes;
     if (this->AnswerBody.size() > MostWholeAnswer) {
@@ -412,6 +498,7 @@
     if (Whole && !this->Events->midEvent()) {
       this->endAttempt(Routing::ServerOutcome::Answered);
       this->noteOutput();
+      this->logServed(this->AnswerHead->Status);
       this->Exchange->endStream();
       this->finish();
       return;
@@ -476,15 +563,27 @@
   }
   this->endAttempt(Success ? Routing::ServerOutcome::Answered
                            : Routing::ServerOutcome::Failed);
+  this->logServed(Head.Status);
   this->Exchange->reply(Head.Status,
                         Platform::encodeAnswerHeaders(Head.Headers),
                         this->AnswerBody);
   this->finish();
 }
 
+void RoutedCall::logServed(int Status) const {
+  Telemetry::log(
+      LogLevel::Info, "request_served",
+      logField("request", this->Said.RequestId) +
+          logField("status", absl::StrCat(Status)) +
+          logField("attempts", absl::StrCat(this->Attempts + 1)) +
+          logField("after_ms",
+                   milliseconds(this->Context.Loop.now() - this->ArrivedAt)));
+}
+
 void RoutedCall::endAttempt(Routing::ServerOutcome Outcome) {
   if (!this->At)
     return;
+  this->SilenceTimer.cancel();
   if (Outcome == Routing::ServerOutcome::Answered)
     this->Context.Contents.answered(this->contentHash());
   if (!this->Began)
@@ -618,10 +717,16 @@
   this->TokenTimer.cancel();
   this->StartTimer.cancel();
   this->DrainTimer.cancel();
+  this->SilenceTimer.cancel();
   const Network::Http1Client::CallPtr Open = this->Call;
   if (this->At) {
     this->MayHaveRun = true;
-    this->endAttempt(Routing::ServerOutcome::Abandoned);
+    // A server that says nothing is why the caller or the time went.
+    const bool Silent =
+        this->Context.Servers.silence(*this->At, this->Context.Loop.now()) >
+        MostServerSilence;
+    this->endAttempt(Silent ? Routing::ServerOutcome::Unreachable
+                            : Routing::ServerOutcome::Abandoned);
   }
   Network::Http1Client::cancel(Open);
   if (this->TokensTaken && !this->MayHaveRun && !this->Counted)
--- a/Source/EntryDaemon/RoutedCall.h
+++ b/Source/EntryDaemon/RoutedCall.h
@@ -25,6 +25,7 @@
   NoServer,
   ServerRejected,
   ServerLost,
+  ServerSilent,
   BadAnswer,
   DeadlinePassed,
 };
@@ -55,6 +56,9 @@
   bool headArrived(const Network::Http1Head &Head);
   void bodyArrived(const std::string &Bytes);
   void attemptDone(Network::CallEnd End);
+  void heard();
+  void watchSilence();
+  void serverSilent();
   void attemptFailed(AttemptEnd How, CallFailure Why,
                      Routing::ServerOutcome Outcome);
   bool mayRetry(AttemptEnd How) const;
@@ -65,6 +69,7 @@
   /// Labels of this request's latencies.
   std::string labels() const;
   void noteOutput();
+  void logServed(int Status) const;
   void suspect();
 
   void callerGone();
@@ -112,6 +117,7 @@
   Network::EventHandle TokenTimer;
   Network::EventHandle StartTimer;
   Network::EventHandle DrainTimer;
+  Network::EventHandle SilenceTimer;
 };
 
 } // namespace EntryDaemon
--- a/Source/FaultTests/RoutedCluster.cpp
+++ b/Source/FaultTests/RoutedCluster.cpp
@@ -1,5 +1,6 @@
 #include "FaultTests/RoutedCluster.h"
 
+#include <array>
 #include <boost/test/unit_test.hpp>
 #include <cstdlib>
 #include <filesystem>
@@ -18,7 +19,8 @@
 constexpr std::uint16_t MetricsPort = 21'606;
 constexpr const char *LinkPort = "21605";
 constexpr const char *EntryIp = "127.0.8.10";
-constexpr const char *ServerIp = "127.0.8.20";
+/// Nothing listens at the last one.
+constexpr std::array ServerIps = {"127.0.8.20", "127.0.8.21", "127.0.8.22"};
 /// Long beyond what a sound run needs; only a failing test waits for it.
 constexpr Common::Duration AwaitLimit = std::chrono::seconds(25);
 
@@ -53,16 +55,18 @@
         ++this->Served;
         this->OnServed(Exchange);
       };
-  auto Listening = Network::Http1Server::create(
-      *this->Loop, {ServerIp, ServerPort}, std::move(Handle));
-  BOOST_REQUIRE_MESSAGE(Listening.ok(), Listening.status().message());
-  this->Server = std::move(*Listening);
+  for (std::size_t I = 0; I + 1 < ServerIps.size(); ++I) {
+    auto Listening = Network::Http1Server::create(
+        *this->Loop, {ServerIps[I], ServerPort}, Handle);
+    BOOST_REQUIRE_MESSAGE(Listening.ok(), Listening.status().message());
+    this->Servers.push_back(std::move(*Listening));
+  }
 }
 
 RoutedCluster::~RoutedCluster() {
   this->Running.clear();
   this->Client.reset();
-  this->Server.reset();
+  this->Servers.clear();
   std::filesystem::remove_all(this->Folder);
 }
 
@@ -138,8 +142,16 @@
                                 const std::string &Target,
                                 const std::string &Body,
                                 Network::HttpHeaders Headers) {
+  const auto Result = this->start(To, Method, Target, Body, std::move(Headers));
+  BOOST_REQUIRE(this->await([Result] { return Result->Done; }));
+  return *Result;
+}
+
+std::shared_ptr<RoutedReply>
+RoutedCluster::start(const Network::Address &To, const std::string &Method,
+                     const std::string &Target, const std::string &Body,
+                     Network::HttpHeaders Headers) {
   auto Result = std::make_shared<RoutedReply>();
-  auto Done = std::make_shared<bool>(false);
   Network::Http1Call Wanted;
   Wanted.To = To;
   Wanted.Method = Method;
@@ -147,7 +159,8 @@
   Wanted.Headers = std::move(Headers);
   Wanted.Headers.push_back({"Host", "yard.example"});
   Wanted.Body = Body;
-  Wanted.Silence = std::chrono::seconds(3);
+  // Beyond the time that requests state.
+  Wanted.Silence = std::chrono::seconds(6);
   // Each call on a connection of its own, as callers do that start again.
   Wanted.ReuseIdle = Common::Duration::zero();
   Network::Http1CallHandlers Handle;
@@ -157,13 +170,12 @@
     return true;
   };
   Handle.OnBody = [Result](const std::string &Bytes) { Result->Body += Bytes; };
-  Handle.OnDone = [Result, Done](Network::CallEnd End) {
+  Handle.OnDone = [Result](Network::CallEnd End) {
     Result->End = End;
-    *Done = true;
+    Result->Done = true;
   };
   this->Client->start(std::move(Wanted), std::move(Handle));
-  BOOST_REQUIRE(this->await([Done] { return *Done; }));
-  return *Result;
+  return Result;
 }
 
 bool RoutedCluster::operatorCall(const std::string &Method,
@@ -189,26 +201,37 @@
 
 RoutedReply RoutedCluster::ask(const std::string &Path, const std::string &Key,
                                const std::string &Method) {
-  return this->call(
+  const auto Reply = this->startAsking(Path, Key, Method);
+  BOOST_REQUIRE(this->await([Reply] { return Reply->Done; }));
+  return *Reply;
+}
+
+std::shared_ptr<RoutedReply>
+RoutedCluster::startAsking(const std::string &Path, const std::string &Key,
+                           const std::string &Method) {
+  return this->start(
       this->entry(), Method, Path, Method == "POST" ? "body" : "",
       {{"X-Sycamorereach-Request-Id", std::to_string(++this->Requests)},
        {"X-Sycamorereach-Request-Deadline", "3000"},
        {"Authorization", "Bearer " + Key}});
 }
 
-void RoutedCluster::announce(const std::string &State) {
-  const Json Beat = {{"service", "shop"},
-                     {"address", Network::Address{ServerIp, ServerPort}.str()},
-                     {"zone", "dcstate1"},
-                     {"version", "v1"},
-                     {"slots", 8},
-                     {"state", State},
-                     {"sequence", ++this->Beats},
-                     {"born", 1000}};
+void RoutedCluster::announce(const std::string &State, int Server) {
+  const Json Beat = {
+      {"service", "shop"},
+      {"address", Network::Address{ServerIps.at(Server - 1), ServerPort}.str()},
+      {"zone", "dcstate1"},
+      {"version", "v1"},
+      {"slots", 8},
+      {"state", State},
+      {"sequence", ++this->Beats},
+      {"born", 1000}};
   BOOST_REQUIRE(this->await([&] {
     for (int I = 1; I <= StateDaemons; ++I)
       if (this->call(this->control(I), "POST",
-                     "/sycamorereach/replicas/shop-1/heartbeat", Beat.dump())
+                     "/sycamorereach/replicas/shop-" + std::to_string(Server) +
+                         "/heartbeat",
+                     Beat.dump())
               .Status == 200)
         return true;
     return false;
@@ -222,7 +245,7 @@
     return Json{{"name", Name},        {"host", "yard.example"},
                 {"path-prefix", Path}, {"route-kind", Kind},
                 {"timeout-ms", 3000},  {"max-attempts", 2},
-                {"service", "shop"}};
+                {"slo-ms", 200},       {"service", "shop"}};
   };
   const Json Whole = {
       {"version", Version},
--- a/Source/FaultTests/RoutedCluster.h
+++ b/Source/FaultTests/RoutedCluster.h
@@ -11,10 +11,12 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <vector>
 
 namespace FaultTests {
 
 struct RoutedReply {
+  bool Done = false;
   Network::CallEnd End = Network::CallEnd::NotSent;
   int Status = 0;
   Network::HttpHeaders Headers;
@@ -22,7 +24,7 @@
 };
 
 /// Four state daemons and an entry daemon of routed serving, each at its own
-/// loopback address, with a stand-in for a backend server in this process.
+/// loopback address, with stand-ins for two backend servers in this process.
 class RoutedCluster {
 public:
   static constexpr int StateDaemons = 4;
@@ -41,6 +43,12 @@
   RoutedReply call(const Network::Address &To, const std::string &Method,
                    const std::string &Target, const std::string &Body = "",
                    Network::HttpHeaders Headers = {});
+  /// As call, without waiting for the answer.
+  std::shared_ptr<RoutedReply> start(const Network::Address &To,
+                                     const std::string &Method,
+                                     const std::string &Target,
+                                     const std::string &Body,
+                                     Network::HttpHeaders Headers);
   /// Asks the state daemons in turn, following redirects, until one answers
   /// with Status; false after a long time.
   bool operatorCall(const std::string &Method, const std::string &Target,
@@ -49,7 +57,13 @@
   /// A request through the entry daemon, with a fresh id.
   RoutedReply ask(const std::string &Path, const std::string &Key = "key-1",
                   const std::string &Method = "POST");
-  void announce(const std::string &State);
+  /// As ask, without waiting for the answer.
+  std::shared_ptr<RoutedReply> startAsking(const std::string &Path,
+                                           const std::string &Key = "key-1",
+                                           const std::string &Method = "POST");
+  /// The stand-in plays the servers shop-1 and shop-2; shop-3 refuses
+  /// connections.
+  void announce(const std::string &State, int Server = 1);
   /// A declaration whose routes lie under Prefix.
   static std::string declaration(std::uint64_t Version,
                                  const std::string &Prefix);
@@ -70,7 +84,7 @@
 private:
   std::unique_ptr<Network::EventLoop> Loop;
   std::unique_ptr<Network::Http1Client> Client;
-  std::unique_ptr<Network::Http1Server> Server;
+  std::vector<std::unique_ptr<Network::Http1Server>> Servers;
   std::map<std::string, std::unique_ptr<Process>> Running;
   std::string Folder;
   std::uint64_t Requests = 0;
--- a/Source/FaultTests/RoutedServingTest.cpp
+++ b/Source/FaultTests/RoutedServingTest.cpp
@@ -1,7 +1,9 @@
 #include "FaultTests/RoutedCluster.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <set>
 
 namespace FaultTests {
 
@@ -71,6 +73,85 @@
   BOOST_TEST(Of.Served == Before + 1);
 }
 
+BOOST_AUTO_TEST_CASE(RequestsLeaveAServerThatFellSilent) {
+  RoutedCluster Of;
+  Of.startAll();
+  Of.announce("ready", 2);
+  const auto ServerOf = [](const Network::Http1Exchange &Exchange) {
+    return Exchange.header("X-Sycamorereach-Expect-Replica").value_or("");
+  };
+  std::set<std::string> Seen;
+  Of.OnServed = [&](const std::shared_ptr<Network::Http1Exchange> &Exchange) {
+    Seen.insert(ServerOf(*Exchange));
+    RoutedCluster::answer(*Exchange);
+  };
+  BOOST_REQUIRE(Of.await([&] {
+    Of.ask("/a/x");
+    return Seen.size() == 2;
+  }));
+  // Four requests that may be repeated and four that may not, spread over both
+  // servers. One of these never says a word; its connections stay open.
+  std::vector<std::shared_ptr<Network::Http1Exchange>> Held;
+  Of.OnServed = [&](const std::shared_ptr<Network::Http1Exchange> &Exchange) {
+    Held.push_back(Exchange);
+  };
+  std::vector<std::shared_ptr<RoutedReply>> Safe;
+  std::vector<std::shared_ptr<RoutedReply>> Once;
+  for (int I = 0; I < 4; ++I)
+    Safe.push_back(Of.startAsking("/a/x"));
+  for (int I = 0; I < 4; ++I)
+    Once.push_back(Of.startAsking("/a/once/x"));
+  BOOST_REQUIRE(Of.await([&] { return Held.size() == 8; }));
+  Of.OnServed = [&](const std::shared_ptr<Network::Http1Exchange> &Exchange) {
+    if (ServerOf(*Exchange) != "shop-1")
+      RoutedCluster::answer(*Exchange);
+  };
+  int SafeLost = 0;
+  int OnceLost = 0;
+  for (const auto &Each : Held) {
+    if (ServerOf(*Each) != "shop-1")
+      RoutedCluster::answer(*Each);
+    else if (Each->path() == "/a/x")
+      ++SafeLost;
+    else
+      ++OnceLost;
+  }
+  BOOST_REQUIRE(SafeLost > 0);
+  BOOST_REQUIRE(OnceLost > 0);
+  // The other server goes on answering, which shows that it is not the entry
+  // daemon that is cut off.
+  const auto Done = [](const auto &Each) { return Each->Done; };
+  BOOST_REQUIRE(Of.await([&] {
+    Of.ask("/a/x");
+    return std::all_of(Safe.begin(), Safe.end(), Done);
+  }));
+  for (const auto &Each : Safe)
+    BOOST_TEST(Each->Status == 200);
+  // What may run once stays where it may have run.
+  BOOST_REQUIRE(
+      Of.await([&] { return std::all_of(Once.begin(), Once.end(), Done); }));
+  BOOST_TEST(std::count_if(Once.begin(), Once.end(), [](const auto &Each) {
+               return Each->Status == 504;
+             }) == OnceLost);
+}
+
+BOOST_AUTO_TEST_CASE(ARefusalIsNotPromisedOnceAServerRanTheRequest) {
+  RoutedCluster Of;
+  Of.startAll();
+  Of.OnServed = [](const std::shared_ptr<Network::Http1Exchange> &Exchange) {
+    RoutedCluster::answer(*Exchange, 500);
+  };
+  Of.announce("ready", 3);
+  // The one server fails, and the other one cannot be reached: 503 would say
+  // that the request did not run.
+  BOOST_TEST(Of.await([&] {
+    const int Before = Of.Served;
+    const int Status = Of.ask("/a/x").Status;
+    BOOST_TEST(Status != 503);
+    return Status == 502 && Of.Served == Before + 1;
+  }));
+}
+
 BOOST_AUTO_TEST_CASE(DeclarationsOutliveTheLeader) {
   RoutedCluster Of;
   Of.startAll();
--- a/Source/UnitTests/Routing/ServerTableTest.cpp
+++ b/Source/UnitTests/Routing/ServerTableTest.cpp
@@ -114,6 +114,46 @@
   }
 }
 
+// Pattern: servers of a data centre fall silent while requests are there,
+// and no connection ends.
+BOOST_AUTO_TEST_CASE(AServerThatFellSilentGetsNothingMore) {
+  Table Of(4);
+  std::map<std::string, PlacementChoice> There;
+  for (int I = 0; There.size() < 4; ++I)
+    if (const auto At = Of.place(promptOf("doc-" + std::to_string(I), 0, 1, I));
+        !There.emplace(At.Id.str(), At).second)
+      Of.Servers.ended(At, ServerOutcome::Answered, Of.Now);
+  const PlacementChoice Dark = There.at("e0");
+  // The others go on sending events.
+  for (int I = 0; I < 20; ++I) {
+    Of.Now += std::chrono::milliseconds(50);
+    for (const auto &[Name, At] : There)
+      if (Name != "e0")
+        Of.Servers.heard(At, Of.Now);
+  }
+  BOOST_TEST(Common::toSeconds(Of.Servers.silence(Dark, Of.Now)) == 1.0);
+  for (int I = 0; I < 60; ++I) {
+    const auto Prompt = promptOf("new-" + std::to_string(I), 500, 100, I);
+    BOOST_TEST(Of.Servers.choose({Models, &Prompt, {}}, Of.Now)->Id.str() !=
+               "e0");
+  }
+  // A single byte shows that it is back.
+  Of.Servers.heard(Dark, Of.Now);
+  BOOST_TEST(Common::toSeconds(Of.Servers.silence(Dark, Of.Now)) == 0.0);
+}
+
+// Pattern: long prompts that an engine reads for a second before it answers.
+BOOST_AUTO_TEST_CASE(AServerThatReadsALongPromptIsNotSilent) {
+  Table Of(2);
+  const auto Reading = Of.place(promptOf("long", 0, 50'000, 1));
+  const std::string Other = Reading.Id.str() == "e0" ? "e1" : "e0";
+  Of.Servers.setOthersLoad(Common::BackendServerId(Other), 10, 100'000);
+  Of.Now += std::chrono::milliseconds(900);
+  const auto Next = promptOf("next", 0, 100, 2);
+  BOOST_TEST(Of.Servers.choose({Models, &Next, {}}, Of.Now)->Id.str() ==
+             Reading.Id.str());
+}
+
 // Pattern: a server crashes and says nothing.
 BOOST_AUTO_TEST_CASE(AServerThatCannotBeReachedIsAvoidedAndTriedAgain) {
   Table Of(2);
