--- a/Source/Control/Main.cpp
+++ b/Source/Control/Main.cpp
@@ -1,8 +1,10 @@
 #include "Common/Hash.h"
 #include "Control/ControlClient.h"
 #include "Settings/SettingsReader.h"
+#include "Telemetry/RequestHistory.h"
 
 #include <absl/strings/str_join.h>
+#include <fstream>
 #include <iostream>
 
 namespace {
@@ -11,13 +13,15 @@
 
 Usage:
   sycamorectl hash-key <key>
+  sycamorectl explain <request> [<file>...]
   sycamorectl [options] <word>...
   sycamorectl [options]
   sycamorectl (-h | --help)
   sycamorectl --version
 
 Without words, statements are read from standard input, one a line.
-'sycamorectl help' lists the statements.
+'sycamorectl help' lists the statements. 'explain' reads daemons' logs, or
+standard input without files, and tells what became of a request.
 
 Options:
   --daemons=LIST      HTTP addresses of entry or state daemons, separated by
@@ -52,6 +56,33 @@
   return 0;
 }
 
+int explain(const std::string &Request, const std::vector<std::string> &Files) {
+  Telemetry::RequestHistory History(Request);
+  const auto Read = [&History](std::istream &From) {
+    std::string Line;
+    while (std::getline(From, Line))
+      History.add(Line);
+  };
+  if (Files.empty())
+    Read(std::cin);
+  for (const std::string &Name : Files) {
+    std::ifstream From(Name);
+    if (!From) {
+      std::cerr << "cannot read '" << Name
+                << "'; name log files that this user may read\n";
+      return static_cast<int>(Control::Verdict::BadUsage);
+    }
+    Read(From);
+  }
+  const auto Told = History.tell();
+  if (!Told.ok()) {
+    std::cerr << Told.status().message() << "\n";
+    return static_cast<int>(Control::Verdict::Refused);
+  }
+  std::cout << *Told;
+  return 0;
+}
+
 } // namespace
 
 int main(int ArgumentCount, char **Arguments) {
@@ -63,6 +94,9 @@
     std::cout << Common::sha256Hex(Reader.positional("<key>").at(0)) << "\n";
     return 0;
   }
+  if (Reader.flag("explain"))
+    return explain(Reader.positional("<request>").at(0),
+                   Reader.positional("<file>"));
   constexpr std::size_t LeastSecretBytes = 16;
   Control::ControlClient::Options Options;
   Options.Daemons = Reader.addresses("--daemons");
--- a/Source/Core/Membership/ServerRecord.h
+++ b/Source/Core/Membership/ServerRecord.h
@@ -17,6 +17,19 @@
   Gone,
 };
 
+/// For logs.
+constexpr const char *nameOf(ServerPhase Phase) {
+  switch (Phase) {
+  case ServerPhase::Serving:
+    return "serving";
+  case ServerPhase::Leaving:
+    return "leaving";
+  case ServerPhase::Gone:
+    return "gone";
+  }
+  return "unknown";
+}
+
 /// What a backend server last said of itself.
 struct ServerRecord {
   Common::BackendServerId Id;
--- a/Source/Core/Telemetry/Log.cpp
+++ b/Source/Core/Telemetry/Log.cpp
@@ -1,5 +1,8 @@
 #include "Telemetry/Log.h"
 
+#include "Telemetry/LineWriter.h"
+
+#include <absl/strings/str_cat.h>
 #include <array>
 #include <boost/log/attributes/constant.hpp>
 #include <boost/log/core.hpp>
@@ -12,7 +15,6 @@
 #include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/make_shared.hpp>
 #include <boost/smart_ptr/shared_ptr.hpp>
-#include <fcntl.h>
 #include <map>
 #include <unistd.h>
 
@@ -23,56 +25,22 @@
 namespace expr = boost::log::expressions;
 namespace sinks = boost::log::sinks;
 
-/// Lines that wait for a slow reader of standard output, in bytes. Beyond it
-/// lines are dropped and counted.
-constexpr std::size_t MostWaitingBytes = 256u << 10;
 /// Lines of one event in a second. Warnings and errors tell of requests that
 /// failed, and get a wider budget.
 constexpr std::uint32_t InfoLinesPerSecond = 200;
 constexpr std::uint32_t WarningLinesPerSecond = 2000;
 
-/// Writes lines to standard output and never waits for its reader.
+/// Boost.Log's way to standard output.
 class StandardOutput
     : public sinks::basic_formatted_sink_backend<char,
                                                  sinks::synchronized_feeding> {
 public:
-  StandardOutput() {
-    const int Flags = fcntl(STDOUT_FILENO, F_GETFL);
-    if (Flags >= 0)
-      fcntl(STDOUT_FILENO, F_SETFL, Flags | O_NONBLOCK);
-  }
-
   void consume(const boost::log::record_view &, const std::string &Line) {
-    if (this->Waiting.size() > MostWaitingBytes) {
-      this->drain();
-      if (this->Waiting.size() > MostWaitingBytes) {
-        ++this->Dropped;
-        return;
-      }
-    }
-    if (this->Dropped != 0) {
-      absl::StrAppend(&this->Waiting,
-                      "event=log_lines_dropped count=", this->Dropped, "\n");
-      this->Dropped = 0;
-    }
-    this->Waiting += Line;
-    this->Waiting += '\n';
-    this->drain();
+    this->Output.write(Line);
   }
 
 private:
-  void drain() {
-    while (!this->Waiting.empty()) {
-      const ssize_t Written =
-          write(STDOUT_FILENO, this->Waiting.data(), this->Waiting.size());
-      if (Written <= 0)
-        return;
-      this->Waiting.erase(0, static_cast<std::size_t>(Written));
-    }
-  }
-
-  std::string Waiting;
-  std::uint64_t Dropped = 0;
+  LineWriter Output{STDOUT_FILENO};
 };
 
 /// Counts the lines of each event in the current second.
@@ -168,15 +136,13 @@
   return absl::StrCat(" ", Key, "=\"", Quoted, "\"");
 }
 
-void log(LogLevel Level, const std::string &Event, const std::string &Fields) {
-  std::uint64_t LeftOut = 0;
-  if (!lineBudget().take(Level, Event, LeftOut))
-    return;
-  if (LeftOut != 0)
-    BOOST_LOG_SEV(logger(), Level)
-        << "event=" << Event << Fields << " lines_left_out=" << LeftOut;
-  else
-    BOOST_LOG_SEV(logger(), Level) << "event=" << Event << Fields;
+bool detail::wantsLine(LogLevel Level, const char *Event,
+                       std::uint64_t &LeftOut) {
+  return lineBudget().take(Level, Event, LeftOut);
+}
+
+void detail::writeLine(LogLevel Level, const std::string &Line) {
+  BOOST_LOG_SEV(logger(), Level) << Line;
 }
 
 } // namespace Telemetry
--- a/Source/Core/Telemetry/Log.h
+++ b/Source/Core/Telemetry/Log.h
@@ -4,7 +4,7 @@
 #include "Common/Ids.h"
 
 #include <absl/status/statusor.h>
-#include <absl/strings/str_cat.h>
+#include <cstdint>
 #include <string>
 
 namespace Telemetry {
@@ -28,9 +28,14 @@
 /// Appends " key=value" with the value quoted where it needs to be.
 std::string logField(const std::string &Key, const std::string &Value);
 
-/// Writes one event. Fields come from logField.
-void log(LogLevel Level, const std::string &Event,
-         const std::string &Fields = "");
+namespace detail {
+
+/// Whether a line of the event is within its budget. LeftOut receives how many
+/// were left out before this one.
+bool wantsLine(LogLevel Level, const char *Event, std::uint64_t &LeftOut);
+void writeLine(LogLevel Level, const std::string &Line);
+
+} // namespace detail
 
 } // namespace Telemetry
 
--- /dev/null
+++ b/Source/Core/Telemetry/LogEvents.h
@@ -0,0 +1,178 @@
+#ifndef SYCAMOREREACH_TELEMETRY_LOGEVENTS_H
+#define SYCAMOREREACH_TELEMETRY_LOGEVENTS_H
+
+#include "Telemetry/Log.h"
+
+#include <absl/strings/str_cat.h>
+#include <array>
+#include <cstddef>
+#include <string>
+
+namespace Telemetry {
+
+/// An event that is logged: its name, its level and what each line of it says.
+template <std::size_t Count> struct LogEvent {
+  LogLevel Level;
+  const char *Name;
+  std::array<const char *, Count> Fields;
+};
+
+/// Writes one line: a value for each of the event's fields, in their order. A
+/// call that leaves one out does not compile.
+template <std::size_t Count, typename... Value>
+requires(sizeof...(Value) == Count) void log(const LogEvent<Count> &Event,
+                                             const Value &...Values) {
+  std::uint64_t LeftOut = 0;
+  if (!detail::wantsLine(Event.Level, Event.Name, LeftOut))
+    return;
+  std::string Line = absl::StrCat("event=", Event.Name);
+  std::size_t Next = 0;
+  ((Line += logField(Event.Fields[Next++], absl::StrCat(Values))), ...);
+  if (LeftOut != 0)
+    Line += logField("lines_left_out", absl::StrCat(LeftOut));
+  detail::writeLine(Event.Level, Line);
+}
+
+/// All events of all programs. docs/OPERATIONS.md explains them.
+namespace Events {
+
+// A request on its way through an entry daemon.
+inline constexpr LogEvent<13> RequestSent{
+    LogLevel::Info,
+    "request_sent",
+    {"request", "route", "team", "tokens", "version", "server", "attempts",
+     "expected_ms", "uncached", "own", "others", "announced_ms_ago",
+     "left_ms"}};
+inline constexpr LogEvent<4> RequestServed{
+    LogLevel::Info,
+    "request_served",
+    {"request", "status", "attempts", "after_ms"}};
+inline constexpr LogEvent<9> RequestFailed{LogLevel::Warning,
+                                           "request_failed",
+                                           {"request", "route", "reason",
+                                            "status", "attempts", "team",
+                                            "tokens", "after_ms", "version"}};
+inline constexpr LogEvent<2> RequestRefused{
+    LogLevel::Info, "request_refused", {"request", "reason"}};
+inline constexpr LogEvent<1> RequestUnreadable{
+    LogLevel::Info, "request_unreadable", {"reason"}};
+inline constexpr LogEvent<5> AttemptFailed{
+    LogLevel::Warning,
+    "attempt_failed",
+    {"request", "server", "reason", "attempts", "retry"}};
+inline constexpr LogEvent<8> AllowanceShort{LogLevel::Warning,
+                                            "allowance_short",
+                                            {"request", "team", "tokens",
+                                             "held", "rate", "burst",
+                                             "waited_ms", "retry_after_ms"}};
+inline constexpr LogEvent<3> ServerSilent{
+    LogLevel::Warning, "server_silent", {"request", "server", "silent_ms"}};
+inline constexpr LogEvent<2> StreamBroken{
+    LogLevel::Warning, "stream_broken", {"request", "last_event"}};
+inline constexpr LogEvent<1> StreamOutOfTime{
+    LogLevel::Warning, "stream_out_of_time", {"request"}};
+inline constexpr LogEvent<2> CallerGone{
+    LogLevel::Info, "caller_gone", {"request", "after_ms"}};
+inline constexpr LogEvent<3> ModelCallRefused{
+    LogLevel::Info, "refused", {"reason", "request", "caller"}};
+inline constexpr LogEvent<3> JournaledCallRefused{
+    LogLevel::Info, "refused", {"reason", "key", "caller"}};
+
+// What a daemon believes of backend servers and contents.
+inline constexpr LogEvent<4> ServerKnown{
+    LogLevel::Info, "server_known", {"server", "phase", "started", "sequence"}};
+inline constexpr LogEvent<8> ServerChanged{LogLevel::Info,
+                                           "server_changed",
+                                           {"server", "service", "datacentre",
+                                            "address", "phase", "started",
+                                            "sequence", "reclaimable"}};
+inline constexpr LogEvent<2> HeartbeatRefused{
+    LogLevel::Warning, "heartbeat_refused", {"server", "detail"}};
+inline constexpr LogEvent<2> ReclaimNotice{
+    LogLevel::Info, "reclaim_notice", {"reclaimed_host", "servers"}};
+inline constexpr LogEvent<2> ContentRefused{
+    LogLevel::Warning, "content_refused", {"content", "servers"}};
+inline constexpr LogEvent<2> AllowancesLearned{
+    LogLevel::Info, "allowances_learned", {"entries", "expected"}};
+
+// Declarations.
+inline constexpr LogEvent<1> DeclarationInForce{
+    LogLevel::Info, "declaration_in_force", {"version"}};
+inline constexpr LogEvent<2> DeclarationDecided{
+    LogLevel::Info, "declaration_decided", {"version", "outcome"}};
+inline constexpr LogEvent<2> DeclarationNotNewer{
+    LogLevel::Info, "declaration_not_newer", {"version", "held"}};
+inline constexpr LogEvent<1> DeclarationRefused{
+    LogLevel::Warning, "declaration_refused", {"detail"}};
+inline constexpr LogEvent<2> DeclarationUnreadable{
+    LogLevel::Error, "declaration_unreadable", {"version", "detail"}};
+inline constexpr LogEvent<1> ConfigurationInForce{
+    LogLevel::Info, "configuration_in_force", {"version"}};
+
+// The group of state daemons and the links between daemons.
+inline constexpr LogEvent<1> LeadershipGained{
+    LogLevel::Info, "leadership_gained", {"term"}};
+inline constexpr LogEvent<1> LeadershipLost{
+    LogLevel::Info, "leadership_lost", {"term"}};
+inline constexpr LogEvent<1> LeaseAcquired{
+    LogLevel::Info, "lease_acquired", {"fencing"}};
+inline constexpr LogEvent<3> MembersChange{
+    LogLevel::Info, "members_change", {"what", "replica", "outcome"}};
+inline constexpr LogEvent<4> ReplicaOpened{
+    LogLevel::Info, "replica_opened", {"replica", "term", "last", "members"}};
+inline constexpr LogEvent<3> StateDaemonJoins{
+    LogLevel::Info, "state_daemon_joins", {"replica", "address", "outcome"}};
+inline constexpr LogEvent<1> PeerConnected{
+    LogLevel::Info, "peer_connected", {"peer"}};
+inline constexpr LogEvent<1> PeerLost{LogLevel::Warning, "peer_lost", {"peer"}};
+inline constexpr LogEvent<1> EntryConnected{
+    LogLevel::Info, "entry_connected", {"entry"}};
+inline constexpr LogEvent<1> StateDaemonConnected{
+    LogLevel::Info, "state_daemon_connected", {"address"}};
+inline constexpr LogEvent<1> StateDaemonLost{
+    LogLevel::Warning, "state_daemon_lost", {"address"}};
+inline constexpr LogEvent<2> StateDaemonChanged{
+    LogLevel::Warning, "state_daemon_changed", {"from", "reason"}};
+inline constexpr LogEvent<1> FrameUndecodable{
+    LogLevel::Error, "frame_undecodable", {"detail"}};
+
+// Calls that one daemon makes at a time.
+inline constexpr LogEvent<2> UsageReport{
+    LogLevel::Info, "usage_report", {"window", "status"}};
+inline constexpr LogEvent<5> ServersOrdered{
+    LogLevel::Info,
+    "servers_ordered",
+    {"service", "datacentre", "reclaimable", "servers", "status"}};
+inline constexpr LogEvent<1> Drain{LogLevel::Info, "drain", {"drained_host"}};
+
+// A process and its disk.
+inline constexpr LogEvent<2> EntryDaemonStarted{
+    LogLevel::Info, "started", {"http", "peer"}};
+inline constexpr LogEvent<1> GatewayStarted{
+    LogLevel::Info, "started", {"http"}};
+inline constexpr LogEvent<2> ControllerStarted{
+    LogLevel::Info, "started", {"http", "first_start"}};
+inline constexpr LogEvent<2> StateDaemonStarted{
+    LogLevel::Info, "started", {"replica", "listen"}};
+inline constexpr LogEvent<1> FleetDaemonStarted{
+    LogLevel::Info, "started", {"holder"}};
+inline constexpr LogEvent<1> Reload{LogLevel::Info, "reload", {"changed"}};
+inline constexpr LogEvent<1> ReloadFailed{
+    LogLevel::Error, "reload_failed", {"detail"}};
+inline constexpr LogEvent<1> Readiness{LogLevel::Info, "readiness", {"ready"}};
+inline constexpr LogEvent<0> ProcessWasStopped{
+    LogLevel::Warning, "process_was_stopped", {}};
+inline constexpr LogEvent<1> DiskFailure{
+    LogLevel::Error, "disk_failure", {"detail"}};
+inline constexpr LogEvent<1> TornLogEndCut{
+    LogLevel::Warning, "torn_log_end_cut", {"bytes"}};
+inline constexpr LogEvent<0> ShuttingDown{LogLevel::Info, "shutting_down", {}};
+inline constexpr LogEvent<1> GatewayShuttingDown{
+    LogLevel::Info, "shutting_down", {"open"}};
+inline constexpr LogEvent<1> Stopped{LogLevel::Info, "stopped", {"open"}};
+
+} // namespace Events
+
+} // namespace Telemetry
+
+#endif
--- a/Source/EntryDaemon/ConfigurationFeed.cpp
+++ b/Source/EntryDaemon/ConfigurationFeed.cpp
@@ -2,7 +2,7 @@
 
 #include "Common/Hash.h"
 #include "Network/Codec.h"
-#include "Telemetry/Log.h"
+#include "Telemetry/LogEvents.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -82,9 +82,8 @@
   if (Newer.version() <= this->Context.Declared.version())
     return;
   this->Context.Declared = Newer;
-  Telemetry::log(
-      Telemetry::LogLevel::Info, "configuration_in_force",
-      Telemetry::logField("version", absl::StrCat(Newer.version().Value)));
+  Telemetry::log(Telemetry::Events::ConfigurationInForce,
+                 Newer.version().Value);
   this->Changed();
 }
 
--- a/Source/EntryDaemon/ControlLink.cpp
+++ b/Source/EntryDaemon/ControlLink.cpp
@@ -1,7 +1,7 @@
 #include "EntryDaemon/ControlLink.h"
 
 #include "Network/Codec.h"
-#include "Telemetry/Log.h"
+#include "Telemetry/LogEvents.h"
 
 #include <algorithm>
 
@@ -9,8 +9,7 @@
 
 namespace {
 
-using Telemetry::logField;
-using Telemetry::LogLevel;
+namespace Events = Telemetry::Events;
 
 constexpr Common::Duration PollPeriod = std::chrono::milliseconds(400);
 /// Polls that are asked for at once are gathered for this long.
@@ -64,25 +63,19 @@
     this->received(Payload);
   };
   Framed.OnUp = [this, To] {
-    Telemetry::log(LogLevel::Info, "state_daemon_connected",
-                   logField("address", To.str()));
+    Telemetry::log(Events::StateDaemonConnected, To.str());
     this->Link->send(Network::encode(
         State::ControlFrame(State::EntryHello{this->Wanted.Self})));
     this->poll();
   };
-  Framed.OnDown = [To] {
-    Telemetry::log(LogLevel::Warning, "state_daemon_lost",
-                   logField("address", To.str()));
-  };
+  Framed.OnDown = [To] { Telemetry::log(Events::StateDaemonLost, To.str()); };
   Framed.OnRefused = [](Common::RefusalReason) {};
   this->Link = std::make_unique<Network::FrameLink>(
       this->Loop, To, this->Wanted.Key, std::move(Framed));
 }
 
 void ControlLink::moveOn(const char *Reason) {
-  Telemetry::log(LogLevel::Warning, "state_daemon_changed",
-                 logField("from", this->Link->peer().str()) +
-                     logField("reason", Reason));
+  Telemetry::log(Events::StateDaemonChanged, this->Link->peer().str(), Reason);
   this->connect();
 }
 
@@ -134,8 +127,7 @@
 void ControlLink::received(const std::string &Payload) {
   const auto Frame = Network::decode<State::ControlFrame>(Payload);
   if (!Frame.ok()) {
-    Telemetry::log(LogLevel::Error, "frame_undecodable",
-                   logField("detail", std::string(Frame.status().message())));
+    Telemetry::log(Events::FrameUndecodable, Frame.status().message());
     return;
   }
   if (const auto *Delta = std::get_if<State::RegistryDelta>(&*Frame)) {
--- a/Source/EntryDaemon/EntryDaemon.cpp
+++ b/Source/EntryDaemon/EntryDaemon.cpp
@@ -4,7 +4,7 @@
 #include "EntryDaemon/ModelCall.h"
 #include "EntryDaemon/PlainCall.h"
 #include "Network/Problem.h"
-#include "Telemetry/Log.h"
+#include "Telemetry/LogEvents.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
@@ -19,8 +19,7 @@
 
 using Common::RefusalReason;
 using Network::HttpMethod;
-using Telemetry::logField;
-using Telemetry::LogLevel;
+namespace Events = Telemetry::Events;
 
 constexpr Common::Duration RefreshPeriod = std::chrono::milliseconds(100);
 constexpr Common::Duration TakeOverLimit = std::chrono::seconds(5);
@@ -123,9 +122,8 @@
   this->Handles.push_back(this->Loop.onSignal(SIGINT, Stop));
   this->Handles.push_back(this->Loop.callEvery(
       RefreshPeriod, [this] { this->Services->refresh(); }));
-  Telemetry::log(LogLevel::Info, "started",
-                 logField("http", this->Settings.Http.str()) +
-                     logField("peer", this->Settings.Peer.str()));
+  Telemetry::log(Events::EntryDaemonStarted, this->Settings.Http.str(),
+                 this->Settings.Peer.str());
   // What an earlier life of this daemon left behind.
   const std::uint64_t Life = this->Context->Self.Life.Value;
   this->takeOverRepeatedly(this->Settings.Name, Common::Incarnation{Life - 1});
@@ -268,9 +266,7 @@
   this->Gossiping->tellReclaim(Host);
   this->Services->refresh();
   this->Context->Metrics.count("reclaim_notices_total");
-  Telemetry::log(LogLevel::Info, "reclaim_notice",
-                 logField("reclaimed_host", Host.str()) +
-                     logField("servers", absl::StrCat(Marked.size())));
+  Telemetry::log(Events::ReclaimNotice, Host.str(), Marked.size());
   Exchange->reply(textAnswer(StatusOk,
                              nlohmann::json{{"servers", Marked.size()}}.dump(),
                              "application/json"));
@@ -467,7 +463,7 @@
     return;
   this->ShuttingDown = true;
   this->Gossiping->startLeaving();
-  Telemetry::log(LogLevel::Info, "shutting_down");
+  Telemetry::log(Events::ShuttingDown);
   // The balancer learns from /readyz before the listener closes.
   this->GraceTimer = this->Loop.callAfter(this->Settings.DrainGrace, [this] {
     this->Server->stopAccepting();
--- a/Source/EntryDaemon/Gateway.cpp
+++ b/Source/EntryDaemon/Gateway.cpp
@@ -1,9 +1,10 @@
 #include "EntryDaemon/Gateway.h"
 
 #include "Common/Hash.h"
-#include "Telemetry/Log.h"
+#include "Telemetry/LogEvents.h"
 #include "platform/ConfigurationDocument.h"
 #include "platform/ControlCalls.h"
+#include "platform/RequestHeaders.h"
 
 #include <absl/strings/str_cat.h>
 #include <csignal>
@@ -12,8 +13,7 @@
 
 namespace {
 
-using Telemetry::logField;
-using Telemetry::LogLevel;
+namespace Events = Telemetry::Events;
 
 constexpr Common::Duration HousekeepingPeriod = std::chrono::seconds(5);
 constexpr Common::Duration ReadinessPeriod = std::chrono::milliseconds(500);
@@ -63,8 +63,7 @@
                                      "body_too_large", "header_timeout"};
     const char *Name = Names[static_cast<std::size_t>(Why)];
     this->Context.Metrics.countBy("http_rejected_total", "reason", Name);
-    Telemetry::log(LogLevel::Info, "request_unreadable",
-                   logField("reason", Name));
+    Telemetry::log(Events::RequestUnreadable, Name);
   };
   auto Front = Network::Http1Server::create(
       this->Loop, this->Context.Settings.Http, std::move(Handle));
@@ -140,8 +139,7 @@
   }));
   this->Handles.push_back(this->Loop.callEvery(
       ReadinessPeriod, [this] { this->noticeReadiness(); }));
-  Telemetry::log(LogLevel::Info, "started",
-                 logField("http", this->Context.Settings.Http.str()));
+  Telemetry::log(Events::GatewayStarted, this->Context.Settings.Http.str());
   this->Loop.run();
   return 0;
 }
@@ -153,8 +151,9 @@
     // It could not be carried to its end any more; another daemon can.
     this->Context.Metrics.countBy("call_failures_total", "reason",
                                   "shutting_down");
-    Telemetry::log(LogLevel::Info, "request_refused",
-                   logField("reason", "shutting_down"));
+    Telemetry::log(Events::RequestRefused,
+                   Platform::requestId(Exchange->head().Headers),
+                   "shutting_down");
     Exchange->reply(503, {{"Retry-After", "0.05"}}, "");
     return;
   }
@@ -166,12 +165,9 @@
   for (const Membership::ServerRecord &Each : Delta.Changed) {
     if (!this->Context.Servers.apply(Each, Now))
       continue;
-    Telemetry::log(
-        LogLevel::Info, "server_known",
-        logField("server", Each.Id.str()) +
-            logField("phase", absl::StrCat(static_cast<int>(Each.Phase))) +
-            logField("started", absl::StrCat(Each.StartedAt)) +
-            logField("sequence", absl::StrCat(Each.Sequence)));
+    Telemetry::log(Events::ServerKnown, Each.Id.str(),
+                   Membership::nameOf(Each.Phase), Each.StartedAt,
+                   Each.Sequence);
   }
   for (const State::ServerRefresh &Each : Delta.Refreshed)
     this->Context.Servers.refresh(Each.Id, Each.StartedAt, Each.Sequence, Now);
@@ -184,10 +180,8 @@
     return;
   auto Read = Platform::decodeConfiguration(Push.Document);
   if (!Read.ok()) {
-    Telemetry::log(
-        LogLevel::Error, "declaration_unreadable",
-        logField("version", absl::StrCat(Push.Version.Value)) +
-            logField("detail", std::string(Read.status().message())));
+    Telemetry::log(Events::DeclarationUnreadable, Push.Version.Value,
+                   Read.status().message());
     return;
   }
   this->Context.Declared =
@@ -201,8 +195,7 @@
   if (!this->ShuttingDown)
     this->Callers->setLimits(Bounds);
   this->Context.Allowances.limitsChanged(*this->Context.Declared);
-  Telemetry::log(LogLevel::Info, "declaration_in_force",
-                 logField("version", absl::StrCat(Push.Version.Value)));
+  Telemetry::log(Events::DeclarationInForce, Push.Version.Value);
   // The question that was answered before spoke of the older version.
   this->Control->pollSoon();
 }
@@ -272,22 +265,20 @@
   if (Ready == this->WasReady)
     return;
   this->WasReady = Ready;
-  Telemetry::log(LogLevel::Info, "readiness",
-                 logField("ready", Ready ? "1" : "0"));
+  Telemetry::log(Events::Readiness, Ready ? "1" : "0");
 }
 
 void Gateway::reload() {
   const auto Fresh = this->Reread();
   if (!Fresh.ok()) {
-    Telemetry::log(LogLevel::Error, "reload_failed",
-                   logField("detail", std::string(Fresh.status().message())));
+    Telemetry::log(Events::ReloadFailed, Fresh.status().message());
     return;
   }
   if (Fresh->Seeds == this->Context.Settings.Seeds)
     return;
   this->Context.Settings.Seeds = Fresh->Seeds;
   this->Control->setSeeds(Fresh->seedLinks());
-  Telemetry::log(LogLevel::Info, "reload", logField("changed", "seeds"));
+  Telemetry::log(Events::Reload, "seeds");
 }
 
 void Gateway::shutDown() {
@@ -295,9 +286,7 @@
     return;
   this->ShuttingDown = true;
   this->StoppingSince = this->Loop.now();
-  Telemetry::log(
-      LogLevel::Info, "shutting_down",
-      logField("open", absl::StrCat(this->Callers->openExchanges())));
+  Telemetry::log(Events::GatewayShuttingDown, this->Callers->openExchanges());
   // The listener stays open until the balancer has left.
   this->Callers->startClosing(BalancerLeaves);
   this->StopTimer =
@@ -311,9 +300,7 @@
   const bool OutOfTime =
       Passed > this->Context.Settings.ShutdownTime - ShutdownMargin;
   if ((Idle && Passed > BalancerLeaves) || OutOfTime) {
-    Telemetry::log(
-        LogLevel::Info, "stopped",
-        logField("open", absl::StrCat(this->Callers->openExchanges())));
+    Telemetry::log(Events::Stopped, this->Callers->openExchanges());
     this->Loop.stop();
   }
 }
--- a/Source/EntryDaemon/Gossip.cpp
+++ b/Source/EntryDaemon/Gossip.cpp
@@ -1,7 +1,7 @@
 #include "EntryDaemon/Gossip.h"
 
 #include "Network/Codec.h"
-#include "Telemetry/Log.h"
+#include "Telemetry/LogEvents.h"
 
 #include <algorithm>
 #include <map>
@@ -58,7 +58,7 @@
 void Gossip::tick() {
   const Common::TimePoint Now = this->Context.Loop.now();
   if (Now - this->LastTick > StoppedAfter) {
-    Telemetry::log(Telemetry::LogLevel::Warning, "process_was_stopped");
+    Telemetry::log(Telemetry::Events::ProcessWasStopped);
     this->Context.Registry.expireAll(Now);
     this->IgnoreUntil = Now + IgnoreFor;
   }
--- a/Source/EntryDaemon/JournaledCall.cpp
+++ b/Source/EntryDaemon/JournaledCall.cpp
@@ -2,15 +2,14 @@
 
 #include "Common/Hash.h"
 #include "Network/Problem.h"
-#include "Telemetry/Log.h"
+#include "Telemetry/LogEvents.h"
 
 namespace EntryDaemon {
 
 namespace {
 
 using Common::RefusalReason;
-using Telemetry::logField;
-using Telemetry::LogLevel;
+namespace Events = Telemetry::Events;
 
 /// How long acceptance may take before the caller is told.
 constexpr Common::Duration AcceptLimit = std::chrono::seconds(3);
@@ -371,10 +370,8 @@
 void JournaledCall::replyRefusal(RefusalReason Reason,
                                  const std::string &Particulars) {
   this->Context.Metrics.refused(Reason);
-  Telemetry::log(LogLevel::Info, "refused",
-                 logField("reason", Common::refusalInfo(Reason).Name) +
-                     logField("key", this->Key.Key.str()) +
-                     logField("caller", this->Key.Caller.str()));
+  Telemetry::log(Events::JournaledCallRefused, Common::refusalInfo(Reason).Name,
+                 this->Key.Key.str(), this->Key.Caller.str());
   if (this->Exchange)
     this->Exchange->reply(Network::problemAnswer({Reason, Particulars}));
 }
--- a/Source/EntryDaemon/ModelCall.cpp
+++ b/Source/EntryDaemon/ModelCall.cpp
@@ -1,7 +1,7 @@
 #include "EntryDaemon/ModelCall.h"
 
 #include "Network/Problem.h"
-#include "Telemetry/Log.h"
+#include "Telemetry/LogEvents.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -10,8 +10,7 @@
 namespace {
 
 using Common::RefusalReason;
-using Telemetry::logField;
-using Telemetry::LogLevel;
+namespace Events = Telemetry::Events;
 
 /// Longest silence of an engine before its stream counts as broken.
 constexpr Common::Duration EngineSilence = std::chrono::seconds(30);
@@ -198,11 +197,8 @@
   this->Ended = true;
   this->Context.Metrics.refused(Reason);
   const Common::Refusal Refusal{Reason, Particulars};
-  Telemetry::log(
-      LogLevel::Info, "refused",
-      logField("reason", Common::refusalInfo(Reason).Name) +
-          logField("request", absl::StrCat(this->Request.Work.Id.Value)) +
-          logField("caller", this->Request.Work.Caller.str()));
+  Telemetry::log(Events::ModelCallRefused, Common::refusalInfo(Reason).Name,
+                 this->Request.Work.Id.Value, this->Request.Work.Caller.str());
   if (!this->Exchange->streaming()) {
     this->Exchange->reply(Network::problemAnswer(Refusal));
     return;
--- a/Source/EntryDaemon/RoutedCall.cpp
+++ b/Source/EntryDaemon/RoutedCall.cpp
@@ -2,7 +2,7 @@
 
 #include "Common/Hash.h"
 #include "Routing/EngineCost.h"
-#include "Telemetry/Log.h"
+#include "Telemetry/LogEvents.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
@@ -13,8 +13,7 @@
 
 namespace {
 
-using Telemetry::logField;
-using Telemetry::LogLevel;
+namespace Events = Telemetry::Events;
 
 constexpr int BadRequest = 400;
 constexpr int Unauthorized = 401;
@@ -217,18 +216,12 @@
   this->Awaiting = false;
   const Common::Duration Wait =
       this->Context.Allowances.waitFor(*this->Team, this->Tokens);
-  Telemetry::log(
-      LogLevel::Warning, "allowance_short",
-      logField("request", this->Said.RequestId) +
-          logField("team", this->Team->Name.str()) +
-          logField("tokens", absl::StrCat(this->Tokens)) +
-          logField("held", absl::StrCat(this->Context.Allowances.held(
-                               this->Team->Name))) +
-          logField("rate", absl::StrCat(this->Team->TokenRate)) +
-          logField("burst", absl::StrCat(this->Team->TokenBurst)) +
-          logField("waited_ms", milliseconds(this->Context.Loop.now() -
-                                             this->AwaitingSince)) +
-          logField("retry_after_ms", milliseconds(Wait)));
+  Telemetry::log(Events::AllowanceShort, this->Said.RequestId,
+                 this->Team->Name.str(), this->Tokens,
+                 this->Context.Allowances.held(this->Team->Name),
+                 this->Team->TokenRate, this->Team->TokenBurst,
+                 milliseconds(this->Context.Loop.now() - this->AwaitingSince),
+                 milliseconds(Wait));
   this->fail(CallFailure::OverAllowance, TooManyRequests, Wait);
 }
 
@@ -316,21 +309,12 @@
     Self->bodyArrived(Bytes);
   };
   Handle.OnDone = [Self](Network::CallEnd End) { Self->attemptDone(End); };
-  Telemetry::log(
-      LogLevel::Info, "request_sent",
-      logField("request", this->Said.RequestId) +
-          logField("route", this->route().Name) +
-          logField("team", this->Team ? this->Team->Name.str() : "") +
-          logField("tokens", absl::StrCat(this->Tokens)) +
-          logField("version", absl::StrCat(this->Declared->version().Value)) +
-          logField("server", To.Id.str()) +
-          logField("attempts", absl::StrCat(this->Attempts)) +
-          logField("expected_ms", milliseconds(To.ExpectedWait)) +
-          logField("uncached", absl::StrCat(To.UncachedTokens)) +
-          logField("own", absl::StrCat(To.OwnRequests)) +
-          logField("others", absl::StrCat(To.OthersRequests)) +
-          logField("announced_ms_ago", milliseconds(To.AnnouncedAgo)) +
-          logField("left_ms", milliseconds(this->timeLeft())));
+  Telemetry::log(Events::RequestSent, this->Said.RequestId, this->route().Name,
+                 this->Team ? this->Team->Name.str() : "", this->Tokens,
+                 this->Declared->version().Value, To.Id.str(), this->Attempts,
+                 milliseconds(To.ExpectedWait), To.UncachedTokens,
+                 To.OwnRequests, To.OthersRequests,
+                 milliseconds(To.AnnouncedAgo), milliseconds(this->timeLeft()));
   this->Context.Servers.started(
       To, this->Said.Prompt ? &*this->Said.Prompt : nullptr,
       this->Context.Loop.now());
@@ -368,12 +352,9 @@
 }
 
 void RoutedCall::serverSilent() {
-  Telemetry::log(
-      LogLevel::Warning, "server_silent",
-      logField("request", this->Said.RequestId) +
-          logField("server", this->At->Id.str()) +
-          logField("silent_ms", milliseconds(this->Context.Servers.silence(
-                                    *this->At, this->Context.Loop.now()))));
+  Telemetry::log(Events::ServerSilent, this->Said.RequestId, this->At->Id.str(),
+                 milliseconds(this->Context.Servers.silence(
+                     *this->At, this->Context.Loop.now())));
   Network::Http1Client::cancel(this->Call);
   this->attemptFailed(this->Began ? AttemptEnd::Broken : AttemptEnd::MayHaveRun,
                       CallFailure::ServerSilent,
@@ -571,13 +552,9 @@
 }
 
 void RoutedCall::logServed(int Status) const {
-  Telemetry::log(
-      LogLevel::Info, "request_served",
-      logField("request", this->Said.RequestId) +
-          logField("status", absl::StrCat(Status)) +
-          logField("attempts", absl::StrCat(this->Attempts + 1)) +
-          logField("after_ms",
-                   milliseconds(this->Context.Loop.now() - this->ArrivedAt)));
+  Telemetry::log(Events::RequestServed, this->Said.RequestId, Status,
+                 this->Attempts + 1,
+                 milliseconds(this->Context.Loop.now() - this->ArrivedAt));
 }
 
 void RoutedCall::endAttempt(Routing::ServerOutcome Outcome) {
@@ -623,21 +600,16 @@
     this->MayHaveRun = true;
     this->noteBegan();
   }
-  Telemetry::log(LogLevel::Warning, "attempt_failed",
-                 logField("request", this->Said.RequestId) +
-                     logField("server", Server) +
-                     logField("reason", nameOf(Why)) +
-                     logField("attempts", absl::StrCat(this->Attempts)) +
-                     logField("retry", Retry ? "1" : "0"));
+  Telemetry::log(Events::AttemptFailed, this->Said.RequestId, Server,
+                 nameOf(Why), this->Attempts, Retry ? "1" : "0");
   if (Retry) {
     this->Context.Metrics.countBy("call_retries_total", "reason", nameOf(Why));
     this->dispatch();
     return;
   }
   if (this->Streaming) {
-    Telemetry::log(LogLevel::Warning, "stream_broken",
-                   logField("request", this->Said.RequestId) +
-                       logField("last_event", this->LastEvent.value_or("")));
+    Telemetry::log(Events::StreamBroken, this->Said.RequestId,
+                   this->LastEvent.value_or(""));
     this->Exchange->abort();
     this->finish();
     return;
@@ -652,11 +624,8 @@
   if (this->Done)
     return;
   this->Context.Metrics.count("callers_gone_total");
-  Telemetry::log(
-      LogLevel::Info, "caller_gone",
-      logField("request", this->Said.RequestId) +
-          logField("after_ms",
-                   milliseconds(this->Context.Loop.now() - this->ArrivedAt)));
+  Telemetry::log(Events::CallerGone, this->Said.RequestId,
+                 milliseconds(this->Context.Loop.now() - this->ArrivedAt));
   this->finish();
 }
 
@@ -664,8 +633,7 @@
   if (this->Done)
     return;
   if (this->Streaming) {
-    Telemetry::log(LogLevel::Warning, "stream_out_of_time",
-                   logField("request", this->Said.RequestId));
+    Telemetry::log(Events::StreamOutOfTime, this->Said.RequestId);
     this->Exchange->abort();
     this->finish();
     return;
@@ -680,20 +648,11 @@
     return;
   this->Context.Metrics.countBy("call_failures_total", "reason", nameOf(Why));
   Telemetry::log(
-      LogLevel::Warning, "request_failed",
-      logField("request", this->Said.RequestId) +
-          logField("route", this->Route ? this->Route->Name : "") +
-          logField("reason", nameOf(Why)) +
-          logField("status", absl::StrCat(Status)) +
-          logField("attempts", absl::StrCat(this->Attempts)) +
-          logField("team", this->Team ? this->Team->Name.str() : "") +
-          logField("tokens", absl::StrCat(this->Tokens)) +
-          logField("after_ms",
-                   milliseconds(this->Context.Loop.now() - this->ArrivedAt)) +
-          logField("version",
-                   this->Declared
-                       ? absl::StrCat(this->Declared->version().Value)
-                       : ""));
+      Events::RequestFailed, this->Said.RequestId,
+      this->Route ? this->Route->Name : "", nameOf(Why), Status, this->Attempts,
+      this->Team ? this->Team->Name.str() : "", this->Tokens,
+      milliseconds(this->Context.Loop.now() - this->ArrivedAt),
+      this->Declared ? absl::StrCat(this->Declared->version().Value) : "");
   Network::HttpHeaders Headers = {{"Content-Type", "application/json"}};
   if (!this->Said.RequestId.empty())
     Headers.push_back({"X-Request-Outcome", nameOf(Why)});
--- a/Source/FleetDaemon/FleetDaemon.cpp
+++ b/Source/FleetDaemon/FleetDaemon.cpp
@@ -3,7 +3,7 @@
 #include "Common/Hash.h"
 #include "FleetDaemon/CloudApi.h"
 #include "Network/Problem.h"
-#include "Telemetry/Log.h"
+#include "Telemetry/LogEvents.h"
 
 #include <absl/strings/str_cat.h>
 #include <csignal>
@@ -13,8 +13,7 @@
 
 namespace {
 
-using Telemetry::logField;
-using Telemetry::LogLevel;
+namespace Events = Telemetry::Events;
 
 constexpr Common::Duration TickPeriod = std::chrono::milliseconds(200);
 constexpr std::uint64_t LeaseMilliseconds = 3000;
@@ -66,8 +65,7 @@
   this->Handles.push_back(this->Loop.onSignal(SIGINT, Stop));
   this->Handles.push_back(
       this->Loop.callEvery(TickPeriod, [this] { this->tick(); }));
-  Telemetry::log(LogLevel::Info, "started",
-                 logField("holder", this->Holder.str()));
+  Telemetry::log(Events::FleetDaemonStarted, this->Holder.str());
   this->Loop.run();
   return 0;
 }
@@ -135,9 +133,7 @@
   }
   if (!Renewal) {
     this->Metrics.count("fleet_leases_acquired_total");
-    Telemetry::log(
-        LogLevel::Info, "lease_acquired",
-        logField("fencing", absl::StrCat(Grant->Current.Fencing.Value)));
+    Telemetry::log(Events::LeaseAcquired, Grant->Current.Fencing.Value);
   }
   this->Lease.granted(AskedAt, Grant->Current);
 }
@@ -265,8 +261,7 @@
   if (!this->Drained.insert(Wanted.Host).second)
     return;
   this->Metrics.count("fleet_drains_total");
-  Telemetry::log(LogLevel::Info, "drain",
-                 logField("drained_host", Wanted.Host.str()));
+  Telemetry::log(Events::Drain, Wanted.Host.str());
   const nlohmann::json Body = {{"host", Wanted.Host.str()}};
   // All entry daemons are told, so that a cut hides it from few.
   for (const Network::Address &Entry : this->Settings.Entries) {
--- a/Source/StateDaemon/Controller.cpp
+++ b/Source/StateDaemon/Controller.cpp
@@ -1,7 +1,7 @@
 #include "StateDaemon/Controller.h"
 
 #include "Network/Codec.h"
-#include "Telemetry/Log.h"
+#include "Telemetry/LogEvents.h"
 #include "platform/ConfigurationDocument.h"
 #include "platform/ControlCalls.h"
 #include "platform/Heartbeat.h"
@@ -14,8 +14,7 @@
 
 namespace {
 
-using Telemetry::logField;
-using Telemetry::LogLevel;
+namespace Events = Telemetry::Events;
 
 /// Raft's times here: links cross data centres and hosts have a third of a
 /// core, and each message costs processor time.
@@ -176,9 +175,8 @@
   this->Handles.push_back(this->Loop.onSignal(SIGTERM, Stop));
   this->Handles.push_back(this->Loop.onSignal(SIGINT, Stop));
   // Seeds and bounds are read at the start only; a change needs nothing here.
-  this->Handles.push_back(this->Loop.onSignal(SIGHUP, [] {
-    Telemetry::log(LogLevel::Info, "reload", logField("changed", "nothing"));
-  }));
+  this->Handles.push_back(this->Loop.onSignal(
+      SIGHUP, [] { Telemetry::log(Events::Reload, "nothing"); }));
   this->Handles.push_back(this->Loop.callEvery(ReviewPeriod, [this] {
     this->askToJoin();
     this->planMembers();
@@ -189,10 +187,8 @@
   this->Handles.push_back(
       this->Loop.callEvery(RefreshPeriod, [this] { this->flushRefreshes(); }));
   this->LeaderKnownAt = this->Loop.now();
-  Telemetry::log(
-      LogLevel::Info, "started",
-      logField("http", this->Settings.Http.str()) +
-          logField("first_start", this->Settings.FirstStart ? "1" : "0"));
+  Telemetry::log(Events::ControllerStarted, this->Settings.Http.str(),
+                 this->Settings.FirstStart ? "1" : "0");
   this->Host->open();
   this->Loop.run();
   return 0;
@@ -211,8 +207,7 @@
   if (this->State.version() <= this->Pushed)
     return;
   this->Pushed = this->State.version();
-  Telemetry::log(LogLevel::Info, "declaration_in_force",
-                 logField("version", absl::StrCat(this->Pushed.Value)));
+  Telemetry::log(Events::DeclarationInForce, this->Pushed.Value);
   this->toEntries(
       State::DeclarationPush{this->State.version(), this->State.document()});
   if (!this->Duties && !this->Ledger)
@@ -220,8 +215,8 @@
   auto Map = Platform::decodeConfiguration(this->State.document());
   if (!Map.ok()) {
     // It was checked before it was proposed.
-    Telemetry::log(LogLevel::Error, "declaration_unreadable",
-                   logField("detail", std::string(Map.status().message())));
+    Telemetry::log(Events::DeclarationUnreadable, this->State.version().Value,
+                   Map.status().message());
     return;
   }
   this->Declared =
@@ -287,17 +282,13 @@
       this->receivedOnLink(Payload);
     };
     Handle.OnUp = [this, Each] {
-      Telemetry::log(LogLevel::Info, "peer_connected",
-                     logField("peer", Each.str()));
+      Telemetry::log(Events::PeerConnected, Each.str());
       const auto Found = this->Links.find(Each);
       if (Found != this->Links.end())
         Found->second->send(
             Network::encode(State::ControlFrame(this->wholeRegistry())));
     };
-    Handle.OnDown = [Each] {
-      Telemetry::log(LogLevel::Warning, "peer_lost",
-                     logField("peer", Each.str()));
-    };
+    Handle.OnDown = [Each] { Telemetry::log(Events::PeerLost, Each.str()); };
     Handle.OnRefused = [this](Common::RefusalReason Reason) {
       this->Metrics.refused(Reason);
     };
@@ -365,12 +356,8 @@
       [&Asked](Consensus::Replica &Of, Common::TimePoint Now) {
         return Of.addLearner(Now, Asked);
       });
-  Telemetry::log(LogLevel::Info, "state_daemon_joins",
-                 logField("replica", Asked.Id.str()) +
-                     logField("address", Asked.Address.str()) +
-                     logField("outcome", Added.ok()
-                                             ? "added"
-                                             : std::string(Added.message())));
+  Telemetry::log(Events::StateDaemonJoins, Asked.Id.str(), Asked.Address.str(),
+                 Added.ok() ? "added" : std::string(Added.message()));
   this->Loop.defer([this] { this->groupChanged(); });
 }
 
@@ -408,12 +395,9 @@
       [&Next, Promotes](Consensus::Replica &Of, Common::TimePoint Now) {
         return Promotes ? Of.promote(Now, Next->Id) : Of.remove(Now, Next->Id);
       });
-  Telemetry::log(LogLevel::Info, "members_change",
-                 logField("what", Promotes ? "promote" : "remove") +
-                     logField("replica", Next->Id.str()) +
-                     logField("outcome", Done.ok()
-                                             ? "proposed"
-                                             : std::string(Done.message())));
+  Telemetry::log(Events::MembersChange, Promotes ? "promote" : "remove",
+                 Next->Id.str(),
+                 Done.ok() ? "proposed" : std::string(Done.message()));
 }
 
 void Controller::received(Network::ConnectionId From,
@@ -481,8 +465,7 @@
 void Controller::greet(Network::ConnectionId From,
                        const State::EntryHello &Hello) {
   this->Entries[Hello.Entry] = From;
-  Telemetry::log(LogLevel::Info, "entry_connected",
-                 logField("entry", Hello.Entry.str()));
+  Telemetry::log(Events::EntryConnected, Hello.Entry.str());
   this->sendTo(From, this->places());
   this->sendTo(From, this->wholeRegistry());
   if (this->State.version().Value != 0)
@@ -536,18 +519,10 @@
 }
 
 void Controller::spread(const Membership::ServerRecord &Changed, bool ToPeers) {
-  constexpr const char *PhaseNames[] = {"serving", "leaving", "gone"};
-  Telemetry::log(
-      LogLevel::Info, "server_changed",
-      logField("server", Changed.Id.str()) +
-          logField("service", Changed.Service.str()) +
-          logField("datacentre", Changed.DataCentre.str()) +
-          logField("address", Changed.Address.str()) +
-          logField("phase",
-                   PhaseNames[static_cast<std::size_t>(Changed.Phase)]) +
-          logField("started", absl::StrCat(Changed.StartedAt)) +
-          logField("sequence", absl::StrCat(Changed.Sequence)) +
-          logField("reclaimable", Changed.Reclaimable ? "1" : "0"));
+  Telemetry::log(Events::ServerChanged, Changed.Id.str(), Changed.Service.str(),
+                 Changed.DataCentre.str(), Changed.Address.str(),
+                 Membership::nameOf(Changed.Phase), Changed.StartedAt,
+                 Changed.Sequence, Changed.Reclaimable ? "1" : "0");
   State::RegistryDelta Delta;
   Delta.Changed.push_back(Changed);
   if (ToPeers)
@@ -611,10 +586,7 @@
   const auto Said = Platform::decodeHeartbeat(Id, Exchange.body());
   if (!Said.ok()) {
     this->Metrics.count("heartbeats_bad_total");
-    Telemetry::log(
-        LogLevel::Warning, "heartbeat_refused",
-        logField("server", Id.str()) +
-            logField("detail", std::string(Said.status().message())));
+    Telemetry::log(Events::HeartbeatRefused, Id.str(), Said.status().message());
     Exchange.reply(400, JsonType,
                    errorBody(std::string(Said.status().message())));
     return;
@@ -637,8 +609,7 @@
   auto Map = Platform::decodeConfiguration(Exchange->body());
   if (!Map.ok()) {
     this->Metrics.count("declarations_invalid_total");
-    Telemetry::log(LogLevel::Warning, "declaration_refused",
-                   logField("detail", std::string(Map.status().message())));
+    Telemetry::log(Events::DeclarationRefused, Map.status().message());
     Exchange->reply(400, JsonType,
                     errorBody(std::string(Map.status().message())));
     return;
@@ -649,10 +620,8 @@
   }
   const Common::ConfigurationVersion Version = Map->version();
   if (Version <= this->State.version()) {
-    Telemetry::log(
-        LogLevel::Info, "declaration_not_newer",
-        logField("version", absl::StrCat(Version.Value)) +
-            logField("held", absl::StrCat(this->State.version().Value)));
+    Telemetry::log(Events::DeclarationNotNewer, Version.Value,
+                   this->State.version().Value);
     Exchange->reply(200, JsonType, "{}");
     return;
   }
@@ -661,10 +630,8 @@
       Network::encode(State::ControlCommand(std::move(Command))),
       [this, Exchange, Version](ReplicaHost::ProposalEnd End) {
         const bool Applied = End == ReplicaHost::ProposalEnd::Applied;
-        Telemetry::log(
-            LogLevel::Info, "declaration_decided",
-            logField("version", absl::StrCat(Version.Value)) +
-                logField("outcome", Applied ? "acknowledged" : "unknown"));
+        Telemetry::log(Events::DeclarationDecided, Version.Value,
+                       Applied ? "acknowledged" : "unknown");
         if (Applied)
           Exchange->reply(200, JsonType, "{}");
         else
@@ -727,7 +694,7 @@
   if (this->ShuttingDown)
     return;
   this->ShuttingDown = true;
-  Telemetry::log(LogLevel::Info, "shutting_down");
+  Telemetry::log(Events::ShuttingDown);
   this->Duties.reset();
   this->Host->transferLeadership();
   this->Http->startClosing(std::chrono::milliseconds(0));
--- a/Source/StateDaemon/DutyRunner.cpp
+++ b/Source/StateDaemon/DutyRunner.cpp
@@ -1,7 +1,7 @@
 #include "StateDaemon/DutyRunner.h"
 
 #include "Network/Codec.h"
-#include "Telemetry/Log.h"
+#include "Telemetry/LogEvents.h"
 #include "platform/DutyCalls.h"
 
 #include <absl/strings/str_cat.h>
@@ -11,8 +11,7 @@
 
 namespace {
 
-using Telemetry::logField;
-using Telemetry::LogLevel;
+namespace Events = Telemetry::Events;
 
 constexpr Common::Duration ActPeriod = std::chrono::milliseconds(250);
 /// After a window's end, until the entry daemons' counts are in.
@@ -137,9 +136,7 @@
                             Counts),
       [this, Window](int Status) {
         this->UsageRetryAt[Window] = this->Held.Loop.now() + UsageRetryDelay;
-        Telemetry::log(LogLevel::Info, "usage_report",
-                       logField("window", absl::StrCat(Window.Value)) +
-                           logField("status", absl::StrCat(Status)));
+        Telemetry::log(Events::UsageReport, Window.Value, Status);
         if (Status == Conflict)
           this->Superseded = true;
         if (Status != Ok)
@@ -167,13 +164,10 @@
     this->call(
         Platform::encodeScale(this->Held.Settings.Name, this->fencing(), Order),
         [this, Each](int Status) {
-          Telemetry::log(
-              LogLevel::Info, "servers_ordered",
-              logField("service", Each.Pool.Service.str()) +
-                  logField("datacentre", Each.Pool.DataCentre.str()) +
-                  logField("reclaimable", Each.Pool.Reclaimable ? "1" : "0") +
-                  logField("servers", absl::StrCat(Each.Servers)) +
-                  logField("status", absl::StrCat(Status)));
+          Telemetry::log(Events::ServersOrdered, Each.Pool.Service.str(),
+                         Each.Pool.DataCentre.str(),
+                         Each.Pool.Reclaimable ? "1" : "0", Each.Servers,
+                         Status);
           const Common::TimePoint Then = this->Held.Loop.now();
           if (Status == Ok)
             this->Orders.accepted(Each, Then);
--- a/Source/StateDaemon/EntryLedger.cpp
+++ b/Source/StateDaemon/EntryLedger.cpp
@@ -1,6 +1,6 @@
 #include "StateDaemon/EntryLedger.h"
 
-#include "Telemetry/Log.h"
+#include "Telemetry/LogEvents.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -73,10 +73,8 @@
   }
   for (const Configuration::Team &Each : Declared.teams())
     this->Allowances.grantedLately(Each, Used[Each.Name], Now);
-  Telemetry::log(
-      Telemetry::LogLevel::Info, "allowances_learned",
-      Telemetry::logField("entries", absl::StrCat(Known)) +
-          Telemetry::logField("expected", absl::StrCat(this->MostEntries)));
+  Telemetry::log(Telemetry::Events::AllowancesLearned, Known,
+                 this->MostEntries);
 }
 
 void EntryLedger::crashed(const State::CrashReport &Report,
@@ -88,10 +86,8 @@
   if (Servers.size() < CrashesToRefuse ||
       !this->Refused.emplace(Report.Content, Now).second)
     return;
-  Telemetry::log(
-      Telemetry::LogLevel::Warning, "content_refused",
-      Telemetry::logField("content", absl::StrCat(absl::Hex(Report.Content))) +
-          Telemetry::logField("servers", absl::StrCat(Servers.size())));
+  Telemetry::log(Telemetry::Events::ContentRefused, absl::Hex(Report.Content),
+                 Servers.size());
 }
 
 void EntryLedger::forgetCrashes(Common::TimePoint Now) {
--- a/Source/StateDaemon/ReplicaHost.cpp
+++ b/Source/StateDaemon/ReplicaHost.cpp
@@ -1,7 +1,7 @@
 #include "StateDaemon/ReplicaHost.h"
 
 #include "Common/Hash.h"
-#include "Telemetry/Log.h"
+#include "Telemetry/LogEvents.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -9,8 +9,7 @@
 
 namespace {
 
-using Telemetry::logField;
-using Telemetry::LogLevel;
+namespace Events = Telemetry::Events;
 
 /// How long to wait before a failing disk is tried again.
 constexpr Common::Duration ReopenDelay = std::chrono::milliseconds(500);
@@ -45,8 +44,7 @@
     return Opened.status();
   this->Folder.emplace(std::move(*Opened));
   if (Found.TornBytes != 0)
-    Telemetry::log(LogLevel::Warning, "torn_log_end_cut",
-                   logField("bytes", absl::StrCat(Found.TornBytes)));
+    Telemetry::log(Events::TornLogEndCut, Found.TornBytes);
   if (absl::Status Founded = this->foundIfBlank(Found); !Founded.ok())
     return Founded;
   if (absl::Status Restored = this->Handle.Restore(Found.State.Base.Data);
@@ -62,14 +60,10 @@
   if (!Made.ok())
     return Made.status();
   this->Replica.emplace(std::move(*Made));
-  Telemetry::log(
-      LogLevel::Info, "replica_opened",
-      logField("replica", this->Replica->self().str()) +
-          logField("term", absl::StrCat(this->Replica->term().Value)) +
-          logField("last",
-                   absl::StrCat(this->Replica->log().lastIndex().Value)) +
-          logField("members",
-                   absl::StrCat(this->Replica->membership().members().size())));
+  Telemetry::log(Events::ReplicaOpened, this->Replica->self().str(),
+                 this->Replica->term().Value,
+                 this->Replica->log().lastIndex().Value,
+                 this->Replica->membership().members().size());
   this->Handle.OnChange();
   this->scheduleFlush();
   return absl::OkStatus();
@@ -93,8 +87,7 @@
 void ReplicaHost::fail(const absl::Status &Failure) {
   // After a failed write the state of the disk is unknown: nothing more is
   // acknowledged before it was read again.
-  Telemetry::log(LogLevel::Error, "disk_failure",
-                 logField("detail", std::string(Failure.message())));
+  Telemetry::log(Events::DiskFailure, Failure.message());
   this->Metrics.count("disk_failures_total");
   this->Replica.reset();
   this->Folder.reset();
@@ -243,16 +236,14 @@
       this->Replica->state() == Consensus::Replica::State::Leader;
   if (this->Leading && (!Leads || this->Replica->term() != this->LedTerm)) {
     this->Leading = false;
-    Telemetry::log(LogLevel::Info, "leadership_lost",
-                   logField("term", absl::StrCat(this->LedTerm.Value)));
+    Telemetry::log(Events::LeadershipLost, this->LedTerm.Value);
     this->dropProposals();
     this->Handle.OnChange();
   }
   if (Leads && !this->Leading) {
     this->Leading = true;
     this->LedTerm = this->Replica->term();
-    Telemetry::log(LogLevel::Info, "leadership_gained",
-                   logField("term", absl::StrCat(this->LedTerm.Value)));
+    Telemetry::log(Events::LeadershipGained, this->LedTerm.Value);
     this->Handle.OnChange();
   }
 }
--- a/Source/StateDaemon/StateDaemon.cpp
+++ b/Source/StateDaemon/StateDaemon.cpp
@@ -3,7 +3,7 @@
 #include "Common/Hash.h"
 #include "Network/Codec.h"
 #include "Network/Problem.h"
-#include "Telemetry/Log.h"
+#include "Telemetry/LogEvents.h"
 
 #include <absl/strings/str_cat.h>
 #include <csignal>
@@ -12,8 +12,7 @@
 
 namespace {
 
-using Telemetry::logField;
-using Telemetry::LogLevel;
+namespace Events = Telemetry::Events;
 
 constexpr Common::Duration TickPeriod = std::chrono::milliseconds(10);
 constexpr Common::Duration ClockPeriod = std::chrono::seconds(10);
@@ -54,8 +53,7 @@
   if (!Folder.ok())
     return Folder.status();
   if (Found.TornBytes != 0)
-    Telemetry::log(LogLevel::Warning, "torn_log_end_cut",
-                   logField("bytes", absl::StrCat(Found.TornBytes)));
+    Telemetry::log(Events::TornLogEndCut, Found.TornBytes);
   if (absl::Status Founded = found(Settings, Found, *Folder); !Founded.ok())
     return Founded;
   auto Machine = State::StateMachine::restore(Found.State.Base.Data);
@@ -132,9 +130,8 @@
       this->propose({}, {}, State::ClockCommand{});
   }));
   this->syncLinks();
-  Telemetry::log(LogLevel::Info, "started",
-                 logField("replica", this->Replica.self().str()) +
-                     logField("listen", this->Settings.Listen.str()));
+  Telemetry::log(Events::StateDaemonStarted, this->Replica.self().str(),
+                 this->Settings.Listen.str());
   this->Loop.run();
   return this->ExitCode;
 }
@@ -227,8 +224,7 @@
 void StateDaemon::stopOnDiskFailure(const absl::Status &Failure) {
   // After a failed sync the state of the disk is unknown: acknowledge
   // nothing more.
-  Telemetry::log(LogLevel::Error, "disk_failure",
-                 logField("detail", std::string(Failure.message())));
+  Telemetry::log(Events::DiskFailure, Failure.message());
   this->ExitCode = DiskFailureExitCode;
   this->Loop.stop();
 }
@@ -248,15 +244,13 @@
   if (this->Leading && (!Leads || this->Replica.term() != this->LedTerm)) {
     this->Leading = false;
     this->failProposals();
-    Telemetry::log(LogLevel::Info, "leadership_lost",
-                   logField("term", absl::StrCat(this->LedTerm.Value)));
+    Telemetry::log(Events::LeadershipLost, this->LedTerm.Value);
   }
   if (Leads && !this->Leading) {
     this->Leading = true;
     this->LedTerm = this->Replica.term();
     this->Guard.startedLeading(this->Loop.now());
-    Telemetry::log(LogLevel::Info, "leadership_gained",
-                   logField("term", absl::StrCat(this->LedTerm.Value)));
+    Telemetry::log(Events::LeadershipGained, this->LedTerm.Value);
   }
 }
 
@@ -508,7 +502,7 @@
   if (this->ShuttingDown)
     return;
   this->ShuttingDown = true;
-  Telemetry::log(LogLevel::Info, "shutting_down");
+  Telemetry::log(Events::ShuttingDown);
   this->Replica.transferLeadership(this->Loop.now());
   this->flush();
   const Common::TimePoint EndsAt = this->Loop.now() + ShutdownLimit;
