EntryDaemon, StateDaemon: Long files split; state daemons forget old servers

Splitting them showed that KeepServersFor was used nowhere: a state daemon kept every server it ever heard of, and told none of it to be forgotten.

Change: ControllerGroup (founding, joining, links, voters), ControllerHttp (what the operator and servers call), RoutedAttempt (the attempts of a call) and CallFailure (reasons and own statuses) are files of their own; no logic changed in the move. The registry is pruned each minute.

Checked: unit tests and RoutedServing pass.

--- a/Source/Core/Common/Time.h
+++ b/Source/Core/Common/Time.h
@@ -9,6 +9,11 @@
 
 using Duration = std::chrono::microseconds;
 
+/// For logs.
+constexpr std::int64_t toMilliseconds(Duration Span) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Span).count();
+}
+
 /// Tag of the monotonic time line that every decision is made on.
 struct MonotonicTimeline {
   using duration = Duration;
--- a/Source/EntryDaemon/RoutedCall.h
+++ b/Source/EntryDaemon/RoutedCall.h
@@ -1,6 +1,7 @@
 #ifndef SYCAMOREREACH_ENTRYDAEMON_ROUTEDCALL_H
 #define SYCAMOREREACH_ENTRYDAEMON_ROUTEDCALL_H
 
+#include "EntryDaemon/CallFailure.h"
 #include "EntryDaemon/GatewayContext.h"
 #include "Network/EventSplitter.h"
 #include "Network/Http1Server.h"
@@ -13,23 +14,6 @@
 
 namespace EntryDaemon {
 
-/// Why a request was refused or failed by this system.
-enum class CallFailure {
-  NoDeclaration,
-  StaleDeclaration,
-  BadHeaders,
-  UnknownRoute,
-  UnknownKey,
-  OverAllowance,
-  ContentCrashesServers,
-  NoServer,
-  ServerRejected,
-  ServerLost,
-  ServerSilent,
-  BadAnswer,
-  DeadlinePassed,
-};
-
 /// One caller's request on its way through the system. Each attempt is in one
 /// of four states: not sent, may have run, said not run, answered; only the
 /// first and the third allow a status that promises that it did not run.
@@ -70,6 +54,7 @@
   std::string labels() const;
   void noteOutput();
   void logServed(int Status) const;
+  Routing::ServerOutcome outcomeIfAbandoned() const;
   void suspect();
 
   void callerGone();
--- a/Source/StateDaemon/Controller.cpp
+++ b/Source/StateDaemon/Controller.cpp
@@ -16,37 +16,20 @@
 
 namespace Events = Telemetry::Events;
 
-/// Raft's times here: links cross data centres and hosts have a third of a
-/// core, and each message costs processor time.
-constexpr Consensus::ReplicaTiming Timing{
-    std::chrono::milliseconds(100), std::chrono::milliseconds(450),
-    std::chrono::milliseconds(800), std::chrono::milliseconds(360)};
 /// How often members are reviewed and an unknown leader is asked for.
 constexpr Common::Duration ReviewPeriod = std::chrono::milliseconds(300);
-/// A daemon without a leader for longer asks to be taken in.
-constexpr Common::Duration JoinAfter = std::chrono::milliseconds(1000);
 /// Freshness of servers is passed on in batches.
 constexpr Common::Duration RefreshPeriod = std::chrono::milliseconds(300);
 /// A server that was silent for longer is not told to daemons that come.
 constexpr Common::Duration TellServersFor = std::chrono::seconds(5);
+/// Long beyond the lateness of a server's message, so that an old one cannot
+/// bring a server back that is gone.
 constexpr Common::Duration KeepServersFor = std::chrono::minutes(10);
+constexpr Common::Duration ForgetPeriod = std::chrono::minutes(1);
 constexpr Common::Duration ShutdownLimit = std::chrono::seconds(2);
 constexpr std::size_t MaxDocumentBytes = 16u << 20;
 constexpr Common::Duration IdleConnections = std::chrono::seconds(30);
 
-const Network::HttpHeaders JsonType = {{"Content-Type", "application/json"}};
-
-std::string errorBody(std::string_view Detail) {
-  std::string Escaped;
-  for (const char C : Detail) {
-    if (C == '"' || C == '\\')
-      Escaped.push_back('\\');
-    if (static_cast<unsigned char>(C) >= ' ')
-      Escaped.push_back(C);
-  }
-  return "{\"error\":\"" + Escaped + "\"}";
-}
-
 } // namespace
 
 Controller::Controller(Network::EventLoop &Loop, ControllerSettings Settings)
@@ -122,32 +105,6 @@
   return absl::OkStatus();
 }
 
-ReplicaHost::Options Controller::replicaOptions() const {
-  ReplicaHost::Options Result;
-  Result.DataPath = this->Settings.DataPath;
-  Result.Name = this->Settings.Name.str();
-  Result.Timing = Timing;
-  if (!this->Settings.FirstStart)
-    return Result;
-  // The seeds found the group. All of them compute the same identities.
-  const auto IdentityOf = [](const Network::Address &At) {
-    return Consensus::ReplicaId("founder-" + At.Ip);
-  };
-  for (const Network::Address &Each : this->Settings.seedLinks()) {
-    Consensus::Member Founder;
-    Founder.Id = IdentityOf(Each);
-    Founder.Address = Each;
-    // A founder's data centre is not known to the others at this point.
-    Founder.DataCentre = Common::DataCentreId(Each.Ip);
-    Result.Founders.push_back(Founder);
-    if (Each.Ip == this->Settings.Http.Ip)
-      Result.FounderIdentity = Founder.Id;
-  }
-  if (Result.FounderIdentity.empty())
-    Result.Founders.clear();
-  return Result;
-}
-
 ReplicaHost::Handlers Controller::replicaHandlers() {
   ReplicaHost::Handlers Handle;
   Handle.Restore = [this](const std::string &Data) -> absl::Status {
@@ -186,6 +143,9 @@
   }));
   this->Handles.push_back(
       this->Loop.callEvery(RefreshPeriod, [this] { this->flushRefreshes(); }));
+  this->Handles.push_back(this->Loop.callEvery(ForgetPeriod, [this] {
+    this->Registry.forgetOld(this->Loop.now(), KeepServersFor);
+  }));
   this->LeaderKnownAt = this->Loop.now();
   Telemetry::log(Events::ControllerStarted, this->Settings.Http.str(),
                  this->Settings.FirstStart ? "1" : "0");
@@ -225,181 +185,6 @@
     this->Duties->declared(this->Declared);
 }
 
-void Controller::groupChanged() {
-  this->syncLinks();
-  const auto *Replica = this->Host->replica();
-  const bool Leads =
-      Replica && Replica->state() == Consensus::Replica::State::Leader;
-  if (Leads && !this->Ledger) {
-    const Common::TimePoint Now = this->Loop.now();
-    this->LeadingSince = Now;
-    this->Ledger = std::make_unique<EntryLedger>(this->Settings.Borne, Now);
-    this->Ledger->ownClock(this->Settings.Name, this->Loop.wallNow(), Now);
-    if (!this->State.document().empty()) {
-      auto Map = Platform::decodeConfiguration(this->State.document());
-      if (Map.ok())
-        this->Declared =
-            std::make_shared<const Configuration::ServiceMap>(std::move(*Map));
-    }
-    if (!this->Settings.DutyAddress.empty()) {
-      this->Duties = std::make_unique<DutyRunner>(DutyRunner::Parts{
-          this->Loop, this->Settings, *this->Client, *this->Host, this->State,
-          this->Registry, *this->Ledger, this->Metrics});
-      this->Duties->declared(this->Declared);
-    }
-  }
-  if (!Leads && this->Ledger) {
-    this->Duties.reset();
-    this->Ledger.reset();
-  }
-  this->toEntries(this->places());
-}
-
-void Controller::syncLinks() {
-  const auto *Replica = this->Host->replica();
-  std::set<Network::Address> Wanted;
-  const auto Add = [this, &Wanted](const Network::Address &At) {
-    if (At.Ip != this->Settings.Http.Ip)
-      Wanted.insert(At);
-  };
-  if (Replica)
-    for (const Consensus::Member &Each : Replica->membership().members())
-      Add(Each.Address);
-  // The seeds are asked as long as this daemon is no member.
-  const bool Member =
-      Replica && Replica->membership().find(Replica->self()) != nullptr;
-  if (!Member)
-    for (const Network::Address &Each : this->Settings.seedLinks())
-      Add(Each);
-  std::erase_if(this->Links, [&Wanted](const auto &Each) {
-    return Wanted.count(Each.first) == 0;
-  });
-  for (const Network::Address &Each : Wanted) {
-    if (this->Links.count(Each) != 0)
-      continue;
-    Network::FrameLink::Handlers Handle;
-    Handle.OnPayload = [this](const std::string &Payload) {
-      this->receivedOnLink(Payload);
-    };
-    Handle.OnUp = [this, Each] {
-      Telemetry::log(Events::PeerConnected, Each.str());
-      const auto Found = this->Links.find(Each);
-      if (Found != this->Links.end())
-        Found->second->send(
-            Network::encode(State::ControlFrame(this->wholeRegistry())));
-    };
-    Handle.OnDown = [Each] { Telemetry::log(Events::PeerLost, Each.str()); };
-    Handle.OnRefused = [this](Common::RefusalReason Reason) {
-      this->Metrics.refused(Reason);
-    };
-    this->Links[Each] = std::make_unique<Network::FrameLink>(
-        this->Loop, Each, this->Settings.Key, std::move(Handle));
-  }
-}
-
-void Controller::send(const Consensus::Message &Sent) {
-  const auto *Replica = this->Host->replica();
-  const Consensus::Member *To =
-      Replica ? Replica->membership().find(Sent.To) : nullptr;
-  this->Metrics.count("peer_messages_sent_total");
-  if (To) {
-    const auto Link = this->Links.find(To->Address);
-    if (Link != this->Links.end())
-      Link->second->send(Network::encode(State::ControlFrame(Sent)));
-    return;
-  }
-  // A new replica answers a leader that it knows no address of yet.
-  const auto Known = this->ConnectionOf.find(Sent.To);
-  if (Known != this->ConnectionOf.end())
-    this->sendTo(Known->second, Sent);
-}
-
-void Controller::askToJoin() {
-  const auto *Replica = this->Host->replica();
-  if (!Replica)
-    return;
-  const Common::TimePoint Now = this->Loop.now();
-  if (!Replica->leader().empty())
-    this->LeaderKnownAt = Now;
-  if (Now - this->LeaderKnownAt < JoinAfter)
-    return;
-  State::JoinRequest Asked;
-  Asked.Self.Id = Replica->self();
-  Asked.Self.Address =
-      Network::Address{this->Settings.Http.Ip, this->Settings.LinkPort};
-  Asked.Self.DataCentre = this->Settings.DataCentre;
-  this->syncLinks();
-  this->toPeers(Asked);
-}
-
-void Controller::admit(const State::JoinRequest &Request) {
-  const Consensus::Member &Asked = Request.Self;
-  this->Joined[Asked.Address] = Asked.Id;
-  const auto *Replica = this->Host->replica();
-  if (!Replica)
-    return;
-  if (!this->Host->leads()) {
-    // The leader has a link of its own to every member.
-    const Consensus::Member *Leader =
-        Replica->membership().find(Replica->leader());
-    if (Leader && Leader->Id != Replica->self() && !Request.Relayed) {
-      const auto Link = this->Links.find(Leader->Address);
-      if (Link != this->Links.end())
-        Link->second->send(Network::encode(
-            State::ControlFrame(State::JoinRequest{Asked, true})));
-    }
-    return;
-  }
-  if (Replica->membership().find(Asked.Id))
-    return;
-  const absl::Status Added = this->Host->change(
-      [&Asked](Consensus::Replica &Of, Common::TimePoint Now) {
-        return Of.addLearner(Now, Asked);
-      });
-  Telemetry::log(Events::StateDaemonJoins, Asked.Id.str(), Asked.Address.str(),
-                 Added.ok() ? "added" : std::string(Added.message()));
-  this->Loop.defer([this] { this->groupChanged(); });
-}
-
-std::map<Consensus::ReplicaId, Consensus::MemberCondition>
-Controller::memberConditions() const {
-  std::map<Consensus::ReplicaId, Consensus::MemberCondition> Result;
-  const Consensus::Replica &Replica = *this->Host->replica();
-  const Common::TimePoint Now = this->Loop.now();
-  for (const Consensus::Member &Each : Replica.membership().members()) {
-    const auto View = Replica.peer(Each.Id);
-    if (!View)
-      continue;
-    Consensus::MemberCondition Known;
-    Known.Silence = Now - std::max(View->Contact, this->LeadingSince);
-    Known.CaughtUp = View->Match >= Replica.commitIndex();
-    const auto Holder = this->Joined.find(Each.Address);
-    Known.Replaced = Holder != this->Joined.end() && Holder->second != Each.Id;
-    Result[Each.Id] = Known;
-  }
-  return Result;
-}
-
-void Controller::planMembers() {
-  if (!this->Host->leads())
-    return;
-  const Consensus::Replica &Replica = *this->Host->replica();
-  Consensus::VoterPlanOptions Options;
-  Options.Voters = 2 * this->Settings.ToleratedHosts + 1;
-  const auto Next = Consensus::planVoters(Replica.membership(), Replica.self(),
-                                          this->memberConditions(), Options);
-  if (!Next)
-    return;
-  const bool Promotes = Next->What == Consensus::VoterChange::Kind::Promote;
-  const absl::Status Done = this->Host->change(
-      [&Next, Promotes](Consensus::Replica &Of, Common::TimePoint Now) {
-        return Promotes ? Of.promote(Now, Next->Id) : Of.remove(Now, Next->Id);
-      });
-  Telemetry::log(Events::MembersChange, Promotes ? "promote" : "remove",
-                 Next->Id.str(),
-                 Done.ok() ? "proposed" : std::string(Done.message()));
-}
-
 void Controller::received(Network::ConnectionId From,
                           const std::string &Payload) {
   auto Frame = Network::decode<State::ControlFrame>(Payload);
@@ -565,109 +350,6 @@
   return Result;
 }
 
-void Controller::handleHttp(
-    const std::shared_ptr<Network::Http1Exchange> &Exchange) {
-  const Platform::ControlCall Call =
-      Platform::decodeControlCall(Exchange->head().Method, Exchange->path());
-  if (const auto *Beat = std::get_if<Platform::HeartbeatCall>(&Call))
-    this->heartbeat(*Exchange, Beat->Server);
-  else if (const auto *Leaves = std::get_if<Platform::DepartureCall>(&Call))
-    this->departure(*Exchange, Leaves->Server);
-  else if (std::holds_alternative<Platform::DeclareCall>(Call))
-    this->declare(Exchange);
-  else if (std::holds_alternative<Platform::ReadCall>(Call))
-    this->read(*Exchange);
-  else
-    Exchange->reply(404, JsonType, errorBody("no such call"));
-}
-
-void Controller::heartbeat(Network::Http1Exchange &Exchange,
-                           const Common::BackendServerId &Id) {
-  const auto Said = Platform::decodeHeartbeat(Id, Exchange.body());
-  if (!Said.ok()) {
-    this->Metrics.count("heartbeats_bad_total");
-    Telemetry::log(Events::HeartbeatRefused, Id.str(), Said.status().message());
-    Exchange.reply(400, JsonType,
-                   errorBody(std::string(Said.status().message())));
-    return;
-  }
-  this->Metrics.count("heartbeats_total");
-  this->announced(*Said);
-  Exchange.reply(200, JsonType, "{}");
-}
-
-void Controller::departure(Network::Http1Exchange &Exchange,
-                           const Common::BackendServerId &Id) {
-  const std::uint64_t Start = Platform::departureStart(Exchange.body());
-  if (this->Registry.leave(Id, Start, this->Loop.now()))
-    this->spread(this->Registry.find(Id)->Record, true);
-  Exchange.reply(200, JsonType, "{}");
-}
-
-void Controller::declare(
-    const std::shared_ptr<Network::Http1Exchange> &Exchange) {
-  auto Map = Platform::decodeConfiguration(Exchange->body());
-  if (!Map.ok()) {
-    this->Metrics.count("declarations_invalid_total");
-    Telemetry::log(Events::DeclarationRefused, Map.status().message());
-    Exchange->reply(400, JsonType,
-                    errorBody(std::string(Map.status().message())));
-    return;
-  }
-  if (!this->Host->leads()) {
-    this->redirectToLeader(*Exchange, Exchange->head().Target);
-    return;
-  }
-  const Common::ConfigurationVersion Version = Map->version();
-  if (Version <= this->State.version()) {
-    Telemetry::log(Events::DeclarationNotNewer, Version.Value,
-                   this->State.version().Value);
-    Exchange->reply(200, JsonType, "{}");
-    return;
-  }
-  State::DeclareCommand Command{Version, Exchange->body()};
-  const bool Appended = this->Host->propose(
-      Network::encode(State::ControlCommand(std::move(Command))),
-      [this, Exchange, Version](ReplicaHost::ProposalEnd End) {
-        const bool Applied = End == ReplicaHost::ProposalEnd::Applied;
-        Telemetry::log(Events::DeclarationDecided, Version.Value,
-                       Applied ? "acknowledged" : "unknown");
-        if (Applied)
-          Exchange->reply(200, JsonType, "{}");
-        else
-          // In force or not: the operator sends it again and learns which.
-          Exchange->reply(500, JsonType,
-                          errorBody("the leader changed; send it again"));
-      });
-  if (!Appended)
-    this->redirectToLeader(*Exchange, Exchange->head().Target);
-}
-
-void Controller::read(Network::Http1Exchange &Exchange) {
-  if (!this->Host->leads()) {
-    this->redirectToLeader(Exchange, Exchange.head().Target);
-    return;
-  }
-  if (this->State.document().empty())
-    Exchange.reply(503, JsonType, errorBody("nothing was declared yet"));
-  else
-    Exchange.reply(200, JsonType, this->State.document());
-}
-
-void Controller::redirectToLeader(Network::Http1Exchange &Exchange,
-                                  const std::string &Path) {
-  const auto *Replica = this->Host->replica();
-  const Consensus::Member *Leader =
-      Replica ? Replica->membership().find(Replica->leader()) : nullptr;
-  if (!Leader || Leader->Id == Replica->self()) {
-    Exchange.reply(503, {{"Retry-After", "0.3"}},
-                   errorBody("no leader is known; retry shortly"));
-    return;
-  }
-  const Network::Address To{Leader->Address.Ip, this->Settings.Http.Port};
-  Exchange.reply(307, {{"Location", "http://" + To.str() + Path}}, "");
-}
-
 void Controller::updateGauges() {
   const auto *Replica = this->Host->replica();
   this->Metrics.gauge("replica_open", Replica ? 1 : 0);
