Fleet: Reclaimable servers that do not come take no place

Under load all six places of a data centre are ordered as reclaimable ones. While none can be had the order stands and is refused, but its servers still counted as taking the places, so no ordinary server could be ordered beside them.

Change: of a pool whose last order was refused only the servers that are there count, and one place more for the first that comes.

ReclaimableServersThatDoNotComeTakeNoPlace was seen to fail before with 0 servers where the load needs 6.

--- a/Source/Core/Fleet/ReplicaOrders.cpp
+++ b/Source/Core/Fleet/ReplicaOrders.cpp
@@ -81,8 +81,10 @@
   Missing -= std::min(Missing, SoundReclaimable - LargestPart);
   for (const auto &[Price, DataCentre] : ByPrice) {
     const ServerPoolKey Key{Service.Name, DataCentre, false};
+    const ServerPoolKey Other{Service.Name, DataCentre, true};
     const std::uint32_t Beside =
-        HasReclaimable ? Result[{Service.Name, DataCentre, true}] : 0;
+        HasReclaimable ? this->placesTaken(Other, Result[Other], SoundAt(Other))
+                       : 0;
     const std::uint32_t Least =
         Bounds.Least > Beside ? Bounds.Least - Beside : 0;
     const std::uint32_t Most = Bounds.Most > Beside ? Bounds.Most - Beside : 0;
@@ -95,6 +97,17 @@
   return Result;
 }
 
+std::uint32_t ReplicaOrders::placesTaken(const ServerPoolKey &Key,
+                                         std::uint32_t Wanted,
+                                         std::uint32_t Sound) const {
+  const auto Found = this->Pools.find(Key);
+  if (Found == this->Pools.end() || !Found->second.Dry)
+    return Wanted;
+  // One place stays free, so that the first one can come when there are some
+  // again.
+  return std::min(Wanted, Sound + 1);
+}
+
 std::optional<ReplicaOrder> ReplicaOrders::orderFor(const ServerPoolKey &Key,
                                                     std::uint32_t Wanted,
                                                     std::uint32_t Sound,
@@ -157,12 +170,14 @@
   Of.UnderWay = false;
   Of.Ordered = Order.Servers;
   Of.OrderedAt = Now;
+  Of.Dry = false;
   Of.SurplusSince.reset();
 }
 
 void ReplicaOrders::refused(const ReplicaOrder &Order, Common::TimePoint Now) {
   Pool &Of = this->Pools[Order.Pool];
   Of.UnderWay = false;
+  Of.Dry = true;
   Of.RefusedUntil = Now + this->Options.RefusedFor;
 }
 
--- a/Source/Core/Fleet/ReplicaOrders.h
+++ b/Source/Core/Fleet/ReplicaOrders.h
@@ -77,6 +77,8 @@
     std::optional<std::uint32_t> Ordered;
     Common::TimePoint OrderedAt;
     Common::TimePoint RefusedUntil;
+    /// The last order for more could not be met.
+    bool Dry = false;
     /// Since when more were there than wanted.
     std::optional<Common::TimePoint> SurplusSince;
     bool UnderWay = false;
@@ -91,6 +93,10 @@
                    Common::TimePoint Now) const;
   PoolCounts wanted(const Configuration::ServiceEntry &Service, double Engines,
                     const PoolCounts &Sound, Common::TimePoint Now) const;
+  /// Places that a pool's servers take in its data centre, of those there and
+  /// those that will come.
+  std::uint32_t placesTaken(const ServerPoolKey &Key, std::uint32_t Wanted,
+                            std::uint32_t Sound) const;
   /// No caller has asked for anything yet.
   bool idle() const { return this->Options.NewGroup && !this->DemandSeen; }
   std::optional<ReplicaOrder>
--- a/Source/UnitTests/Fleet/ReplicaOrdersTest.cpp
+++ b/Source/UnitTests/Fleet/ReplicaOrdersTest.cpp
@@ -187,6 +187,22 @@
   BOOST_TEST(Of.ordinary() == 0u);
 }
 
+// Pattern: as above, under a load for which every reclaimable server that the
+// limits allow is ordered.
+BOOST_AUTO_TEST_CASE(ReclaimableServersThatDoNotComeTakeNoPlace) {
+  Cloud Of;
+  Of.run(30s, 6);
+  BOOST_TEST(Of.ordinary() == 0u);
+  for (const char *Place : {"east", "west", "north", "south"}) {
+    Of.reclaim(Place, 20s);
+    // The start time of ordinary servers, and a second to order them.
+    Of.run(5s, 6);
+    BOOST_TEST(Of.total() >= 6u);
+  }
+  Of.run(40s, 6);
+  BOOST_TEST(Of.ordinary() == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(LimitsHoldForBothKindsTogether) {
   Cloud Of;
   Of.run(60s, 500);
