EntryDaemon: A stream that cannot go on ends; a team's own priority

Cause 1: a stream whose server broke off and that no other server could resume was answered with a status, which a begun answer cannot take: the caller's connection stayed open and silent.

Cause 2: the priority that a team has of its own was decoded and never used; servers got the route's. ATeamsPriorityGoesBeforeItsRoutes.

Ruled out: that the deadline ended such streams; finish() had cancelled its timer.

--- a/Source/EntryDaemon/RoutedAttempt.cpp
+++ b/Source/EntryDaemon/RoutedAttempt.cpp
@@ -81,7 +81,7 @@
   if (this->Team)
     Set.Team = this->Team->Name;
   if (this->Said.Prompt)
-    Set.Priority = this->route().Priority;
+    Set.Priority = this->priority();
   if (this->LastEvent)
     Set.AfterEvent = this->LastEvent;
   Network::Http1Call Wanted;
--- a/Source/EntryDaemon/RoutedCall.cpp
+++ b/Source/EntryDaemon/RoutedCall.cpp
@@ -191,11 +191,16 @@
                       this->Deadline - this->Context.Loop.now()));
 }
 
+std::uint32_t RoutedCall::priority() const {
+  const bool Own = this->Team && this->Team->Priority;
+  return Own ? *this->Team->Priority : this->route().Priority;
+}
+
 std::string RoutedCall::labels() const {
   if (!this->Route)
     return {};
   return absl::StrCat("service=\"", this->Service.str(), "\",priority=\"",
-                      this->Route->Priority, "\"");
+                      this->priority(), "\"");
 }
 
 void RoutedCall::noteBegan() {
@@ -253,6 +258,14 @@
       this->Team ? this->Team->Name.str() : "", this->Tokens,
       Common::toMilliseconds(this->Context.Loop.now() - this->ArrivedAt),
       this->Declared ? absl::StrCat(this->Declared->version().Value) : "");
+  if (this->Streaming) {
+    // The answer has begun; only the end of its connection can tell.
+    Telemetry::log(Events::StreamBroken, this->Said.RequestId,
+                   this->LastEvent.value_or(""));
+    this->Exchange->abort();
+    this->finish();
+    return;
+  }
   Network::HttpHeaders Headers = {{"Content-Type", "application/json"}};
   if (!this->Said.RequestId.empty())
     Headers.push_back({"X-Request-Outcome", nameOf(Why)});
--- a/Source/EntryDaemon/RoutedCall.h
+++ b/Source/EntryDaemon/RoutedCall.h
@@ -50,6 +50,8 @@
   void finishWhole();
   void startStream(const Network::Http1Head &Head);
   void noteBegan();
+  /// 0 is first. A team's own goes before that of the route.
+  std::uint32_t priority() const;
   /// Labels of this request's latencies.
   std::string labels() const;
   void noteOutput();
--- a/Source/FaultTests/RoutedCluster.cpp
+++ b/Source/FaultTests/RoutedCluster.cpp
@@ -159,8 +159,8 @@
   Wanted.Headers = std::move(Headers);
   Wanted.Headers.push_back({"Host", "yard.example"});
   Wanted.Body = Body;
-  // Beyond the time that requests state.
-  Wanted.Silence = std::chrono::seconds(6);
+  // A caller that is left hanging fails its test.
+  Wanted.Silence = 2 * AwaitLimit;
   // Each call on a connection of its own, as callers do that start again.
   Wanted.ReuseIdle = Common::Duration::zero();
   Network::Http1CallHandlers Handle;
@@ -242,18 +242,22 @@
                                        const std::string &Prefix) {
   const auto Route = [](const std::string &Name, const std::string &Path,
                         const char *Kind) {
-    return Json{{"name", Name},        {"host", "yard.example"},
-                {"path-prefix", Path}, {"route-kind", Kind},
-                {"timeout-ms", 3000},  {"max-attempts", 2},
-                {"slo-ms", 200},       {"service", "shop"}};
+    return Json{
+        {"name", Name},       {"host", "yard.example"}, {"path-prefix", Path},
+        {"route-kind", Kind}, {"timeout-ms", 3000},     {"max-attempts", 2},
+        {"slo-ms", 200},      {"priority", 4},          {"service", "shop"}};
   };
+  Json Stream = Route("flow", Prefix + "flow/", "streaming");
+  Stream["resumable"] = true;
   const Json Whole = {
       {"version", Version},
       {"routes",
-       {Route("safe", Prefix, "safe"),
+       {Route("safe", Prefix, "safe"), Stream,
         Route("once", Prefix + "once/", "unsafe")}},
       {"services", {{{"name", "shop"}}}},
-      {"tenants", {{{"name", "mill"}, {"api-keys", {"key-1"}}}}}};
+      {"tenants",
+       {{{"name", "mill"}, {"api-keys", {"key-1"}}},
+        {{"name", "urgent"}, {"api-keys", {"key-2"}}, {"priority", 2}}}}};
   return Whole.dump();
 }
 
--- a/Source/FaultTests/RoutedServingTest.cpp
+++ b/Source/FaultTests/RoutedServingTest.cpp
@@ -135,6 +135,49 @@
              }) == OnceLost);
 }
 
+BOOST_AUTO_TEST_CASE(ATeamsPriorityGoesBeforeItsRoutes) {
+  RoutedCluster Of;
+  Of.startAll();
+  std::string Priority;
+  Of.OnServed = [&](const std::shared_ptr<Network::Http1Exchange> &Exchange) {
+    Priority =
+        Exchange->header("X-Sycamorereach-Request-Priority").value_or("");
+    RoutedCluster::answer(*Exchange);
+  };
+  const auto Ask = [&Of](const std::string &Key) {
+    return Of
+        .call(Of.entry(), "POST", "/a/x", "body",
+              {{"X-Sycamorereach-Request-Id", "prompt-" + Key},
+               {"X-Sycamorereach-Model", "m"},
+               {"X-Sycamorereach-Token-Count", "10,10"},
+               {"Authorization", "Bearer " + Key}})
+        .Status;
+  };
+  BOOST_TEST(Ask("key-1") == 200);
+  BOOST_TEST(Priority == "4");
+  BOOST_TEST(Ask("key-2") == 200);
+  BOOST_TEST(Priority == "2");
+}
+
+BOOST_AUTO_TEST_CASE(AStreamThatCannotGoOnEndsItsConnection) {
+  RoutedCluster Of;
+  Of.startAll();
+  Of.OnServed = [&Of](const std::shared_ptr<Network::Http1Exchange> &Exchange) {
+    Exchange->startStream(
+        200, {{"Content-Type", "text/event-stream"},
+              {"X-Sycamorereach-Request-Id",
+               Exchange->header("X-Sycamorereach-Request-Id").value_or("")},
+              {"X-Sycamorereach-Replica-Signature", "signed"}});
+    Exchange->sendChunk("id: 1\ndata: a\n\n");
+    Of.loop().defer([Exchange] { Exchange->abort(); });
+  };
+  // There is no other server where it could be resumed.
+  const RoutedReply Reply = Of.ask("/a/flow/x");
+  BOOST_TEST(Reply.Status == 200);
+  BOOST_TEST(Reply.Body == "id: 1\ndata: a\n\n");
+  BOOST_TEST((Reply.End == Network::CallEnd::Broken));
+}
+
 BOOST_AUTO_TEST_CASE(ARefusalIsNotPromisedOnceAServerRanTheRequest) {
   RoutedCluster Of;
   Of.startAll();
