Configuration, EntryDaemon: Ranks of teams and routes; early refusals

Change 1: ServiceMap ranks what teams and routes can make: a team's own priority first, the route's between equals, in ten steps for the engines.

Cause 2: in a collapse engines got requests whose callers left before the prompts ahead were read.

Change 2: a prompt is refused at once, with a Retry-After, if reading what is ahead at the best server takes longer than callers wait.

--- a/Source/Core/Configuration/ServiceMap.cpp
+++ b/Source/Core/Configuration/ServiceMap.cpp
@@ -1,6 +1,7 @@
 #include "Configuration/ServiceMap.h"
 
 #include <absl/strings/str_cat.h>
+#include <algorithm>
 #include <set>
 
 namespace Configuration {
@@ -74,6 +75,27 @@
   for (std::size_t I = 0; I < this->Held.Teams.size(); ++I)
     for (const std::string &Key : this->Held.Teams[I].Keys)
       this->TeamAt[Key] = I;
+  std::set<Precedence> Known;
+  for (const Route &Each : this->Held.Routes) {
+    Known.insert(precedenceOf(Each, nullptr));
+    for (const Team &Of : this->Held.Teams)
+      Known.insert(precedenceOf(Each, &Of));
+  }
+  this->Precedences.assign(Known.begin(), Known.end());
+}
+
+ServiceMap::Precedence ServiceMap::precedenceOf(const Route &Of,
+                                                const Team *By) {
+  const bool Own = By && By->Priority;
+  return {Own ? *By->Priority : Of.Priority, Of.Priority};
+}
+
+std::uint32_t ServiceMap::rank(const Route &Of, const Team *By) const {
+  const auto At = std::lower_bound(
+      this->Precedences.begin(), this->Precedences.end(), precedenceOf(Of, By));
+  const auto Place = static_cast<std::uint32_t>(At - this->Precedences.begin());
+  const auto Count = static_cast<std::uint32_t>(this->Precedences.size());
+  return Count <= Ranks ? Place : Place * Ranks / Count;
 }
 
 const Route *ServiceMap::route(const std::string &Host,
--- a/Source/Core/Configuration/ServiceMap.h
+++ b/Source/Core/Configuration/ServiceMap.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace Configuration {
@@ -133,6 +134,11 @@
   const Team *team(const TeamName &Name) const;
   const ServiceEntry *service(const Common::ServiceName &Name) const;
   /// Without teams no request needs a key.
+  /// Where a request stands among all that may be asked, from 0, the most
+  /// urgent, to Ranks - 1. A team's own priority goes before that of the
+  /// route, which decides between requests that are equal so far.
+  std::uint32_t rank(const Route &Of, const Team *By) const;
+  static constexpr std::uint32_t Ranks = 10;
   bool keysNeeded() const { return !this->Held.Teams.empty(); }
 
   const std::vector<Route> &routes() const { return this->Held.Routes; }
@@ -145,7 +151,12 @@
 private:
   explicit ServiceMap(ServiceMapParts Parts);
 
+  using Precedence = std::pair<std::uint32_t, std::uint32_t>;
+  static Precedence precedenceOf(const Route &Of, const Team *By);
+
   ServiceMapParts Held;
+  /// All that routes and teams can make, the most urgent first.
+  std::vector<Precedence> Precedences;
   /// Host and prefix, joined by a line break, to the index of the route.
   std::unordered_map<std::string, std::size_t> RouteAt;
   std::unordered_map<std::string, std::size_t> TeamAt;
--- a/Source/Core/Routing/ServerTable.cpp
+++ b/Source/Core/Routing/ServerTable.cpp
@@ -237,6 +237,15 @@
   return std::max(0.0, Silent - 2 * Reading - UsualSilenceMilliseconds);
 }
 
+Common::Duration ServerTable::readingTime(const Condition &State,
+                                          const Placement &Wanted) {
+  if (!Wanted.Prompt)
+    return {};
+  const auto Tokens =
+      static_cast<double>(State.PendingTokens + State.OthersPendingTokens);
+  return Common::fromSeconds(Tokens / PromptTokensPerMillisecond / 1000);
+}
+
 std::optional<PlacementChoice> ServerTable::choose(const Placement &Wanted,
                                                    Common::TimePoint Now) {
   const auto Found = this->Rings.find(Wanted.Service);
@@ -280,6 +289,7 @@
         Entry->Record.Address,
         Common::fromSeconds(Expected / 1000),
         Uncached,
+        readingTime(State, Wanted),
         State.Running,
         State.OthersRunning,
         std::chrono::duration_cast<Common::Duration>(Now - Entry->HeardAt)};
--- a/Source/Core/Routing/ServerTable.h
+++ b/Source/Core/Routing/ServerTable.h
@@ -54,6 +54,9 @@
   Common::Duration ExpectedWait{};
   /// Prompt tokens that the server probably has to read.
   std::uint64_t UncachedTokens = 0;
+  /// Time to read the prompts that are there; zero for a plain request. Unlike
+  /// ExpectedWait it leaves out what is only guessed.
+  Common::Duration ReadingTime{};
   /// What decided: requests there, of this daemon and of the others, and how
   /// long ago the server announced itself.
   std::uint32_t OwnRequests = 0;
@@ -135,6 +138,8 @@
   std::vector<Common::BackendServerId>
   candidates(const Ring &Of, const Placement &Wanted, std::uint64_t Key);
   static double failureShare(const Condition &State, Common::TimePoint Now);
+  static Common::Duration readingTime(const Condition &State,
+                                      const Placement &Wanted);
   static double silenceMilliseconds(const Condition &State,
                                     Common::TimePoint Now);
   double expectedMilliseconds(const Membership::ServerRecord &Record,
--- a/Source/EntryDaemon/CallFailure.cpp
+++ b/Source/EntryDaemon/CallFailure.cpp
@@ -7,11 +7,10 @@
 
 const char *nameOf(CallFailure Why) {
   static constexpr std::array FailureNames = {
-      "no_declaration",  "stale_declaration", "bad_headers",
-      "unknown_route",   "unknown_key",       "over_allowance",
-      "content_refused", "no_server",         "server_rejected",
-      "server_lost",     "server_silent",     "bad_answer",
-      "deadline_passed"};
+      "no_declaration", "stale_declaration", "bad_headers",     "unknown_route",
+      "unknown_key",    "over_allowance",    "content_refused", "no_server",
+      "overloaded",     "server_rejected",   "server_lost",     "server_silent",
+      "bad_answer",     "deadline_passed"};
   return FailureNames[static_cast<std::size_t>(Why)];
 }
 
--- a/Source/EntryDaemon/CallFailure.h
+++ b/Source/EntryDaemon/CallFailure.h
@@ -13,6 +13,7 @@
   OverAllowance,
   ContentCrashesServers,
   NoServer,
+  Overloaded,
   ServerRejected,
   ServerLost,
   ServerSilent,
--- a/Source/EntryDaemon/RoutedAttempt.cpp
+++ b/Source/EntryDaemon/RoutedAttempt.cpp
@@ -15,6 +15,10 @@
 
 /// Servers to which no connection could be made before a request is given up.
 constexpr std::size_t MostUnreachable = 4;
+/// How long callers wait for a stream's first event: this many times the
+/// route's target and at least so long, as the callers' interface states.
+constexpr int PatienceInTargets = 4;
+constexpr Common::Duration LeastPatience = std::chrono::seconds(2);
 /// An answer that is no stream is kept whole up to this size.
 constexpr std::size_t MostWholeAnswer = 16u << 20;
 /// A caller that reads slowly is waited for beyond this many bytes.
@@ -67,9 +71,27 @@
                  RetryAfterNoServer);
     return;
   }
+  // Who would leave before the answer begins is told at once.
+  const Common::Duration Patience = this->patience();
+  if (Chosen->ReadingTime > Patience && !this->Streaming) {
+    this->fail(CallFailure::Overloaded,
+               this->MayHaveRun ? HttpStatus::BadGateway
+                                : HttpStatus::Unavailable,
+               Chosen->ReadingTime - Patience / 2);
+    return;
+  }
   this->send(*Chosen);
 }
 
+Common::Duration RoutedCall::patience() const {
+  // Engines admit the most urgent ahead of all that wait there.
+  if (this->priority() == 0)
+    return this->timeLeft();
+  const Common::Duration Waits =
+      std::max(LeastPatience, this->route().Target * PatienceInTargets);
+  return std::min(Waits, this->timeLeft());
+}
+
 void RoutedCall::send(const Routing::PlacementChoice &To) {
   this->At = To;
   this->AnswerHead.reset();
--- a/Source/EntryDaemon/RoutedCall.cpp
+++ b/Source/EntryDaemon/RoutedCall.cpp
@@ -192,8 +192,7 @@
 }
 
 std::uint32_t RoutedCall::priority() const {
-  const bool Own = this->Team && this->Team->Priority;
-  return Own ? *this->Team->Priority : this->route().Priority;
+  return this->Declared->rank(this->route(), this->Team);
 }
 
 std::string RoutedCall::labels() const {
--- a/Source/EntryDaemon/RoutedCall.h
+++ b/Source/EntryDaemon/RoutedCall.h
@@ -36,6 +36,8 @@
   void admit();
   void refuseOverAllowance();
   void dispatch();
+  /// How long the caller waits for the answer to begin.
+  Common::Duration patience() const;
   void send(const Routing::PlacementChoice &To);
   bool headArrived(const Network::Http1Head &Head);
   void bodyArrived(const std::string &Bytes);
@@ -50,7 +52,7 @@
   void finishWhole();
   void startStream(const Network::Http1Head &Head);
   void noteBegan();
-  /// 0 is first. A team's own goes before that of the route.
+  /// 0 is first.
   std::uint32_t priority() const;
   /// Labels of this request's latencies.
   std::string labels() const;
--- a/Source/FaultTests/RoutedServingTest.cpp
+++ b/Source/FaultTests/RoutedServingTest.cpp
@@ -154,9 +154,38 @@
         .Status;
   };
   BOOST_TEST(Ask("key-1") == 200);
-  BOOST_TEST(Priority == "4");
+  BOOST_TEST(Priority == "1");
   BOOST_TEST(Ask("key-2") == 200);
-  BOOST_TEST(Priority == "2");
+  BOOST_TEST(Priority == "0");
+}
+
+BOOST_AUTO_TEST_CASE(PromptsThatWouldWaitTooLongAreRefusedAtOnce) {
+  RoutedCluster Of;
+  Of.startAll();
+  std::vector<std::shared_ptr<Network::Http1Exchange>> Held;
+  Of.OnServed = [&](const std::shared_ptr<Network::Http1Exchange> &Exchange) {
+    Held.push_back(Exchange);
+  };
+  const auto Ask = [&Of](const std::string &Id) {
+    return Of.start(Of.entry(), "POST", "/a/once/x", "body",
+                    {{"X-Sycamorereach-Request-Id", Id},
+                     {"X-Sycamorereach-Model", "m"},
+                     {"X-Sycamorereach-Token-Count", "500000,10"},
+                     {"Authorization", "Bearer key-1"}});
+  };
+  // The one server reads this prompt for longer than callers wait. Its own
+  // length is no reason to refuse it.
+  const auto First = Ask("first");
+  BOOST_REQUIRE(Of.await([&] { return Held.size() == 1; }));
+  const auto Second = Ask("second");
+  BOOST_REQUIRE(Of.await([&] { return Second->Done; }));
+  BOOST_TEST(Second->Status == 503);
+  BOOST_TEST(Network::findHeader(Second->Headers, "Retry-After").has_value());
+  BOOST_TEST(Held.size() == 1u);
+  BOOST_TEST(!First->Done);
+  RoutedCluster::answer(*Held.front());
+  BOOST_REQUIRE(Of.await([&] { return First->Done; }));
+  BOOST_TEST(First->Status == 200);
 }
 
 BOOST_AUTO_TEST_CASE(AStreamThatCannotGoOnEndsItsConnection) {
--- a/Source/UnitTests/Configuration/ServiceMapTest.cpp
+++ b/Source/UnitTests/Configuration/ServiceMapTest.cpp
@@ -1,7 +1,9 @@
 #include "Configuration/ServiceMap.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <functional>
+#include <set>
 
 namespace UnitTests {
 
@@ -102,6 +104,35 @@
   }
 }
 
+// Teams' own priorities come first and routes decide between equals.
+BOOST_AUTO_TEST_CASE(RanksFollowTeamsAndThenRoutes) {
+  ServiceMapParts Parts = soundParts();
+  Parts.Routes[0].Priority = 0;
+  Parts.Routes[1].Priority = 2;
+  Parts.Routes[2].Priority = 7;
+  Team Grave = Parts.Teams.front();
+  Grave.Name = TeamName("grave");
+  Grave.Keys = {"k3"};
+  Grave.Priority = 1;
+  Parts.Teams.push_back(Grave);
+  const auto Map = ServiceMap::create(Parts);
+  BOOST_REQUIRE(Map.ok());
+  const Team *Plain = Map->team(TeamName("mill"));
+  const Team *Own = Map->team(TeamName("grave"));
+  const auto Rank = [&Map](std::size_t Route, const Team *By) {
+    return Map->rank(Map->routes()[Route], By);
+  };
+  const std::vector<std::uint32_t> InOrder = {Rank(0, Plain), Rank(0, Own),
+                                              Rank(1, Own),   Rank(2, Own),
+                                              Rank(1, Plain), Rank(2, Plain)};
+  BOOST_TEST(InOrder.front() == 0u);
+  BOOST_TEST(std::is_sorted(InOrder.begin(), InOrder.end()));
+  BOOST_TEST((std::set<std::uint32_t>(InOrder.begin(), InOrder.end()).size()) ==
+             InOrder.size());
+  BOOST_TEST(Rank(0, nullptr) == Rank(0, Plain));
+  BOOST_TEST(InOrder.back() < ServiceMap::Ranks);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace UnitTests
