EntryDaemon: A silent server is left only for one that takes the request

A request left a server that fell silent and then asked for its repeat: where the retry budget was used up, or no other server was left, it ended with 502 though the server might still have answered. Silence alone is no reason to end a request.

Change: before it leaves, another server must be there that would take it within the caller's patience, and a repeat is taken out of the budget.

Test: ASilentServerIsWaitedForWhileNoOtherTakesMore failed with 502 before; the whole RoutedServing suite passes.

--- a/Source/EntryDaemon/RoutedAttempt.cpp
+++ b/Source/EntryDaemon/RoutedAttempt.cpp
@@ -47,11 +47,7 @@
 
 void RoutedCall::dispatch() {
   const Common::TimePoint Now = this->Context.Loop.now();
-  Routing::Placement Wanted;
-  Wanted.Service = this->Service;
-  Wanted.Prompt = this->Said.Prompt ? &*this->Said.Prompt : nullptr;
-  Wanted.Tried = this->Tried;
-  const auto Chosen = this->Context.Servers.choose(Wanted, Now);
+  const auto Chosen = this->Context.Servers.choose(this->placement(), Now);
   if (this->Said.Prompt && this->Attempts == 0 && this->Tried.empty()) {
     const auto Known = this->Context.OutputTokens.find(this->route().Name);
     const double Output =
@@ -159,7 +155,8 @@
   // Where no other server was heard from either, the fault may lie here.
   const bool OthersHeard =
       this->Context.Servers.lastHeard() > Now - Silent + Bound / 2;
-  if (Silent >= Bound && OthersHeard && !this->Paused) {
+  // Silence alone is no reason to end what may still be answered.
+  if (Silent >= Bound && OthersHeard && !this->Paused && this->canMove()) {
     this->serverSilent();
     return;
   }
@@ -168,6 +165,25 @@
       [Self = this->shared_from_this()] { Self->watchSilence(); });
 }
 
+bool RoutedCall::canMove() {
+  const Common::TimePoint Now = this->Context.Loop.now();
+  Routing::Placement Wanted = this->placement();
+  Wanted.Tried.insert(this->At->Id);
+  const auto Chosen = this->Context.Servers.choose(Wanted, Now);
+  if (!Chosen || Chosen->ReadingTime > this->patience())
+    return false;
+  this->RepeatTaken = this->Context.Retries.take(this->Service, Now);
+  return this->RepeatTaken;
+}
+
+Routing::Placement RoutedCall::placement() const {
+  Routing::Placement Result;
+  Result.Service = this->Service;
+  Result.Prompt = this->Said.Prompt ? &*this->Said.Prompt : nullptr;
+  Result.Tried = this->Tried;
+  return Result;
+}
+
 void RoutedCall::serverSilent() {
   Telemetry::log(Events::ServerSilent, this->Said.RequestId, this->At->Id.str(),
                  Common::toMilliseconds(this->Context.Servers.silence(
@@ -391,8 +407,9 @@
   const std::string Server = this->At ? this->At->Id.str() : "";
   this->endAttempt(Outcome);
   const bool Retry =
-      this->mayRetry(How) && (How == AttemptEnd::NotSent ||
+      this->mayRetry(How) && (How == AttemptEnd::NotSent || this->RepeatTaken ||
                               this->Context.Retries.take(this->Service, Now));
+  this->RepeatTaken = false;
   if (How != AttemptEnd::NotSent)
     ++this->Attempts;
   if (How == AttemptEnd::MayHaveRun || How == AttemptEnd::Broken) {
--- a/Source/EntryDaemon/RoutedCall.h
+++ b/Source/EntryDaemon/RoutedCall.h
@@ -45,6 +45,10 @@
   void heard();
   void watchSilence();
   void serverSilent();
+  /// Whether another server would take the request now; takes a repeat out of
+  /// the retry budget for it.
+  bool canMove();
+  Routing::Placement placement() const;
   void attemptFailed(AttemptEnd How, CallFailure Why,
                      Routing::ServerOutcome Outcome);
   bool mayRetry(AttemptEnd How) const;
@@ -88,6 +92,8 @@
   bool Done = false;
 
   std::uint32_t Attempts = 0;
+  /// A repeat was taken out of the retry budget for the next attempt.
+  bool RepeatTaken = false;
   /// Some attempt may have run the request.
   bool MayHaveRun = false;
   std::set<Common::BackendServerId> Tried;
--- a/Source/FaultTests/RoutedServingTest.cpp
+++ b/Source/FaultTests/RoutedServingTest.cpp
@@ -135,6 +135,51 @@
              }) == OnceLost);
 }
 
+BOOST_AUTO_TEST_CASE(ASilentServerIsWaitedForWhileNoOtherTakesMore) {
+  RoutedCluster Of;
+  Of.startAll();
+  Of.announce("ready", 2);
+  // The second server has a stream under way and then takes nothing new.
+  std::shared_ptr<Network::Http1Exchange> Stream;
+  std::shared_ptr<Network::Http1Exchange> Held;
+  Of.OnServed = [&](const std::shared_ptr<Network::Http1Exchange> &Exchange) {
+    if (Exchange->header("X-Sycamorereach-Expect-Replica") != "shop-2") {
+      RoutedCluster::answer(*Exchange);
+      return;
+    }
+    Stream = Exchange;
+    Exchange->startStream(
+        200, {{"Content-Type", "text/event-stream"},
+              {"X-Sycamorereach-Request-Id",
+               Exchange->header("X-Sycamorereach-Request-Id").value_or("")},
+              {"X-Sycamorereach-Replica-Signature", "signed"}});
+  };
+  std::vector<std::shared_ptr<RoutedReply>> Streams;
+  BOOST_REQUIRE(Of.await([&] {
+    if (!Stream)
+      Streams.push_back(Of.startAsking("/a/flow/x"));
+    return Stream != nullptr;
+  }));
+  Of.announce("draining", 2);
+  int Event = 0;
+  const auto Ticks =
+      Of.loop().callEvery(std::chrono::milliseconds(50), [&Stream, &Event] {
+        Stream->sendChunk("id: " + std::to_string(++Event) + "\ndata: a\n\n");
+      });
+  Of.OnServed = [&](const std::shared_ptr<Network::Http1Exchange> &Exchange) {
+    Held = Exchange;
+  };
+  const auto Reply = Of.startAsking("/a/x");
+  BOOST_REQUIRE(Of.await([&] { return Held != nullptr; }));
+  // The first server says nothing for longer than it may, while the second
+  // one is heard. Nobody else could answer, so the answer is waited for.
+  BOOST_REQUIRE(Of.await([&] { return Event > 30 || Reply->Done; }));
+  BOOST_TEST(!Reply->Done);
+  RoutedCluster::answer(*Held);
+  BOOST_REQUIRE(Of.await([&] { return Reply->Done; }));
+  BOOST_TEST(Reply->Status == 200);
+}
+
 BOOST_AUTO_TEST_CASE(ATeamsPriorityGoesBeforeItsRoutes) {
   RoutedCluster Of;
   Of.startAll();
