Network, StateDaemon: One copy of what stood twice

Cause: a last reading of the change. hasNoBody stood in Http1Reader and in Http1Server; both daemons built the same metrics server; the controller decoded its declaration in two places, one of which logged nothing when that failed. Http1Client::forget, connectionsOpened and ControlLink::AnsweredSequence had no use.

Change: hasNoBody in HttpMessage.h, Http1Server::serveText, Controller::decodeDeclaration; the unused members are gone. Behaviour stays, but for the missing log line.

Checked: 189 unit tests, the RoutedServing suite, format, and the linter on the changed sources.

--- a/Source/Core/Network/Http1Client.cpp
+++ b/Source/Core/Network/Http1Client.cpp
@@ -161,7 +161,6 @@
       },
       Fresh.get());
   const sockaddr_in Where = toSocketAddress(To);
-  ++this->Opened;
   if (bufferevent_socket_connect(Fresh->Socket,
                                  reinterpret_cast<const sockaddr *>(&Where),
                                  sizeof(Where)) != 0)
@@ -341,8 +340,6 @@
     bufferevent_enable(Which->Used->Socket, EV_READ);
 }
 
-void Http1Client::forget(const Address &Server) { this->Idle.erase(Server); }
-
 void Http1Client::checkIdle() {
   const Common::TimePoint Now = this->Loop.now();
   for (auto Each = this->Idle.begin(); Each != this->Idle.end();) {
--- a/Source/Core/Network/Http1Client.h
+++ b/Source/Core/Network/Http1Client.h
@@ -70,10 +70,6 @@
   /// Stops or resumes reading the answer, for a slow reader behind it.
   static void pauseReading(const CallPtr &Which, bool Pause);
 
-  std::uint64_t connectionsOpened() const { return this->Opened; }
-  /// Closes idle connections to a server that is gone.
-  void forget(const Address &Server);
-
 private:
   struct Connection;
   static constexpr std::size_t MaxIdlePerAddress = 64;
@@ -91,7 +87,6 @@
   EventLoop &Loop;
   std::map<Address, std::vector<std::unique_ptr<Connection>>> Idle;
   std::map<Call *, CallPtr> Active;
-  std::uint64_t Opened = 0;
   EventHandle IdleCheck;
   bool Ending = false;
 };
--- a/Source/Core/Network/Http1Reader.cpp
+++ b/Source/Core/Network/Http1Reader.cpp
@@ -70,10 +70,6 @@
 
 namespace {
 
-bool hasNoBody(int Status) {
-  return (Status >= 100 && Status < 200) || Status == 204 || Status == 304;
-}
-
 /// The library lets names pass that others read differently.
 bool wellNamed(const HttpHeaders &Headers) {
   return std::all_of(
--- a/Source/Core/Network/Http1Server.cpp
+++ b/Source/Core/Network/Http1Server.cpp
@@ -49,8 +49,6 @@
   }
 }
 
-bool hasNoBody(int Status) { return Status == 204 || Status == 304; }
-
 } // namespace
 
 namespace detail {
@@ -371,6 +369,17 @@
   return Server;
 }
 
+absl::StatusOr<std::unique_ptr<Http1Server>>
+Http1Server::serveText(EventLoop &Loop, const Address &Listen,
+                       std::function<std::string()> Text) {
+  Handlers Shown;
+  Shown.OnRequest =
+      [Text = std::move(Text)](const std::shared_ptr<Http1Exchange> &Exchange) {
+        Exchange->reply(200, {{"Content-Type", "text/plain"}}, Text());
+      };
+  return create(Loop, Listen, std::move(Shown));
+}
+
 Http1Server::~Http1Server() {
   this->Connections.clear();
   if (this->Listener)
--- a/Source/Core/Network/Http1Server.h
+++ b/Source/Core/Network/Http1Server.h
@@ -86,6 +86,10 @@
 
   static absl::StatusOr<std::unique_ptr<Http1Server>>
   create(EventLoop &Loop, const Address &Listen, Handlers Handle);
+  /// Answers every request with the text of that moment, such as metrics.
+  static absl::StatusOr<std::unique_ptr<Http1Server>>
+  serveText(EventLoop &Loop, const Address &Listen,
+            std::function<std::string()> Text);
   ~Http1Server();
 
   void setLimits(const Limits &Bounds) { this->Bounds = Bounds; }
--- a/Source/Core/Network/HttpMessage.h
+++ b/Source/Core/Network/HttpMessage.h
@@ -53,6 +53,11 @@
   }
 };
 
+/// Whether an answer with this status ends with its head.
+constexpr bool hasNoBody(int Status) {
+  return (Status >= 100 && Status < 200) || Status == 204 || Status == 304;
+}
+
 } // namespace Network
 
 #endif
--- a/Source/EntryDaemon/ControlLink.h
+++ b/Source/EntryDaemon/ControlLink.h
@@ -61,7 +61,6 @@
   std::size_t NextInOrder = 0;
   std::unique_ptr<Network::FrameLink> Link;
   std::uint64_t Sequence = 0;
-  std::uint64_t AnsweredSequence = 0;
   std::map<std::uint64_t, Common::TimePoint> SentAt;
   Common::TimePoint AnsweredAt;
   Common::TimePoint ConnectedAt;
--- a/Source/EntryDaemon/Gateway.cpp
+++ b/Source/EntryDaemon/Gateway.cpp
@@ -85,17 +85,11 @@
 
   if (this->Context.Settings.MetricsPort == 0)
     return absl::OkStatus();
-  Network::Http1Server::Handlers Shown;
-  Shown.OnRequest =
-      [this](const std::shared_ptr<Network::Http1Exchange> &Exchange) {
-        Exchange->reply(200, {{"Content-Type", "text/plain"}},
-                        this->Context.Metrics.render());
-      };
-  auto Opened = Network::Http1Server::create(
+  auto Opened = Network::Http1Server::serveText(
       this->Loop,
       Network::Address{this->Context.Settings.Http.Ip,
                        this->Context.Settings.MetricsPort},
-      std::move(Shown));
+      [this] { return this->Context.Metrics.render(); });
   if (!Opened.ok())
     return Opened.status();
   this->MetricsHttp = std::move(*Opened);
--- a/Source/StateDaemon/Controller.cpp
+++ b/Source/StateDaemon/Controller.cpp
@@ -84,17 +84,13 @@
   this->Http->setLimits(Bounds);
 
   if (this->Settings.MetricsPort != 0) {
-    Network::Http1Server::Handlers Shown;
-    Shown.OnRequest =
-        [this](const std::shared_ptr<Network::Http1Exchange> &Exchange) {
-          this->updateGauges();
-          Exchange->reply(200, {{"Content-Type", "text/plain"}},
-                          this->Metrics.render());
-        };
-    auto Opened = Network::Http1Server::create(
+    auto Opened = Network::Http1Server::serveText(
         this->Loop,
         Network::Address{this->Settings.Http.Ip, this->Settings.MetricsPort},
-        std::move(Shown));
+        [this] {
+          this->updateGauges();
+          return this->Metrics.render();
+        });
     if (!Opened.ok())
       return Opened.status();
     this->MetricsHttp = std::move(*Opened);
@@ -170,8 +166,15 @@
   Telemetry::log(Events::DeclarationInForce, this->Pushed.Value);
   this->toEntries(
       State::DeclarationPush{this->State.version(), this->State.document()});
-  if (!this->Duties && !this->Ledger)
+  // Duties exist beside a ledger only.
+  if (!this->Ledger)
     return;
+  this->decodeDeclaration();
+  if (this->Duties)
+    this->Duties->declared(this->Declared);
+}
+
+void Controller::decodeDeclaration() {
   auto Map = Platform::decodeConfiguration(this->State.document());
   if (!Map.ok()) {
     // It was checked before it was proposed.
@@ -181,8 +184,6 @@
   }
   this->Declared =
       std::make_shared<const Configuration::ServiceMap>(std::move(*Map));
-  if (this->Duties)
-    this->Duties->declared(this->Declared);
 }
 
 void Controller::received(Network::ConnectionId From,
--- a/Source/StateDaemon/Controller.h
+++ b/Source/StateDaemon/Controller.h
@@ -77,6 +77,8 @@
   void redirectToLeader(Network::Http1Exchange &Exchange,
                         const std::string &Path);
   void pushDeclaration();
+  /// Reads the newest document for the ledger and the duties.
+  void decodeDeclaration();
   void updateGauges();
   void shutDown();
 
--- a/Source/StateDaemon/ControllerGroup.cpp
+++ b/Source/StateDaemon/ControllerGroup.cpp
@@ -2,7 +2,6 @@
 
 #include "Network/Codec.h"
 #include "Telemetry/LogEvents.h"
-#include "platform/ConfigurationDocument.h"
 
 #include <algorithm>
 
@@ -60,12 +59,8 @@
     this->LeadingSince = Now;
     this->Ledger = std::make_unique<EntryLedger>(this->Settings.Borne, Now);
     this->Ledger->ownClock(this->Settings.Name, this->Loop.wallNow(), Now);
-    if (!this->State.document().empty()) {
-      auto Map = Platform::decodeConfiguration(this->State.document());
-      if (Map.ok())
-        this->Declared =
-            std::make_shared<const Configuration::ServiceMap>(std::move(*Map));
-    }
+    if (!this->State.document().empty())
+      this->decodeDeclaration();
     if (!this->Settings.DutyAddress.empty()) {
       this->Duties = std::make_unique<DutyRunner>(DutyRunner::Parts{
           this->Loop, this->Settings, *this->Client, *this->Host, this->State,
