Membership: A later phase of a server is news even in an older message

A server deregisters at a state daemon that has not received its latest heartbeat yet, as heartbeats are passed on in batches. The other daemons hold a higher sequence number, took 'gone' for an old message, and kept the server serving until it stopped sending. A restarted state daemon also acknowledged the deregistration of a server that it did not know and told nobody.

Change: phases of one incarnation never go back, so a later phase is accepted whatever the sequence number; refreshes carry the phase, so that a missed change is learned within a flush period; an unknown server can be marked gone.

Three tests, which failed before.

--- a/Source/Core/Membership/ServerRegistry.cpp
+++ b/Source/Core/Membership/ServerRegistry.cpp
@@ -42,11 +42,16 @@
   }
   ServerRecord &Stored = Found->second.Record;
   const bool SameIncarnation = Record.StartedAt == Stored.StartedAt;
-  if (Record.StartedAt < Stored.StartedAt ||
-      (SameIncarnation && Record.Sequence < Stored.Sequence) ||
-      (SameIncarnation && Record.Sequence == Stored.Sequence &&
-       Record.Phase <= Stored.Phase))
+  if (Record.StartedAt < Stored.StartedAt)
     return Outcome::Stale;
+  if (SameIncarnation && Record.Sequence <= Stored.Sequence) {
+    // Phases never go back, so a later phase is news even in an older message:
+    // the daemon that sent it may not have received the latest heartbeat.
+    if (Record.Phase <= Stored.Phase)
+      return Outcome::Stale;
+    Stored.Phase = Record.Phase;
+    return Outcome::Changed;
+  }
   ServerRecord Next = Record;
   if (SameIncarnation && Stored.Phase > Next.Phase)
     Next.Phase = Stored.Phase;
@@ -61,8 +66,17 @@
 bool ServerRegistry::markGone(const Common::BackendServerId &Id,
                               std::uint64_t StartedAt, Common::TimePoint Now) {
   const auto Found = this->Entries.find(Id);
-  if (Found == this->Entries.end())
-    return false;
+  if (Found == this->Entries.end()) {
+    // Other daemons may know the server.
+    if (StartedAt == 0)
+      return false;
+    ServerRecord Unknown;
+    Unknown.Id = Id;
+    Unknown.StartedAt = StartedAt;
+    Unknown.Phase = ServerPhase::Gone;
+    this->Entries[Id] = Entry{Unknown, Now};
+    return true;
+  }
   ServerRecord &Stored = Found->second.Record;
   if (StartedAt != 0 && StartedAt < Stored.StartedAt)
     return false;
@@ -71,17 +85,21 @@
   return true;
 }
 
-void ServerRegistry::refresh(const Common::BackendServerId &Id,
+bool ServerRegistry::refresh(const Common::BackendServerId &Id,
                              std::uint64_t StartedAt, std::uint64_t Sequence,
-                             Common::TimePoint Now) {
+                             ServerPhase Phase, Common::TimePoint Now) {
   const auto Found = this->Entries.find(Id);
   if (Found == this->Entries.end())
-    return;
+    return false;
   ServerRecord &Stored = Found->second.Record;
   if (Stored.StartedAt != StartedAt || Sequence <= Stored.Sequence)
-    return;
+    return false;
   Stored.Sequence = Sequence;
   Found->second.HeardAt = Now;
+  if (Phase <= Stored.Phase)
+    return false;
+  Stored.Phase = Phase;
+  return true;
 }
 
 void ServerRegistry::removeExpired(Common::TimePoint Now,
@@ -100,6 +118,13 @@
   return Found == this->Entries.end() ? nullptr : &Found->second;
 }
 
+Common::BackendServerId
+ServerRegistry::ownerOf(const Network::Address &Address) const {
+  const auto Found = this->AddressOwners.find(Address);
+  return Found == this->AddressOwners.end() ? Common::BackendServerId()
+                                            : Found->second;
+}
+
 std::vector<ServerRecord> ServerRegistry::records() const {
   std::vector<ServerRecord> Result;
   Result.reserve(this->Entries.size());
--- a/Source/Core/Membership/ServerRegistry.h
+++ b/Source/Core/Membership/ServerRegistry.h
@@ -33,14 +33,17 @@
 
   /// Applies a record that a server or another daemon sent.
   Outcome update(const ServerRecord &Record, Common::TimePoint Now);
-  /// Marks a server that deregistered as gone. Returns false if it is unknown
-  /// or StartedAt belongs to an older incarnation; 0 matches any incarnation.
+  /// Marks a server that deregistered as gone, also if only other daemons know
+  /// it. Returns false if StartedAt belongs to an older incarnation, or is 0,
+  /// which matches any incarnation, and the server is unknown.
   bool markGone(const Common::BackendServerId &Id, std::uint64_t StartedAt,
                 Common::TimePoint Now);
   /// Applies a refresh from another daemon that received message Sequence of
-  /// this incarnation.
-  void refresh(const Common::BackendServerId &Id, std::uint64_t StartedAt,
-               std::uint64_t Sequence, Common::TimePoint Now);
+  /// this incarnation, in which the server was in Phase. Returns whether the
+  /// phase changed, as the message that changed it was missed.
+  bool refresh(const Common::BackendServerId &Id, std::uint64_t StartedAt,
+               std::uint64_t Sequence, ServerPhase Phase,
+               Common::TimePoint Now);
   /// Removes records of servers that have been gone or silent for longer than
   /// RetentionTime. Until then they reject delayed messages of that
   /// incarnation.
@@ -50,6 +53,8 @@
   const std::map<Common::BackendServerId, Entry> &entries() const {
     return this->Entries;
   }
+  /// The server that last announced itself at the address; empty if none did.
+  Common::BackendServerId ownerOf(const Network::Address &Address) const;
   std::vector<ServerRecord> records() const;
 
 private:
--- a/Source/UnitTests/Membership/ServerRegistryTest.cpp
+++ b/Source/UnitTests/Membership/ServerRegistryTest.cpp
@@ -63,6 +63,45 @@
   BOOST_CHECK(phaseOf(Registry, "a") == ServerPhase::Gone);
 }
 
+// A server deregistered at a daemon that had not yet received its latest
+// heartbeat; the other daemons, which had, took the news for an old message and
+// kept sending it requests (tuul-hinge-grown, scale-2).
+BOOST_AUTO_TEST_CASE(GoneIsAcceptedAfterALaterHeartbeat) {
+  ServerRegistry Deregistered;
+  Deregistered.update(record("a", 1, 6), {});
+  Deregistered.markGone(Common::BackendServerId("a"), 1, {});
+  ServerRegistry Other;
+  Other.update(record("a", 1, 7), {});
+  const auto &Gone = Deregistered.find(Common::BackendServerId("a"))->Record;
+  BOOST_CHECK(Other.update(Gone, {}) == Outcome::Changed);
+  BOOST_CHECK(phaseOf(Other, "a") == ServerPhase::Gone);
+  BOOST_CHECK(Other.update(record("a", 1, 8), {}) == Outcome::Refreshed);
+  BOOST_CHECK(phaseOf(Other, "a") == ServerPhase::Gone);
+}
+
+// A daemon that missed a change learns it from the next refresh.
+BOOST_AUTO_TEST_CASE(RefreshCarriesAMissedPhase) {
+  ServerRegistry Registry;
+  const Common::BackendServerId Id("a");
+  Registry.update(record("a", 1, 1), {});
+  BOOST_TEST(!Registry.refresh(Id, 1, 2, ServerPhase::Serving, {}));
+  BOOST_TEST(Registry.refresh(Id, 1, 3, ServerPhase::Leaving, {}));
+  BOOST_CHECK(phaseOf(Registry, "a") == ServerPhase::Leaving);
+  BOOST_TEST(!Registry.refresh(Id, 1, 4, ServerPhase::Serving, {}));
+  BOOST_CHECK(phaseOf(Registry, "a") == ServerPhase::Leaving);
+}
+
+// A restarted state daemon acknowledges the deregistration of a server that it
+// does not know yet.
+BOOST_AUTO_TEST_CASE(UnknownServerCanBeMarkedGone) {
+  ServerRegistry Registry;
+  BOOST_TEST(Registry.markGone(Common::BackendServerId("a"), 5, {}));
+  Registry.update(record("a", 5, 9), {});
+  BOOST_CHECK(phaseOf(Registry, "a") == ServerPhase::Gone);
+  BOOST_CHECK(Registry.update(record("a", 6, 1), {}) == Outcome::Changed);
+  BOOST_TEST(!Registry.markGone(Common::BackendServerId("b"), 0, {}));
+}
+
 BOOST_AUTO_TEST_CASE(ANewIncarnationUnderTheSameIdServesAgain) {
   ServerRegistry Registry;
   Registry.update(record("a", 1, 9), {});
