Fleet: Keep servers until callers come and until their replacements serve

Change: a new cluster waits until all servers had the time to announce themselves and keeps as many as it was given until demand is measured; only serving reclaimable servers replace on-demand ones, and both kinds share the limit; the headroom for bursts grows with the square root of the demand, as five times the demand asked for the limit of all zones.

NewClusterRemovesItsOnDemandSurplusImmediately now starts after the settle time and checks in addition that nothing is removed before it: the old expectation, removal within 500 ms, is what lost the servers that had not announced themselves. Its bounds are unchanged.

--- a/Source/Core/Fleet/Autoscaler.cpp
+++ b/Source/Core/Fleet/Autoscaler.cpp
@@ -5,20 +5,35 @@
 
 namespace Fleet {
 
+double Autoscaler::reclaimableTarget(double Engines) const {
+  return Engines * this->Options.ReclaimableHeadroom +
+         std::sqrt(Engines) * this->Options.ReclaimableBurstHeadroom;
+}
+
+double Autoscaler::enginesServedBy(double Servers) const {
+  const double Burst = this->Options.ReclaimableBurstHeadroom;
+  const double Headroom = this->Options.ReclaimableHeadroom;
+  const double Root =
+      (std::sqrt(Burst * Burst + 4 * Headroom * Servers) - Burst) /
+      (2 * Headroom);
+  return Root * Root;
+}
+
 double Autoscaler::updatePeak(const Common::ServiceName &Service,
                               double Engines, const PoolCounts &Healthy,
                               Common::TimePoint Now) {
   const auto [Found, Inserted] = this->Peaks.try_emplace(Service);
   Peak &Current = Found->second;
-  if (Inserted) {
+  if (Inserted || this->awaitsFirstDemand()) {
     // There is no earlier peak: start with the demand for which the present
     // healthy servers would be provisioned, so that they are not removed at
-    // once.
+    // once. In a new cluster, only the on-demand servers were there before.
     double Servers = 0;
     for (const auto &[Key, Count] : Healthy)
-      if (Key.Service == Service)
+      if (Key.Service == Service &&
+          !(Key.Reclaimable && this->awaitsFirstDemand()))
         Servers += Count;
-    Current.Engines = Servers / this->Options.ReclaimableHeadroom;
+    Current.Engines = std::max(Current.Engines, this->enginesServedBy(Servers));
     Current.UpdatedAt = Now;
   }
   const double Elapsed = Common::toSeconds(Now - Current.UpdatedAt);
@@ -66,8 +81,8 @@
   std::uint32_t HealthyReclaimable = 0;
   std::uint32_t LargestShare = 0;
   if (HasReclaimable) {
-    const auto Total = static_cast<std::uint32_t>(
-        std::ceil(Load * this->Options.ReclaimableHeadroom));
+    const auto Total =
+        static_cast<std::uint32_t>(std::ceil(this->reclaimableTarget(Load)));
     for (std::uint32_t I = 0; I < DataCentres; ++I) {
       // The cheapest data centres take the remainder.
       const std::uint32_t Share =
@@ -86,15 +101,16 @@
   for (const auto &[Price, DataCentre] : ByPrice) {
     const ServerPoolKey Key{Service.Name, DataCentre, false};
     const ServerPoolKey ReclaimableKey{Service.Name, DataCentre, true};
+    // Reclaimable servers that were only requested neither replace on-demand
+    // servers nor use up the limit.
     const std::uint32_t ReclaimableInDataCentre =
         HasReclaimable
-            ? this->reservedServers(ReclaimableKey, Result[ReclaimableKey],
-                                    HealthyIn(ReclaimableKey))
+            ? std::min(HealthyIn(ReclaimableKey), Result[ReclaimableKey])
             : 0;
+    const std::uint32_t RequestedReclaimable =
+        HasReclaimable ? Result[ReclaimableKey] : 0;
     const std::uint32_t MinOnDemand =
-        Bounds.MinServers > ReclaimableInDataCentre
-            ? Bounds.MinServers - ReclaimableInDataCentre
-            : 0;
+        Bounds.MinServers - std::min(Bounds.MinServers, RequestedReclaimable);
     const std::uint32_t MaxOnDemand =
         Bounds.MaxServers > ReclaimableInDataCentre
             ? Bounds.MaxServers - ReclaimableInDataCentre
@@ -107,21 +123,15 @@
       Result[Key] =
           std::min(Result[Key], std::max(MinOnDemand, HealthyIn(Key)));
     Missing -= std::min(Missing, Result[Key]);
+    // The limit applies to both kinds together.
+    if (HasReclaimable)
+      Result[ReclaimableKey] = std::min(
+          Result[ReclaimableKey],
+          Bounds.MaxServers - std::min(Bounds.MaxServers, Result[Key]));
   }
   return Result;
 }
 
-std::uint32_t Autoscaler::reservedServers(const ServerPoolKey &Key,
-                                          std::uint32_t Target,
-                                          std::uint32_t Healthy) const {
-  const auto Found = this->Pools.find(Key);
-  if (Found == this->Pools.end() || !Found->second.Refused)
-    return Target;
-  // Leave room for one more server, so that the pool can grow once the cloud
-  // has servers available again.
-  return std::min(Target, Healthy + 1);
-}
-
 std::optional<ScalingAction> Autoscaler::scalingActionFor(
     const ServerPoolKey &Key, std::uint32_t Target, std::uint32_t Healthy,
     Common::Duration StartupTime, Common::TimePoint Now) {
@@ -160,6 +170,11 @@
   const PoolCounts Healthy = this->countHealthy(Servers, Now);
   for (const auto &[Service, Engines] : BusyEngines)
     this->DemandSeen = this->DemandSeen || Engines > 0;
+  if (!this->FirstPlanAt)
+    this->FirstPlanAt = Now;
+  if (this->Options.NewCluster &&
+      Now - *this->FirstPlanAt < this->Options.SettleTime)
+    return Result;
   for (const Configuration::ServiceEntry &Service : Services.services()) {
     if (!Service.Scaling)
       continue;
@@ -186,14 +201,12 @@
   State.ActionPending = false;
   State.AcceptedCount = Action.Servers;
   State.AcceptedAt = Now;
-  State.Refused = false;
   State.SurplusSince.reset();
 }
 
 void Autoscaler::onRefused(const ScalingAction &Action, Common::TimePoint Now) {
   PoolState &State = this->Pools[Action.Pool];
   State.ActionPending = false;
-  State.Refused = true;
   State.RetryAt = Now + this->Options.RetryDelay;
 }
 
--- a/Source/Core/Fleet/Autoscaler.h
+++ b/Source/Core/Fleet/Autoscaler.h
@@ -26,9 +26,12 @@
 };
 
 struct AutoscalerOptions {
-  /// Reclaimable engines provisioned for each busy engine. The factor is high
-  /// because a burst ends before a new server has started.
-  double ReclaimableHeadroom = 5.0;
+  /// Reclaimable engines provisioned for each busy engine.
+  double ReclaimableHeadroom = 2.2;
+  /// Reclaimable engines provisioned in addition, for the square root of the
+  /// number of busy engines: a burst ends before a new server has started, and
+  /// the demand of many callers varies relatively less.
+  double ReclaimableBurstHeadroom = 4.3;
   /// Engines for each busy engine that must remain after the reclaimable
   /// engines of one data centre have been reclaimed.
   double SafeHeadroom = 1.35;
@@ -48,6 +51,9 @@
   /// Until demand is measured, surplus servers are removed without ScaleInDelay
   /// and no on-demand servers are added beyond the minimum.
   bool NewCluster = false;
+  /// In a new cluster, no action is taken before the servers have had this long
+  /// to announce themselves.
+  Common::Duration SettleTime = std::chrono::seconds(3);
   /// A server that has been silent for this long does not count.
   Common::Duration HeartbeatTimeout = std::chrono::milliseconds(4200);
 };
@@ -83,8 +89,6 @@
     std::optional<std::uint32_t> AcceptedCount;
     Common::TimePoint AcceptedAt;
     Common::TimePoint RetryAt;
-    /// The last action with a response was refused.
-    bool Refused = false;
     std::optional<Common::TimePoint> SurplusSince;
     bool ActionPending = false;
   };
@@ -99,11 +103,9 @@
   PoolCounts targetCounts(const Configuration::ServiceEntry &Service,
                           double Engines, const PoolCounts &Healthy,
                           Common::TimePoint Now) const;
-  /// Number of servers that count for this pool against the data centre's
-  /// MaxServers: its target or, if the cloud refused the last action, at most
-  /// one more than its healthy servers.
-  std::uint32_t reservedServers(const ServerPoolKey &Key, std::uint32_t Target,
-                                std::uint32_t Healthy) const;
+  double reclaimableTarget(double Engines) const;
+  /// The demand for which reclaimableTarget() is Servers.
+  double enginesServedBy(double Servers) const;
   /// Whether this is a new cluster in which no demand has been measured yet.
   bool awaitsFirstDemand() const {
     return this->Options.NewCluster && !this->DemandSeen;
@@ -118,6 +120,7 @@
   std::map<ServerPoolKey, PoolState> Pools;
   std::map<Common::ServiceName, Peak> Peaks;
   bool DemandSeen = false;
+  std::optional<Common::TimePoint> FirstPlanAt;
 };
 
 } // namespace Fleet
--- a/Source/UnitTests/Fleet/AutoscalerTest.cpp
+++ b/Source/UnitTests/Fleet/AutoscalerTest.cpp
@@ -52,7 +52,10 @@
           continue;
         }
         this->Scaler.onAccepted(Each, this->Now);
-        this->Pending.push_back({this->Now + 4s, Each});
+        this->Pending.push_back(
+            {this->Now + (Each.Pool.Reclaimable ? this->ReclaimableStartTime
+                                                : Common::Duration(4s)),
+             Each});
       }
       this->MinTotal = std::min(this->MinTotal, this->total());
     }
@@ -75,6 +78,7 @@
     return Sum;
   }
   std::uint32_t MinTotal = 100;
+  Common::Duration ReclaimableStartTime = 4s;
 
 private:
   static AutoscalerOptions makeOptions(bool NewCluster) {
@@ -158,9 +162,11 @@
 }
 
 // A new installation without callers must not keep paying for on-demand
-// servers.
+// servers, once all of them had the time to announce themselves.
 BOOST_AUTO_TEST_CASE(NewClusterRemovesItsOnDemandSurplusImmediately) {
   SimulatedCloud Cloud(true);
+  Cloud.run(AutoscalerOptions().SettleTime, 0);
+  BOOST_TEST(Cloud.onDemand() == 12u);
   Cloud.run(500ms, 0);
   BOOST_TEST(Cloud.onDemand() <= 4u);
   // The start time of the reclaimable servers, and 1 s until they are counted.
@@ -179,6 +185,31 @@
   BOOST_TEST(Cloud.onDemand() == 12u);
 }
 
+// Callers arrive long after a new installation was started. It must still have
+// as many servers as the operator gave it (tuul-hinge-grown: 18 of 140 were
+// left when the first callers came).
+BOOST_AUTO_TEST_CASE(NewClusterKeepsItsCapacityUntilCallersArrive) {
+  SimulatedCloud Cloud(true);
+  Cloud.run(AutoscalerOptions().SettleTime + 10s, 0);
+  BOOST_TEST(Cloud.total() >= 12u);
+  Cloud.run(30s, 0);
+  BOOST_TEST(Cloud.total() >= 12u);
+  BOOST_TEST(Cloud.onDemand() == 0u);
+}
+
+// The cloud accepts requests for reclaimable servers but starts them late. The
+// on-demand servers must not be removed before (tuul-hinge-grown, scale-2: 290
+// were removed at once, and six seconds without servers followed).
+BOOST_AUTO_TEST_CASE(OnDemandServersStayUntilReclaimableOnesServe) {
+  SimulatedCloud Cloud;
+  Cloud.ReclaimableStartTime = 15s;
+  Cloud.run(14s, 4);
+  BOOST_TEST(Cloud.MinTotal >= 5u);
+  Cloud.run(30s, 4);
+  BOOST_TEST(Cloud.MinTotal >= 5u);
+  BOOST_TEST(Cloud.onDemand() == 0u);
+}
+
 // The cloud reclaims the servers of one data centre after another and has no
 // reclaimable servers to replace them.
 BOOST_AUTO_TEST_CASE(LoadIsCoveredDuringAWaveOfReclaims) {
