Routing: Affinity only to servers with room, measured prefill rate

A shared prompt token that is not cached counted as 0.4 ms of waiting, a request beyond the slots as 60 ms, so the server of a popular part was chosen until 40 more requests than slots waited there. The prefill rate was a constant of other engines. Each change of a server hashed all servers of its service again.

The prefill rate is measured from requests that find an idle engine. Only the points of the changed server enter or leave the ring.

--- a/Source/Core/Routing/ServerTable.cpp
+++ b/Source/Core/Routing/ServerTable.cpp
@@ -13,15 +13,28 @@
 /// Points of each server on its service's hash ring; several points even out
 /// the arcs.
 constexpr int PointsPerServer = 16;
-/// Candidates taken from the hash ring.
-constexpr std::size_t RingCandidates = 3;
+/// Candidates taken from the hash ring: the home server of a prompt's shared
+/// part and the servers that take over when it has no room.
+constexpr std::size_t RingCandidates = 6;
 /// Candidates chosen at random.
 constexpr std::size_t RandomCandidates = 3;
+/// A server has room for another prompt up to this fraction of its slots. The
+/// rest absorbs what other daemons send before their loads are known here.
+constexpr double SlotLoadBound = 0.8;
+/// Penalty per fraction of the slots beyond SlotLoadBound, as an equivalent
+/// wait. It outweighs the recomputation of a long shared part, as a full engine
+/// rejects or preempts requests.
+constexpr double SlotOverloadPenaltyMilliseconds = 15'000;
+/// A server has room for another prompt while the queued prefill takes less
+/// than this fraction of the route's target.
+constexpr double QueuedTargetShare = 0.25;
+constexpr double MinQueuedMilliseconds = 60;
+/// Applies to routes without a target.
+constexpr double DefaultMaxQueuedMilliseconds = 500;
+/// Penalty per millisecond of queued prefill beyond that fraction.
+constexpr double QueuedOverloadPenaltyWeight = 6;
 /// Up to this many servers, all of them are candidates.
 constexpr std::size_t MaxFullScan = 24;
-/// Prefill throughput of an engine in prompt tokens per millisecond, from the
-/// published figures of inference engines.
-constexpr double PrefillTokensPerMillisecond = 50;
 /// Time that each running request adds to a decoding step, in milliseconds,
 /// from the published figures of inference engines.
 constexpr double StepMillisecondsPerRequest = 0.1;
@@ -46,9 +59,15 @@
 /// Penalty for recomputing a shared prompt token, as an equivalent wait: it
 /// takes engine time and slows the requests that run beside it.
 constexpr double RecomputePenaltyMillisecondsPerToken = 0.4;
+/// Part of that penalty for the ring's first server with room, so that all
+/// daemons overflow to the same server.
+constexpr double OverflowPenaltyShare = 0.5;
 /// Initial and maximum time for which an unreachable server is avoided.
 constexpr Common::Duration InitialBackoff = std::chrono::milliseconds(400);
 constexpr Common::Duration MaxBackoff = std::chrono::milliseconds(3200);
+/// How long a server counts as full after it rejected a request; about the time
+/// after which the loads of the other daemons are known.
+constexpr Common::Duration FullDuration = std::chrono::milliseconds(400);
 /// Silence that is considered normal, in addition to twice the estimated
 /// prefill time of the pending prompts.
 constexpr double ToleratedSilenceMilliseconds = 100;
@@ -57,8 +76,11 @@
 /// seconds.
 constexpr double SilencePenaltyWeight = 10;
 /// Penalties that rank a server behind all others, in milliseconds.
-constexpr double BackoffPenaltyMilliseconds = 20'000;
-constexpr double StalePenaltyMilliseconds = 10'000;
+constexpr double BackoffPenaltyMilliseconds = 30'000;
+constexpr double FullPenaltyMilliseconds = 5'000;
+/// A full server is better than one that has probably crashed.
+constexpr double MaxOverloadPenaltyMilliseconds = 20'000;
+constexpr double StalePenaltyMilliseconds = 40'000;
 constexpr Common::Duration RecordRetention = std::chrono::minutes(5);
 
 /// Identifier of the last shared part, which precedes the part that belongs to
@@ -88,6 +110,9 @@
       this->Registry.find(Announced.Id);
   const std::uint64_t PreviousStartedAt =
       Previous ? Previous->Record.StartedAt : 0;
+  // A new server at the address of another one replaces it.
+  const Common::BackendServerId AddressOwner =
+      this->Registry.ownerOf(Announced.Address);
   const auto Outcome = this->Registry.update(Announced, Now);
   if (Outcome != Membership::ServerRegistry::Outcome::Changed)
     return false;
@@ -99,21 +124,20 @@
     State.FailureRate = 0;
     State.ConsecutiveFailures = 0;
     State.BackoffUntil = {};
+    State.FullUntil = {};
   }
-  std::set<Common::ServiceName> AffectedServices = {Announced.Service};
-  for (const auto &Each : this->Rings)
-    for (const Common::BackendServerId &Id : Each.second.Servers)
-      if (!this->serving(Id))
-        AffectedServices.insert(Each.first);
-  for (const Common::ServiceName &Each : AffectedServices)
-    this->rebuildRing(Each);
+  this->updateRing(Announced.Id);
+  if (!AddressOwner.empty())
+    this->updateRing(AddressOwner);
   return true;
 }
 
 void ServerTable::refresh(const Common::BackendServerId &Id,
                           std::uint64_t StartedAt, std::uint64_t Sequence,
+                          Membership::ServerPhase Phase,
                           Common::TimePoint Now) {
-  this->Registry.refresh(Id, StartedAt, Sequence, Now);
+  if (this->Registry.refresh(Id, StartedAt, Sequence, Phase, Now))
+    this->updateRing(Id);
 }
 
 void ServerTable::removeExpired(Common::TimePoint Now) {
@@ -121,39 +145,65 @@
   std::erase_if(this->States, [this](const auto &Each) {
     return Each.second.Running == 0 && !this->Registry.find(Each.first);
   });
-  std::vector<Common::ServiceName> Services;
-  for (const auto &Each : this->Rings)
-    Services.push_back(Each.first);
-  for (const Common::ServiceName &Each : Services)
-    this->rebuildRing(Each);
+  std::vector<Common::BackendServerId> Removed;
+  for (const auto &Each : this->RingServices)
+    if (!this->Registry.find(Each.first))
+      Removed.push_back(Each.first);
+  for (const Common::BackendServerId &Each : Removed)
+    this->updateRing(Each);
 }
 
-void ServerTable::rebuildRing(const Common::ServiceName &Service) {
-  HashRing Rebuilt;
-  for (const auto &[Id, Entry] : this->Registry.entries()) {
-    if (Entry.Record.Service != Service ||
-        Entry.Record.Phase != Membership::ServerPhase::Serving)
-      continue;
-    Rebuilt.Servers.push_back(Id);
-    for (int I = 0; I < PointsPerServer; ++I)
-      Rebuilt.Points[Common::hashBytes(Id.str(), I)] = Id;
+void ServerTable::updateRing(const Common::BackendServerId &Id) {
+  const auto *Entry = this->Registry.find(Id);
+  const bool Serving =
+      Entry && Entry->Record.Phase == Membership::ServerPhase::Serving;
+  const auto Listed = this->RingServices.find(Id);
+  if (Listed != this->RingServices.end()) {
+    if (Serving && Listed->second == Entry->Record.Service)
+      return;
+    removeFromRing(this->Rings[Listed->second], Id);
+    this->RingServices.erase(Listed);
   }
-  this->Rings[Service] = std::move(Rebuilt);
+  if (!Serving)
+    return;
+  HashRing &Ring = this->Rings[Entry->Record.Service];
+  Ring.Servers.push_back(Id);
+  for (int I = 0; I < PointsPerServer; ++I)
+    Ring.Points[Common::hashBytes(Id.str(), I)] = Id;
+  this->RingServices[Id] = Entry->Record.Service;
+}
+
+void ServerTable::removeFromRing(HashRing &Ring,
+                                 const Common::BackendServerId &Id) {
+  std::erase(Ring.Servers, Id);
+  for (int I = 0; I < PointsPerServer; ++I)
+    Ring.Points.erase(Common::hashBytes(Id.str(), I));
 }
 
-void ServerTable::setRemoteLoad(const Common::BackendServerId &Id,
-                                std::uint32_t Requests,
-                                std::uint64_t PromptTokens) {
-  ServerState &State = this->States[Id];
-  State.RemoteRunning = Requests;
-  State.RemotePendingPrefillTokens = PromptTokens;
+std::vector<ServerTable::Load> ServerTable::reportLoads() {
+  std::vector<Load> Result;
+  for (auto &[Id, State] : this->States) {
+    State.ReportedRunning = State.Running;
+    State.ReportedPrefillTokens = State.PendingPrefillTokens;
+    if (State.Running != 0)
+      Result.push_back({Id, State.Running, State.PendingPrefillTokens});
+  }
+  return Result;
 }
 
-void ServerTable::clearRemoteLoads() {
+void ServerTable::setTotalLoads(const std::vector<Load> &Totals) {
   for (auto &Each : this->States) {
     Each.second.RemoteRunning = 0;
     Each.second.RemotePendingPrefillTokens = 0;
   }
+  for (const Load &Each : Totals) {
+    ServerState &State = this->States[Each.Id];
+    State.RemoteRunning =
+        Each.Requests - std::min(Each.Requests, State.ReportedRunning);
+    State.RemotePendingPrefillTokens =
+        Each.PromptTokens -
+        std::min(Each.PromptTokens, State.ReportedPrefillTokens);
+  }
 }
 
 bool ServerTable::serving(const Common::BackendServerId &Id) const {
@@ -167,36 +217,57 @@
 }
 
 std::vector<Common::BackendServerId>
-ServerTable::candidates(const HashRing &Ring, const PlacementRequest &Request,
-                        std::uint64_t Key) {
+ServerTable::ringServers(const HashRing &Ring, std::uint64_t Key) {
+  std::vector<Common::BackendServerId> Result;
+  auto At = Ring.Points.lower_bound(Key);
+  for (std::size_t Step = 0;
+       Step < Ring.Points.size() && Result.size() < RingCandidates; ++Step) {
+    if (At == Ring.Points.end())
+      At = Ring.Points.begin();
+    if (std::find(Result.begin(), Result.end(), At->second) == Result.end())
+      Result.push_back(At->second);
+    ++At;
+  }
+  return Result;
+}
+
+std::vector<Common::BackendServerId> ServerTable::candidates(
+    const HashRing &Ring,
+    const std::vector<Common::BackendServerId> &RingServers) {
   if (Ring.Servers.size() <= MaxFullScan)
     return Ring.Servers;
-  std::vector<Common::BackendServerId> Result;
-  const auto Add = [&Result](const Common::BackendServerId &Id) {
+  std::vector<Common::BackendServerId> Result = RingServers;
+  for (std::size_t I = 0; I < RandomCandidates; ++I) {
+    const Common::BackendServerId &Id =
+        Ring.Servers[this->Randomness.below(Ring.Servers.size())];
     if (std::find(Result.begin(), Result.end(), Id) == Result.end())
       Result.push_back(Id);
-  };
-  if (Request.Prompt) {
-    auto At = Ring.Points.lower_bound(Key);
-    for (std::size_t Step = 0;
-         Step < Ring.Points.size() && Result.size() < RingCandidates; ++Step) {
-      if (At == Ring.Points.end())
-        At = Ring.Points.begin();
-      Add(At->second);
-      ++At;
-    }
   }
-  for (std::size_t I = 0; I < RandomCandidates; ++I)
-    Add(Ring.Servers[this->Randomness.below(Ring.Servers.size())]);
   return Result;
 }
 
-double ServerTable::expectedMilliseconds(const Membership::ServerRecord &Record,
-                                         const ServerState &State,
-                                         const PlacementRequest &Request,
-                                         bool IsAffinityServer,
-                                         std::uint64_t &Uncached,
-                                         Common::TimePoint Now) const {
+bool ServerTable::hasRoom(const Common::BackendServerId &Id,
+                          const PlacementRequest &Request,
+                          Common::TimePoint Now) const {
+  const auto *Entry = this->Registry.find(Id);
+  if (!Entry || Request.Excluded.count(Id) != 0 ||
+      Now - Entry->HeardAt > this->Options.StaleAfter)
+    return false;
+  const auto Found = this->States.find(Id);
+  if (Found == this->States.end())
+    return true;
+  const ServerState &State = Found->second;
+  return Now >= State.BackoffUntil && Now >= State.FullUntil &&
+         State.Running + State.RemoteRunning + 1 <=
+             Entry->Record.Slots * SlotLoadBound &&
+         queuedPrefillMilliseconds(State, this->prefillRate(Request.Service)) <=
+             maxQueuedMilliseconds(Request);
+}
+
+double ServerTable::expectedMilliseconds(
+    const Membership::ServerRecord &Record, const ServerState &State,
+    const PlacementRequest &Request, bool IsAffinityServer, double PrefillRate,
+    std::uint64_t &Uncached, Common::TimePoint Now) const {
   const double Running = State.Running + State.RemoteRunning;
   double Expected = 0;
   Uncached = 0;
@@ -215,7 +286,7 @@
     Expected +=
         static_cast<double>(State.PendingPrefillTokens +
                             State.RemotePendingPrefillTokens + Uncached) /
-        PrefillTokensPerMillisecond;
+        PrefillRate;
     Expected += Running * StepMillisecondsPerRequest;
   }
   const double Excess = Running + 1 - Record.Slots;
@@ -236,27 +307,105 @@
 }
 
 double ServerTable::unexpectedSilenceMilliseconds(const ServerState &State,
+                                                  double PrefillRate,
                                                   Common::TimePoint Now) {
   if (State.Running == 0)
     return 0;
   const double PrefillMilliseconds =
-      static_cast<double>(State.PendingPrefillTokens +
-                          State.RemotePendingPrefillTokens) /
-      PrefillTokensPerMillisecond;
+      queuedPrefillMilliseconds(State, PrefillRate);
   const double SilentMilliseconds =
       1000 * Common::toSeconds(Now - State.LastActivityAt);
   return std::max(0.0, SilentMilliseconds - 2 * PrefillMilliseconds -
                            ToleratedSilenceMilliseconds);
 }
 
-Common::Duration
-ServerTable::queuedPrefillTime(const ServerState &State,
-                               const PlacementRequest &Request) {
-  if (!Request.Prompt)
-    return {};
-  const auto Tokens = static_cast<double>(State.PendingPrefillTokens +
-                                          State.RemotePendingPrefillTokens);
-  return Common::fromSeconds(Tokens / PrefillTokensPerMillisecond / 1000);
+double ServerTable::queuedPrefillMilliseconds(const ServerState &State,
+                                              double PrefillRate) {
+  return static_cast<double>(State.PendingPrefillTokens +
+                             State.RemotePendingPrefillTokens) /
+         PrefillRate;
+}
+
+double ServerTable::prefillRate(const Common::ServiceName &Service) const {
+  const auto Found = this->PrefillRates.find(Service);
+  return (Found == this->PrefillRates.end() ? PrefillRate() : Found->second)
+      .tokensPerMillisecond();
+}
+
+void ServerTable::recordPrefillTime(const PlacementChoice &At,
+                                    Common::TimePoint Now) {
+  if (At.QueuedPrefillTime > Common::Duration::zero())
+    return;
+  this->PrefillRates[At.Service].record(
+      At.UncachedTokens, At.LocalRequests + At.RemoteRequests,
+      std::chrono::duration_cast<Common::Duration>(Now - At.ChosenAt));
+}
+
+double ServerTable::maxQueuedMilliseconds(const PlacementRequest &Request) {
+  if (Request.Target <= Common::Duration::zero())
+    return DefaultMaxQueuedMilliseconds;
+  return std::max(MinQueuedMilliseconds,
+                  1000 * Common::toSeconds(Request.Target) * QueuedTargetShare);
+}
+
+std::optional<ServerTable::Evaluation>
+ServerTable::evaluate(const Common::BackendServerId &Id,
+                      const PlacementRequest &Request, const Affinity &Prefixes,
+                      Common::TimePoint Now) {
+  const auto *Entry = this->Registry.find(Id);
+  if (!Entry || Request.Excluded.count(Id) != 0)
+    return std::nullopt;
+  const ServerState &State = this->States[Id];
+  const double PrefillRate = this->prefillRate(Request.Service);
+  std::uint64_t Uncached = 0;
+  const double Expected = this->expectedMilliseconds(
+      Entry->Record, State, Request, Id == Prefixes.Home, PrefillRate, Uncached,
+      Now);
+  Evaluation Result;
+  Result.Cost =
+      Expected + currentFailureRate(State, Now) * FailurePenaltyMilliseconds;
+  double Queued = 0;
+  if (Request.Prompt) {
+    const double Share = Id == Prefixes.Preferred ? OverflowPenaltyShare : 1;
+    Result.Cost +=
+        static_cast<double>(Uncached - unsharedTokens(*Request.Prompt)) *
+        RecomputePenaltyMillisecondsPerToken * Share;
+    const double SlotLoad =
+        (State.Running + State.RemoteRunning + 1.0) / Entry->Record.Slots;
+    Queued = queuedPrefillMilliseconds(State, PrefillRate);
+    const double Excess = Queued - maxQueuedMilliseconds(Request);
+    Result.Cost +=
+        std::min(MaxOverloadPenaltyMilliseconds,
+                 std::max(0.0, SlotLoad - SlotLoadBound) *
+                         SlotOverloadPenaltyMilliseconds +
+                     std::max(0.0, Excess) * QueuedOverloadPenaltyWeight);
+    Result.Overloaded = SlotLoad > SlotLoadBound || Excess > 0;
+  }
+  if (Now < State.BackoffUntil)
+    Result.Cost += BackoffPenaltyMilliseconds;
+  if (Now < State.FullUntil) {
+    Result.Cost += FullPenaltyMilliseconds;
+    Result.Overloaded = true;
+  }
+  if (Now - Entry->HeardAt > this->Options.StaleAfter)
+    Result.Cost += StalePenaltyMilliseconds;
+  Result.Cost += unexpectedSilenceMilliseconds(State, PrefillRate, Now) *
+                 SilencePenaltyWeight;
+  // Ties are broken at random.
+  Result.Cost += this->Randomness.fraction();
+  Result.Choice = PlacementChoice{
+      Id,
+      Request.Service,
+      Entry->Record.StartedAt,
+      Entry->Record.Address,
+      Common::fromSeconds(Expected / 1000),
+      Uncached,
+      Common::fromSeconds(Queued / 1000),
+      State.Running,
+      State.RemoteRunning,
+      std::chrono::duration_cast<Common::Duration>(Now - Entry->HeardAt),
+      Now};
+  return Result;
 }
 
 std::optional<PlacementChoice>
@@ -265,54 +414,33 @@
   if (Found == this->Rings.end() || Found->second.Servers.empty())
     return std::nullopt;
   const HashRing &Ring = Found->second;
-  const std::uint64_t Key =
-      Request.Prompt ? Common::hashBytes(sharedPartId(*Request.Prompt)) : 0;
-  // The server that the hash ring assigns to the prompt's shared part. Its
-  // cache is assumed to hold the prompt's parts.
-  Common::BackendServerId AffinityServer;
+  std::vector<Common::BackendServerId> RingServers;
+  Affinity Prefixes;
   if (Request.Prompt) {
-    auto At = Ring.Points.lower_bound(Key);
-    AffinityServer =
-        At == Ring.Points.end() ? Ring.Points.begin()->second : At->second;
-  }
-  std::optional<PlacementChoice> Best;
-  double BestCost = 0;
-  for (const Common::BackendServerId &Id :
-       this->candidates(Ring, Request, Key)) {
-    const auto *Entry = this->Registry.find(Id);
-    if (!Entry || Request.Excluded.count(Id) != 0)
-      continue;
-    const ServerState &State = this->States[Id];
-    std::uint64_t Uncached = 0;
-    const double Expected = this->expectedMilliseconds(
-        Entry->Record, State, Request, Id == AffinityServer, Uncached, Now);
-    double Cost =
-        Expected + currentFailureRate(State, Now) * FailurePenaltyMilliseconds;
-    if (Request.Prompt)
-      Cost += static_cast<double>(Uncached - unsharedTokens(*Request.Prompt)) *
-              RecomputePenaltyMillisecondsPerToken;
-    if (Now < State.BackoffUntil)
-      Cost += BackoffPenaltyMilliseconds;
-    if (Now - Entry->HeardAt > this->Options.StaleAfter)
-      Cost += StalePenaltyMilliseconds;
-    Cost += unexpectedSilenceMilliseconds(State, Now) * SilencePenaltyWeight;
-    // Ties are broken at random.
-    Cost += this->Randomness.fraction();
-    if (Best && Cost >= BestCost)
-      continue;
-    BestCost = Cost;
-    Best = PlacementChoice{
-        Id,
-        Entry->Record.StartedAt,
-        Entry->Record.Address,
-        Common::fromSeconds(Expected / 1000),
-        Uncached,
-        queuedPrefillTime(State, Request),
-        State.Running,
-        State.RemoteRunning,
-        std::chrono::duration_cast<Common::Duration>(Now - Entry->HeardAt)};
+    RingServers =
+        ringServers(Ring, Common::hashBytes(sharedPartId(*Request.Prompt)));
+    Prefixes.Home = RingServers.front();
+    for (const Common::BackendServerId &Id : RingServers)
+      if (this->hasRoom(Id, Request, Now)) {
+        Prefixes.Preferred = Id;
+        break;
+      }
   }
-  return Best;
+  std::optional<Evaluation> Best;
+  const auto Compare = [&](const std::vector<Common::BackendServerId> &Ids) {
+    for (const Common::BackendServerId &Id : Ids) {
+      auto Evaluated = this->evaluate(Id, Request, Prefixes, Now);
+      if (Evaluated && (!Best || Evaluated->Cost < Best->Cost))
+        Best = std::move(Evaluated);
+    }
+  };
+  const auto Candidates = this->candidates(Ring, RingServers);
+  Compare(Candidates);
+  if ((!Best || Best->Overloaded) && Candidates.size() < Ring.Servers.size())
+    Compare(Ring.Servers);
+  if (!Best)
+    return std::nullopt;
+  return Best->Choice;
 }
 
 void ServerTable::recordStart(const PlacementChoice &At,
@@ -369,6 +497,8 @@
   case ServerOutcome::Abandoned:
     return;
   case ServerOutcome::Rejected:
+    State.FullUntil = Now + FullDuration;
+    break;
   case ServerOutcome::Failed:
     break;
   case ServerOutcome::Unreachable:
@@ -384,12 +514,4 @@
   State.FailedAt = Now;
 }
 
-std::vector<ServerTable::Load> ServerTable::localLoads() const {
-  std::vector<Load> Result;
-  for (const auto &[Id, State] : this->States)
-    if (State.Running != 0)
-      Result.push_back({Id, State.Running, State.PendingPrefillTokens});
-  return Result;
-}
-
 } // namespace Routing
--- a/Source/Core/Routing/ServerTable.h
+++ b/Source/Core/Routing/ServerTable.h
@@ -6,6 +6,7 @@
 #include "Configuration/ServiceMap.h"
 #include "Membership/ServerRegistry.h"
 #include "Routing/ModelPrompt.h"
+#include "Routing/PrefillRate.h"
 
 #include <map>
 #include <optional>
@@ -45,11 +46,14 @@
   const ModelPrompt *Prompt = nullptr;
   /// Servers that must not be chosen.
   std::set<Common::BackendServerId> Excluded;
+  /// Target time until the first output; zero if the route has none.
+  Common::Duration Target{};
 };
 
 /// The chosen server and the figures behind the choice.
 struct PlacementChoice {
   Common::BackendServerId Id;
+  Common::ServiceName Service;
   /// Start of the server process; tells a restarted server from the earlier
   /// one.
   std::uint64_t ServerStartedAt = 0;
@@ -67,11 +71,13 @@
   std::uint32_t LocalRequests = 0;
   std::uint32_t RemoteRequests = 0;
   Common::Duration AnnouncementAge{};
+  Common::TimePoint ChosenAt;
 };
 
 /// An entry daemon's view of the backend servers: which ones serve, the load on
 /// each from this and the other daemons, and their recent failures. Choosing a
-/// server takes a bounded number of steps, however many servers there are.
+/// server takes a bounded number of steps, however many servers there are,
+/// unless all candidates are overloaded: then every server is compared.
 class ServerTable {
 public:
   explicit ServerTable(ServerTableOptions Options);
@@ -81,12 +87,20 @@
   /// Applies a report that another daemon received message Sequence of the
   /// server process started at StartedAt, so that it counts as heard from.
   void refresh(const Common::BackendServerId &Id, std::uint64_t StartedAt,
-               std::uint64_t Sequence, Common::TimePoint Now);
+               std::uint64_t Sequence, Membership::ServerPhase Phase,
+               Common::TimePoint Now);
   void removeExpired(Common::TimePoint Now);
-  /// Sets the load of the other daemons on a server.
-  void setRemoteLoad(const Common::BackendServerId &Id, std::uint32_t Requests,
-                     std::uint64_t PromptTokens);
-  void clearRemoteLoads();
+  struct Load {
+    Common::BackendServerId Id;
+    std::uint32_t Requests = 0;
+    std::uint64_t PromptTokens = 0;
+  };
+  /// This daemon's load on each server that is not idle, to be reported. The
+  /// next total loads are assumed to include it.
+  std::vector<Load> reportLoads();
+  /// Replaces the load of the other daemons: Totals, of all daemons, without
+  /// what this daemon reported.
+  void setTotalLoads(const std::vector<Load> &Totals);
 
   /// Chooses the server with the lowest expected cost; nothing if no server of
   /// the service serves or all candidates are excluded.
@@ -106,18 +120,17 @@
                                    Common::TimePoint Now) const;
   /// When bytes last arrived from any server.
   Common::TimePoint lastActivity() const { return this->LastServerActivityAt; }
-  /// Records that the server has begun the request's output.
+  /// Records that the server has begun the request's output, or will not begin
+  /// it any more.
   void recordFirstOutput(const PlacementChoice &At);
+  /// Measures the prefill from the arrival of the request's first event.
+  void recordPrefillTime(const PlacementChoice &At, Common::TimePoint Now);
+  /// Measured prefill rate of the service's engines, in prompt tokens per
+  /// millisecond.
+  double prefillRate(const Common::ServiceName &Service) const;
   void recordEnd(const PlacementChoice &At, ServerOutcome Outcome,
                  Common::TimePoint Now);
 
-  struct Load {
-    Common::BackendServerId Id;
-    std::uint32_t Requests = 0;
-    std::uint64_t PromptTokens = 0;
-  };
-  /// This daemon's load on each server that is not idle.
-  std::vector<Load> localLoads() const;
   const Membership::ServerRegistry &registry() const { return this->Registry; }
   /// Whether the server accepts new requests.
   bool serving(const Common::BackendServerId &Id) const;
@@ -129,12 +142,17 @@
     /// When this daemon last received bytes from the server, or sent it a
     /// request while it had none there.
     Common::TimePoint LastActivityAt;
+    /// This daemon's part of the total loads.
+    std::uint32_t ReportedRunning = 0;
+    std::uint64_t ReportedPrefillTokens = 0;
     std::uint32_t RemoteRunning = 0;
     std::uint64_t RemotePendingPrefillTokens = 0;
     /// Smoothed fraction of recent requests that failed.
     double FailureRate = 0;
     Common::TimePoint FailedAt;
     Common::TimePoint BackoffUntil;
+    /// Until when the server counts as full after it rejected a request.
+    Common::TimePoint FullUntil;
     std::uint32_t ConsecutiveFailures = 0;
     /// When this daemon last sent each prompt part to the server.
     std::unordered_map<std::string, Common::TimePoint> PartsSentAt;
@@ -145,20 +163,50 @@
     std::vector<Common::BackendServerId> Servers;
   };
 
-  void rebuildRing(const Common::ServiceName &Service);
+  /// Adds the server to its service's ring or removes it, according to its
+  /// record.
+  void updateRing(const Common::BackendServerId &Id);
+  static void removeFromRing(HashRing &Ring, const Common::BackendServerId &Id);
+  /// The first distinct servers of the ring, starting at Key.
+  static std::vector<Common::BackendServerId> ringServers(const HashRing &Ring,
+                                                          std::uint64_t Key);
   std::vector<Common::BackendServerId>
-  candidates(const HashRing &Ring, const PlacementRequest &Request,
-             std::uint64_t Key);
+  candidates(const HashRing &Ring,
+             const std::vector<Common::BackendServerId> &RingServers);
+  /// Whether the server is healthy and can take another prompt without making
+  /// it wait.
+  bool hasRoom(const Common::BackendServerId &Id,
+               const PlacementRequest &Request, Common::TimePoint Now) const;
+  struct Evaluation {
+    PlacementChoice Choice;
+    double Cost = 0;
+    /// The request would probably wait for a slot or behind other prompts.
+    bool Overloaded = false;
+  };
+  struct Affinity {
+    /// First server of the ring; assumed to have cached the prompt's parts.
+    Common::BackendServerId Home;
+    /// First server of the ring that has room; the home server's overflow.
+    Common::BackendServerId Preferred;
+  };
+  std::optional<Evaluation> evaluate(const Common::BackendServerId &Id,
+                                     const PlacementRequest &Request,
+                                     const Affinity &Prefixes,
+                                     Common::TimePoint Now);
   static double currentFailureRate(const ServerState &State,
                                    Common::TimePoint Now);
-  static Common::Duration queuedPrefillTime(const ServerState &State,
-                                            const PlacementRequest &Request);
+  static double queuedPrefillMilliseconds(const ServerState &State,
+                                          double PrefillRate);
+  /// Longest queued prefill time with which a server counts as having room.
+  static double maxQueuedMilliseconds(const PlacementRequest &Request);
   static double unexpectedSilenceMilliseconds(const ServerState &State,
+                                              double PrefillRate,
                                               Common::TimePoint Now);
   double expectedMilliseconds(const Membership::ServerRecord &Record,
                               const ServerState &State,
                               const PlacementRequest &Request,
-                              bool IsAffinityServer, std::uint64_t &Uncached,
+                              bool IsAffinityServer, double PrefillRate,
+                              std::uint64_t &Uncached,
                               Common::TimePoint Now) const;
 
   ServerTableOptions Options;
@@ -166,6 +214,9 @@
   Membership::ServerRegistry Registry;
   std::map<Common::BackendServerId, ServerState> States;
   std::map<Common::ServiceName, HashRing> Rings;
+  std::map<Common::ServiceName, PrefillRate> PrefillRates;
+  /// The service whose ring lists the server.
+  std::map<Common::BackendServerId, Common::ServiceName> RingServices;
   Common::TimePoint LastServerActivityAt;
 };
 
--- a/Source/UnitTests/Routing/ServerTableTest.cpp
+++ b/Source/UnitTests/Routing/ServerTableTest.cpp
@@ -42,7 +42,8 @@
       this->Servers.apply(makeEngine(I), this->Now);
   }
   PlacementChoice startRequest(const ModelPrompt &Prompt) {
-    const auto Chosen = this->Servers.choose({Models, &Prompt, {}}, this->Now);
+    const auto Chosen =
+        this->Servers.choose({Models, &Prompt, {}, {}}, this->Now);
     BOOST_REQUIRE(Chosen.has_value());
     this->Servers.recordStart(*Chosen, &Prompt, this->Now);
     return *Chosen;
@@ -81,8 +82,8 @@
   Fixture Two(12, 2);
   for (int I = 0; I < 40; ++I) {
     const auto Prompt = makePrompt("doc-" + std::to_string(I), 5000, 100, I);
-    const auto First = One.Servers.choose({Models, &Prompt, {}}, One.Now);
-    const auto Second = Two.Servers.choose({Models, &Prompt, {}}, Two.Now);
+    const auto First = One.Servers.choose({Models, &Prompt, {}, {}}, One.Now);
+    const auto Second = Two.Servers.choose({Models, &Prompt, {}, {}}, Two.Now);
     BOOST_TEST(First->Id.str() == Second->Id.str());
   }
 }
@@ -110,11 +111,12 @@
 // Other daemons load an engine that has no requests from this daemon.
 BOOST_AUTO_TEST_CASE(RemoteLoadIsCounted) {
   Fixture Test(2);
-  Test.Servers.setRemoteLoad(Common::BackendServerId("e0"), 60, 400'000);
+  Test.Servers.setTotalLoads({{Common::BackendServerId("e0"), 60, 400'000}});
   for (int I = 0; I < 20; ++I) {
     const auto Prompt = makePrompt("doc-" + std::to_string(I), 100, 100, I);
-    BOOST_TEST(Test.Servers.choose({Models, &Prompt, {}}, Test.Now)->Id.str() ==
-               "e1");
+    BOOST_TEST(
+        Test.Servers.choose({Models, &Prompt, {}, {}}, Test.Now)->Id.str() ==
+        "e1");
   }
 }
 
@@ -140,8 +142,9 @@
       Common::toSeconds(Test.Servers.silenceDuration(Silent, Test.Now)) == 1.0);
   for (int I = 0; I < 60; ++I) {
     const auto Prompt = makePrompt("new-" + std::to_string(I), 500, 100, I);
-    BOOST_TEST(Test.Servers.choose({Models, &Prompt, {}}, Test.Now)->Id.str() !=
-               "e0");
+    BOOST_TEST(
+        Test.Servers.choose({Models, &Prompt, {}, {}}, Test.Now)->Id.str() !=
+        "e0");
   }
   // Any received byte ends the silence.
   Test.Servers.recordActivity(Silent, Test.Now);
@@ -155,10 +158,10 @@
   Fixture Test(2);
   const auto Prefilling = Test.startRequest(makePrompt("long", 0, 50'000, 1));
   const std::string Other = Prefilling.Id.str() == "e0" ? "e1" : "e0";
-  Test.Servers.setRemoteLoad(Common::BackendServerId(Other), 10, 100'000);
+  Test.Servers.setTotalLoads({{Common::BackendServerId(Other), 10, 100'000}});
   Test.Now += std::chrono::milliseconds(900);
   const auto Next = makePrompt("next", 0, 100, 2);
-  BOOST_TEST(Test.Servers.choose({Models, &Next, {}}, Test.Now)->Id.str() ==
+  BOOST_TEST(Test.Servers.choose({Models, &Next, {}, {}}, Test.Now)->Id.str() ==
              Prefilling.Id.str());
 }
 
@@ -168,11 +171,14 @@
   const auto Prompt = makePrompt("doc", 100, 100, 1);
   const auto Home = Test.startRequest(Prompt);
   Test.Servers.recordEnd(Home, ServerOutcome::Unreachable, Test.Now);
-  BOOST_TEST(Test.Servers.choose({Models, &Prompt, {}}, Test.Now)->Id.str() !=
-             Home.Id.str());
+  BOOST_TEST(
+      Test.Servers.choose({Models, &Prompt, {}, {}}, Test.Now)->Id.str() !=
+      Home.Id.str());
   Test.Now += std::chrono::seconds(20);
-  Test.Servers.refresh(Common::BackendServerId("e0"), 1, 2, Test.Now);
-  Test.Servers.refresh(Common::BackendServerId("e1"), 1, 2, Test.Now);
+  Test.Servers.refresh(Common::BackendServerId("e0"), 1, 2,
+                       Membership::ServerPhase::Serving, Test.Now);
+  Test.Servers.refresh(Common::BackendServerId("e1"), 1, 2,
+                       Membership::ServerPhase::Serving, Test.Now);
   std::set<std::string> Used;
   for (int I = 0; I < 40; ++I)
     Used.insert(Test.startRequest(makePrompt("d" + std::to_string(I), 9, 9, I))
@@ -197,7 +203,8 @@
 BOOST_AUTO_TEST_CASE(ExcludedServersAreNotChosen) {
   Fixture Test(2);
   const auto Prompt = makePrompt("doc", 100, 100, 1);
-  PlacementRequest Request{Models, &Prompt, {Common::BackendServerId("e0")}};
+  PlacementRequest Request{
+      Models, &Prompt, {Common::BackendServerId("e0")}, {}};
   BOOST_TEST(Test.Servers.choose(Request, Test.Now)->Id.str() == "e1");
   Request.Excluded.insert(Common::BackendServerId("e1"));
   BOOST_TEST(!Test.Servers.choose(Request, Test.Now).has_value());
@@ -206,7 +213,8 @@
 BOOST_AUTO_TEST_CASE(StaleServerIsUsedOnlyWhenNoneIsFresh) {
   Fixture Test(2);
   Test.Now += std::chrono::seconds(5);
-  Test.Servers.refresh(Common::BackendServerId("e1"), 1, 2, Test.Now);
+  Test.Servers.refresh(Common::BackendServerId("e1"), 1, 2,
+                       Membership::ServerPhase::Serving, Test.Now);
   for (int I = 0; I < 20; ++I)
     BOOST_TEST(Test.startRequest(makePrompt("d", 10, 10, I)).Id.str() == "e1");
 }
