--- a/Source/Core/Admission/AllowanceAccount.cpp
+++ b/Source/Core/Admission/AllowanceAccount.cpp
@@ -14,11 +14,14 @@
 constexpr double RateDecaySeconds = 2;
 /// Shortest interval over which a rate is measured, in seconds.
 constexpr double MinRateIntervalSeconds = 0.2;
+/// Smallest gap in the reserve, as a fraction of it, that is worth a request to
+/// the leader.
+constexpr double MinReserveGap = 0.1;
 
 } // namespace
 
 void AllowanceAccount::updateDemandRate(TeamState &State,
-                                        Common::TimePoint Now) const {
+                                        Common::TimePoint Now) {
   const double Elapsed = Common::toSeconds(Now - State.RateUpdatedAt);
   if (Elapsed < MinRateIntervalSeconds)
     return;
@@ -29,10 +32,8 @@
   State.RateUpdatedAt = Now;
 }
 
-bool AllowanceAccount::tryConsume(const Configuration::Team &Limits,
-                                  double Tokens, Common::TimePoint Now) {
-  if (Limits.TokenRate <= 0)
-    return true;
+void AllowanceAccount::recordDemand(const Configuration::Team &Limits,
+                                    double Tokens, Common::TimePoint Now) {
   const auto [Found, Inserted] = this->Teams.try_emplace(Limits.Name);
   TeamState &State = Found->second;
   if (Inserted)
@@ -40,88 +41,56 @@
   State.RateLimit = Limits.TokenRate;
   State.MaxReserve = this->maxReserve(Limits);
   State.TokensSinceRateUpdate += Tokens;
-  if (State.Available < Tokens) {
-    State.WaitingTokens += Tokens;
-    return false;
-  }
-  State.Available -= Tokens;
-  return true;
 }
 
-bool AllowanceAccount::retryConsume(const Configuration::Team &Limits,
-                                    double Tokens) {
-  TeamState &State = this->Teams[Limits.Name];
-  if (State.Available < Tokens) {
-    State.WaitingTokens += Tokens;
+bool AllowanceAccount::tryConsume(const Configuration::TeamName &Team,
+                                  double Tokens) {
+  const auto Found = this->Teams.find(Team);
+  if (Found == this->Teams.end() || Found->second.Available < Tokens)
     return false;
-  }
-  State.Available -= Tokens;
+  Found->second.Available -= Tokens;
   return true;
 }
 
-void AllowanceAccount::refund(const Configuration::Team &Limits,
-                              double Tokens) {
-  const auto Found = this->Teams.find(Limits.Name);
+void AllowanceAccount::add(const Configuration::TeamName &Team, double Tokens) {
+  const auto Found = this->Teams.find(Team);
   if (Found != this->Teams.end())
     Found->second.Available += Tokens;
 }
 
-void AllowanceAccount::addGrant(const Configuration::TeamName &Team,
-                                double Tokens, Common::TimePoint Now) {
-  const auto Found = this->Teams.find(Team);
-  if (Found == this->Teams.end())
-    return;
-  Found->second.Available += Tokens;
-  Found->second.Grants.emplace_back(Now, Tokens);
-}
-
 void AllowanceAccount::trimReserves() {
   for (auto &Each : this->Teams)
     Each.second.Available =
         std::min(Each.second.Available, Each.second.MaxReserve);
 }
 
-std::vector<AllowanceAccount::RecentGrants>
-AllowanceAccount::recentGrants(Common::TimePoint Now) {
-  std::vector<RecentGrants> Result;
-  for (auto &[Team, State] : this->Teams) {
-    while (!State.Grants.empty() &&
-           Now - State.Grants.front().first > this->Tolerance.Window)
-      State.Grants.pop_front();
-    if (State.Grants.empty())
-      continue;
-    const auto Seconds = static_cast<std::size_t>(
-        std::ceil(Common::toSeconds(this->Tolerance.Window)));
-    std::vector<double> CumulativeTokens(Seconds, 0);
-    for (const auto &[At, Tokens] : State.Grants) {
-      const auto First = static_cast<std::size_t>(Common::toSeconds(Now - At));
-      for (std::size_t I = First; I < Seconds; ++I)
-        CumulativeTokens[I] += Tokens;
-    }
-    Result.push_back({Team, std::move(CumulativeTokens)});
-  }
-  return Result;
-}
-
 double AllowanceAccount::maxReserve(const Configuration::Team &Limits) const {
   return this->Tolerance.tokensFor(Limits) *
          AllowanceTolerance::ReserveFraction /
-         static_cast<double>(this->Daemons);
+         static_cast<double>(this->Holders);
 }
 
 std::vector<AllowanceAccount::Demand>
-AllowanceAccount::takeDemands(Common::TimePoint Now) {
+AllowanceAccount::demands(const TokensByTeam &Waiting,
+                          const TokensByTeam &Requested,
+                          Common::TimePoint Now) {
+  const auto TokensOf = [](const TokensByTeam &Tokens,
+                           const Configuration::TeamName &Team) {
+    const auto Found = Tokens.find(Team);
+    return Found == Tokens.end() ? 0 : Found->second;
+  };
   std::vector<Demand> Result;
   for (auto &[Team, State] : this->Teams) {
-    this->updateDemandRate(State, Now);
-    const double Reserve =
+    updateDemandRate(State, Now);
+    const double Target =
         std::min(State.DemandRate * ReserveSeconds, State.MaxReserve);
-    // Tokens already held cover the waiting requests first.
-    const double Needed = std::max(0.0, State.WaitingTokens - State.Available);
-    const double Surplus = std::max(0.0, State.Available - State.WaitingTokens);
-    State.WaitingTokens = 0;
-    if (Needed > 0 || Reserve > Surplus)
-      Result.push_back({Team, Needed, std::max(0.0, Reserve - Surplus)});
+    const double Needed = TokensOf(Waiting, Team);
+    const double Held = State.Available + TokensOf(Requested, Team);
+    Demand Each{Team, std::max(0.0, Needed - Held), 0};
+    Each.Reserve = std::max(0.0, Target - std::max(0.0, Held - Needed));
+    // Small gaps are left for the next request.
+    if (Each.Needed > 0 || Each.Reserve > Target * MinReserveGap)
+      Result.push_back(Each);
   }
   return Result;
 }
@@ -142,17 +111,4 @@
   }
 }
 
-double AllowanceAccount::available(const Configuration::TeamName &Team) const {
-  const auto Found = this->Teams.find(Team);
-  return Found == this->Teams.end() ? 0 : Found->second.Available;
-}
-
-Common::Duration
-AllowanceAccount::estimateWait(const Configuration::Team &Limits,
-                               double Tokens) const {
-  if (Limits.TokenRate <= 0)
-    return {};
-  return Common::fromSeconds(Tokens / Limits.TokenRate);
-}
-
 } // namespace Admission
--- a/Source/Core/Admission/AllowanceLedger.h
+++ b/Source/Core/Admission/AllowanceLedger.h
@@ -27,12 +27,12 @@
   /// Fraction of the tolerance by which the leader's ledger may exceed the
   /// declared burst.
   static constexpr double LedgerFraction = 0.25;
-  /// Fraction of the tolerance that all entry daemons together may hold in
+  /// Fraction of the tolerance that all state daemons together may hold in
   /// reserve. The remainder is a margin for requests in flight.
   static constexpr double ReserveFraction = 0.6;
 };
 
-/// The leader's token buckets, one per team. It grants tokens to entry daemons;
+/// The leader's token buckets, one per team. It grants tokens to state daemons;
 /// over any period the sum of the grants stays within rate, burst and a
 /// fraction of the tolerance.
 class AllowanceLedger {
@@ -42,11 +42,18 @@
   AllowanceLedger(AllowanceTolerance Tolerance, Common::TimePoint Now)
       : Tolerance(Tolerance), StartedAt(Now) {}
 
-  /// Takes tokens from the team's bucket for one entry daemon: first what its
-  /// waiting requests need, then what it wants to hold in reserve. Returns the
-  /// number granted, which is everything for a team without a limit.
-  double grant(const Configuration::Team &Limits, double Needed, double Reserve,
-               Common::TimePoint Now);
+  struct Grant {
+    double Tokens = 0;
+    /// If fewer tokens than needed were granted: time until the rest is
+    /// available, after what was announced to others before.
+    Common::Duration Wait{};
+  };
+  /// Takes tokens from the team's bucket for one state daemon: first what its
+  /// waiting requests need, then what it wants to hold in reserve. The reserve
+  /// leaves part of the bucket for the waiting requests of others. Grants
+  /// everything to a team without a limit.
+  Grant grant(const Configuration::Team &Limits, double Needed, double Reserve,
+              Common::TimePoint Now);
 
   /// Restores the team's bucket from the grants that the entry daemons received
   /// from this leader and earlier ones within the last second, the last two
@@ -59,7 +66,13 @@
   struct Bucket {
     double Tokens = 0;
     Common::TimePoint RefilledAt;
+    /// By when the tokens that were announced to refused requests are refilled.
+    Common::TimePoint AnnouncedUntil;
   };
+  /// Part of a bucket that reserves cannot take.
+  static constexpr double NeededFraction = 0.25;
+  /// Refused requests are not sent further away than this.
+  static constexpr Common::Duration MaxWait = std::chrono::seconds(4);
   AllowanceTolerance Tolerance;
   Common::TimePoint StartedAt;
   std::map<Configuration::TeamName, Bucket> Buckets;
--- a/Source/Core/State/ControlProtocol.h
+++ b/Source/Core/State/ControlProtocol.h
@@ -7,6 +7,7 @@
 #include "State/ControlState.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <variant>
@@ -30,13 +31,15 @@
 };
 
 /// Heartbeat of a server whose record is unchanged except for its sequence
-/// number.
+/// number. It repeats the phase, so that a daemon that missed the change learns
+/// it.
 struct ServerRefresh {
   Common::BackendServerId Id;
   std::uint64_t StartedAt = 0;
   std::uint64_t Sequence = 0;
+  Membership::ServerPhase Phase = Membership::ServerPhase::Serving;
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(this->Id, this->StartedAt, this->Sequence);
+    Ar(this->Id, this->StartedAt, this->Sequence, this->Phase);
   }
 };
 
@@ -79,7 +82,53 @@
   }
 };
 
-/// Tokens that an entry daemon requests for a team.
+/// Tokens that one waiting request of an entry daemon takes from its team's
+/// allowance.
+struct TokenNeed {
+  /// Assigned by the entry daemon; identifies the request in the decision.
+  std::uint64_t Number = 0;
+  Configuration::TeamName Team;
+  double Tokens = 0;
+  /// How long the request may wait for the decision.
+  std::uint64_t MaxWaitMilliseconds = 0;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(this->Number, this->Team, this->Tokens, this->MaxWaitMilliseconds);
+  }
+};
+
+/// Asks the state daemon that an entry daemon is connected to for tokens.
+struct TokenRequest {
+  Common::DaemonId Entry;
+  Common::Incarnation Incarnation;
+  std::vector<TokenNeed> Needs;
+  /// Tokens of requests that did not run.
+  std::map<Configuration::TeamName, double> Returned;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(this->Entry, this->Incarnation, this->Needs, this->Returned);
+  }
+};
+
+struct TokenDecision {
+  std::uint64_t Number = 0;
+  bool Granted = false;
+  /// When the tokens are expected to be available, if they were not granted.
+  std::uint64_t RetryAfterMilliseconds = 0;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(this->Number, this->Granted, this->RetryAfterMilliseconds);
+  }
+};
+
+/// Decisions on the token needs of one entry daemon.
+struct TokenDecisions {
+  Common::DaemonId Entry;
+  Common::Incarnation Incarnation;
+  std::vector<TokenDecision> Decisions;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(this->Entry, this->Incarnation, this->Decisions);
+  }
+};
+
+/// Tokens that a state daemon requests for a team.
 struct TokenDemand {
   Configuration::TeamName Team;
   /// Tokens needed by waiting requests.
@@ -91,22 +140,41 @@
   }
 };
 
-/// Tokens that an entry daemon was recently granted for a team.
-struct RecentTokenGrants {
-  Configuration::TeamName Team;
-  /// Tokens granted within the last second, the last two seconds, and so on.
-  std::vector<double> CumulativeTokens;
+/// Asks the leader for tokens on behalf of a state daemon's entry daemons.
+struct TokenPoolRequest {
+  std::uint64_t Sequence = 0;
+  std::vector<TokenDemand> Demands;
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(this->Team, this->CumulativeTokens);
+    Ar(this->Sequence, this->Demands);
   }
 };
 
-/// Tokens that an entry daemon may spend in addition to earlier grants.
+/// Tokens that a state daemon may hand out in addition to earlier grants.
 struct TokenGrant {
   Configuration::TeamName Team;
   double Tokens = 0;
+  /// Time until the rest of what was needed becomes available.
+  std::uint64_t WaitMilliseconds = 0;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(this->Team, this->Tokens, this->WaitMilliseconds);
+  }
+};
+
+struct TokenPoolGrant {
+  std::uint64_t Sequence = 0;
+  std::vector<TokenGrant> Grants;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(this->Sequence, this->Grants);
+  }
+};
+
+/// Tokens that an entry daemon was recently granted for a team.
+struct RecentTokenGrants {
+  Configuration::TeamName Team;
+  /// Tokens granted within the last second, the last two seconds, and so on.
+  std::vector<double> CumulativeTokens;
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(this->Team, this->Tokens);
+    Ar(this->Team, this->CumulativeTokens);
   }
 };
 
@@ -132,7 +200,7 @@
   }
 };
 
-/// Load that one entry daemon puts on a server.
+/// Load on a server, from one entry daemon or from all of them.
 struct ServerLoad {
   Common::BackendServerId Id;
   std::uint32_t Requests = 0;
@@ -142,6 +210,13 @@
   }
 };
 
+/// Load of all entry daemons together. The leader sends it periodically to the
+/// state daemons, which pass it on to their entry daemons.
+struct ServerLoads {
+  std::vector<ServerLoad> Loads;
+  template <class Archive> void serialize(Archive &Ar) { Ar(this->Loads); }
+};
+
 /// Reports that a server failed while it ran a request with this content.
 struct CrashReport {
   /// Hash of the request's content.
@@ -166,7 +241,6 @@
   Common::WallTime Wall;
   /// Number of live entry daemons according to the last response.
   std::uint32_t EntryCount = 0;
-  std::vector<TokenDemand> Demands;
   std::vector<RecentTokenGrants> RecentGrants;
   std::vector<UsageCount> Usage;
   std::vector<ServiceDemand> Services;
@@ -176,8 +250,8 @@
   template <class Archive> void serialize(Archive &Ar) {
     Ar(this->Entry, this->Incarnation, this->DataCentre, this->Sequence,
        this->InstalledVersion, this->NewestSeenVersion, this->Wall,
-       this->EntryCount, this->Demands, this->RecentGrants, this->Usage,
-       this->Services, this->Loads, this->Crashes);
+       this->EntryCount, this->RecentGrants, this->Usage, this->Services,
+       this->Loads, this->Crashes);
   }
 };
 
@@ -190,9 +264,6 @@
   std::uint32_t EntryCount = 1;
   /// The median of the daemons' wall clocks.
   Common::WallTime ReferenceTime;
-  std::vector<TokenGrant> Grants;
-  /// Load of all other entry daemons.
-  std::vector<ServerLoad> Loads;
   /// Hashes of request contents that are refused because they crash servers.
   std::vector<std::uint64_t> RefusedContents;
   /// The newest declaration, for an entry daemon that knows of this version but
@@ -201,14 +272,16 @@
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(this->Entry, this->Incarnation, this->Sequence, this->NewestVersion,
-       this->EntryCount, this->ReferenceTime, this->Grants, this->Loads,
-       this->RefusedContents, this->Declaration);
+       this->EntryCount, this->ReferenceTime, this->RefusedContents,
+       this->Declaration);
   }
 };
 
 using ControlFrame =
     std::variant<Consensus::Message, JoinRequest, RegistryDelta, EntryHello,
-                 StateEndpoints, DeclarationPush, EntryPoll, EntryPollResponse>;
+                 StateEndpoints, DeclarationPush, EntryPoll, EntryPollResponse,
+                 TokenRequest, TokenDecisions, TokenPoolRequest, TokenPoolGrant,
+                 ServerLoads>;
 
 } // namespace State
 
--- a/Source/Core/Telemetry/LogEvents.h
+++ b/Source/Core/Telemetry/LogEvents.h
@@ -66,8 +66,12 @@
 inline constexpr LogEvent<8> AllowanceShort{LogLevel::Warning,
                                             "allowance_short",
                                             {"request", "team", "tokens",
-                                             "held", "rate", "burst",
+                                             "number", "rate", "burst",
                                              "waited_ms", "retry_after_ms"}};
+inline constexpr LogEvent<5> TokensRefused{
+    LogLevel::Warning,
+    "tokens_refused",
+    {"entry", "number", "team", "tokens", "retry_after_ms"}};
 inline constexpr LogEvent<3> ServerSilent{
     LogLevel::Warning, "server_silent", {"request", "server", "silent_ms"}};
 inline constexpr LogEvent<2> StreamBroken{
--- a/Source/EntryDaemon/ControlLink.cpp
+++ b/Source/EntryDaemon/ControlLink.cpp
@@ -71,6 +71,7 @@
     this->Link->send(Network::encode(
         State::ControlFrame(State::EntryHello{this->Opts.Self})));
     this->poll();
+    this->EventHandlers.OnConnected();
   };
   LinkHandlers.OnDisconnected = [StateDaemon] {
     Telemetry::log(Events::StateDaemonLost, StateDaemon.str());
@@ -113,6 +114,13 @@
   });
 }
 
+bool ControlLink::requestTokens(State::TokenRequest Request) {
+  Request.Entry = this->Opts.Self;
+  Request.Incarnation = this->Incarnation;
+  return this->Link->send(
+      Network::encode(State::ControlFrame(std::move(Request))));
+}
+
 void ControlLink::poll() {
   if (!this->Link->isConnected())
     return;
@@ -141,6 +149,13 @@
     this->EventHandlers.OnRegistryDelta(*Delta);
   } else if (const auto *Push = std::get_if<State::DeclarationPush>(&*Frame)) {
     this->EventHandlers.OnDeclaration(*Push);
+  } else if (const auto *Decided =
+                 std::get_if<State::TokenDecisions>(&*Frame)) {
+    if (Decided->Entry == this->Opts.Self &&
+        Decided->Incarnation == this->Incarnation)
+      this->EventHandlers.OnTokenDecisions(*Decided);
+  } else if (const auto *Totals = std::get_if<State::ServerLoads>(&*Frame)) {
+    this->EventHandlers.OnServerLoads(*Totals);
   } else if (const auto *Known = std::get_if<State::StateEndpoints>(&*Frame)) {
     if (!Known->Endpoints.empty())
       this->StateDaemons = Known->Endpoints;
--- a/Source/EntryDaemon/ControlLink.h
+++ b/Source/EntryDaemon/ControlLink.h
@@ -32,6 +32,11 @@
     /// Gets the answer and the time at which its poll was sent.
     std::function<void(const State::EntryPollResponse &, Common::TimePoint)>
         OnPollAnswer;
+    std::function<void(const State::TokenDecisions &)> OnTokenDecisions;
+    std::function<void(const State::ServerLoads &)> OnServerLoads;
+    /// A connection to a state daemon was opened; what was sent on an earlier
+    /// one may be lost.
+    std::function<void()> OnConnected;
   };
 
   ControlLink(Network::EventLoop &Loop, Options Opts, Handlers EventHandlers);
@@ -40,6 +45,9 @@
   void pollSoon();
   /// Polls after Delay, unless a poll is already scheduled.
   void schedulePoll(Common::Duration Delay);
+  /// Requests tokens from the connected state daemon. Entry and Incarnation are
+  /// filled in. Returns false if nothing was sent.
+  bool requestTokens(State::TokenRequest Request);
   void setSeeds(std::vector<Network::Address> Seeds);
 
 private:
--- a/Source/EntryDaemon/Gateway.cpp
+++ b/Source/EntryDaemon/Gateway.cpp
@@ -27,6 +27,8 @@
 /// Delay until the next poll when a newer declaration exists than the one that
 /// this daemon has.
 constexpr Common::Duration CatchUpDelay = std::chrono::milliseconds(100);
+/// Token needs within this time share a request.
+constexpr Common::Duration TokenRequestDelay = std::chrono::milliseconds(1);
 /// The settings are also reloaded periodically, as they may change without a
 /// signal.
 constexpr Common::Duration SettingsReloadPeriod = std::chrono::seconds(5);
@@ -124,9 +126,22 @@
                                  Common::TimePoint PollSentAt) {
     this->applyPollAnswer(Answer, PollSentAt);
   };
+  Handlers.OnTokenDecisions = [this](const State::TokenDecisions &Decided) {
+    this->applyTokenDecisions(Decided);
+  };
+  Handlers.OnServerLoads = [this](const State::ServerLoads &Totals) {
+    this->applyServerLoads(Totals);
+  };
+  Handlers.OnConnected = [this] { this->repeatTokenRequests(); };
   this->Control = std::make_unique<ControlLink>(
       this->Loop, std::move(LinkOptions), std::move(Handlers));
-  this->Context.PollSoon = [this] { this->Control->pollSoon(); };
+  this->Context.RequestTokensSoon = [this] {
+    if (this->TokenRequestScheduled)
+      return;
+    this->TokenRequestScheduled = true;
+    this->TokenRequestTimer = this->Loop.callAfter(
+        TokenRequestDelay, [this] { this->sendTokenRequest(); });
+  };
 }
 
 int Gateway::run() {
@@ -175,7 +190,8 @@
                    Each.Sequence);
   }
   for (const State::ServerRefresh &Each : Delta.Refreshed)
-    this->Context.Servers.refresh(Each.Id, Each.StartedAt, Each.Sequence, Now);
+    this->Context.Servers.refresh(Each.Id, Each.StartedAt, Each.Sequence,
+                                  Each.Phase, Now);
 }
 
 void Gateway::applyDeclaration(const State::DeclarationPush &Push) {
@@ -200,7 +216,6 @@
   Limits.IdleTimeout = Declared.IdleTimeout;
   if (!this->ShuttingDown)
     this->RequestServer->setLimits(Limits);
-  this->Context.Allowances.applyLimits(*this->Context.Declaration);
   Telemetry::log(Events::DeclarationInForce, Push.Version.Value);
   // Earlier polls were answered for the older version; only a new poll can
   // confirm this one.
@@ -211,14 +226,12 @@
   const Common::TimePoint Now = this->Loop.now();
   if (this->Context.Declaration)
     Poll.InstalledVersion = this->Context.Declaration->version();
-  for (const auto &Each : this->Context.Allowances.takeDemands(Now))
-    Poll.Demands.push_back({Each.Team, Each.Needed, Each.Reserve});
   Poll.Usage = this->Context.Usage.counts();
-  for (const auto &Each : this->Context.Servers.localLoads())
+  for (const auto &Each : this->Context.Servers.reportLoads())
     Poll.Loads.push_back({Each.Id, Each.Requests, Each.PromptTokens});
   Poll.NewestSeenVersion = this->NewestVersion;
   Poll.EntryCount = this->EntryCount;
-  for (const auto &Each : this->Context.Allowances.recentGrants(Now))
+  for (const auto &Each : this->Context.Grants.recent(Now))
     Poll.RecentGrants.push_back({Each.Team, Each.CumulativeTokens});
   for (const auto &[Service, Engines] : this->Context.Demand.busyEngines(Now))
     Poll.Services.push_back({Service, Engines});
@@ -247,21 +260,43 @@
   if (!Current)
     this->Control->schedulePoll(CatchUpDelay);
   this->Context.Retries.setDaemons(Answer.EntryCount);
-  this->Context.Allowances.setDaemons(Answer.EntryCount);
   if (Answer.ReferenceTime.Milliseconds != 0)
     this->Context.Usage.setReferenceTime(Answer.ReferenceTime, PollSentAt, Now);
   this->Context.CrashingContents.refuse(Answer.RefusedContents, Now);
-  this->Context.Servers.clearRemoteLoads();
-  for (const State::ServerLoad &Each : Answer.Loads)
-    this->Context.Servers.setRemoteLoad(Each.Id, Each.Requests,
-                                        Each.PromptTokens);
-  for (const State::TokenGrant &Each : Answer.Grants)
-    this->Context.Allowances.addGrant(Each.Team, Each.Tokens, Now);
-  std::vector<std::shared_ptr<RoutedCall>> Calls;
-  Calls.swap(this->Context.CallsAwaitingTokens);
-  for (const auto &Each : Calls)
-    Each->handleTokenGrant(PollSentAt);
-  this->Context.Allowances.trimReserves();
+}
+
+void Gateway::applyServerLoads(const State::ServerLoads &Totals) {
+  std::vector<Routing::ServerTable::Load> Loads;
+  Loads.reserve(Totals.Loads.size());
+  for (const State::ServerLoad &Each : Totals.Loads)
+    Loads.push_back({Each.Id, Each.Requests, Each.PromptTokens});
+  this->Context.Servers.setTotalLoads(Loads);
+}
+
+void Gateway::sendTokenRequest() {
+  this->TokenRequestScheduled = false;
+  // If the link is down, the needs are sent again once it is connected.
+  if (this->Control->requestTokens(this->Context.PendingTokens))
+    this->Context.PendingTokens.Returned.clear();
+  this->Context.PendingTokens.Needs.clear();
+}
+
+void Gateway::repeatTokenRequests() {
+  this->Context.PendingTokens.Needs.clear();
+  for (const auto &Each : this->Context.CallsAwaitingTokens)
+    this->Context.PendingTokens.Needs.push_back(Each.second->tokenNeed());
+  if (!this->Context.PendingTokens.Needs.empty())
+    this->Context.RequestTokensSoon();
+}
+
+void Gateway::applyTokenDecisions(const State::TokenDecisions &Decided) {
+  for (const State::TokenDecision &Each : Decided.Decisions) {
+    const auto Found = this->Context.CallsAwaitingTokens.find(Each.Number);
+    if (Found == this->Context.CallsAwaitingTokens.end())
+      continue;
+    const std::shared_ptr<RoutedCall> Call = Found->second;
+    Call->handleTokenDecision(Each);
+  }
 }
 
 bool Gateway::isReady() const {
--- a/Source/EntryDaemon/Gateway.h
+++ b/Source/EntryDaemon/Gateway.h
@@ -34,6 +34,11 @@
   void fillPoll(State::EntryPoll &Poll);
   void applyPollAnswer(const State::EntryPollResponse &Answer,
                        Common::TimePoint PollSentAt);
+  void applyTokenDecisions(const State::TokenDecisions &Decided);
+  void applyServerLoads(const State::ServerLoads &Totals);
+  void sendTokenRequest();
+  /// Requests the tokens of all waiting calls again.
+  void repeatTokenRequests();
   bool isReady() const;
   void logReadinessChange();
   void reloadSettings();
@@ -55,6 +60,8 @@
   Common::TimePoint ShutdownStartedAt;
   std::vector<Network::EventHandle> EventHandles;
   Network::EventHandle ShutdownTimer;
+  Network::EventHandle TokenRequestTimer;
+  bool TokenRequestScheduled = false;
 };
 
 } // namespace EntryDaemon
--- a/Source/EntryDaemon/GatewayContext.h
+++ b/Source/EntryDaemon/GatewayContext.h
@@ -1,7 +1,7 @@
 #ifndef SYCAMOREREACH_ENTRYDAEMON_GATEWAYCONTEXT_H
 #define SYCAMOREREACH_ENTRYDAEMON_GATEWAYCONTEXT_H
 
-#include "Admission/AllowanceAccount.h"
+#include "Admission/GrantHistory.h"
 #include "Configuration/ServiceMap.h"
 #include "EntryDaemon/CrashingContentTracker.h"
 #include "EntryDaemon/GatewaySettings.h"
@@ -25,7 +25,8 @@
   GatewayContext(Network::EventLoop &Loop, GatewaySettings InitialSettings)
       : Loop(Loop), Settings(std::move(InitialSettings)), Client(Loop),
         Servers(serverTableOptions(this->Settings)),
-        Retries(this->Settings.Retries), Allowances(this->Settings.Tolerance),
+        Retries(this->Settings.Retries),
+        Grants(this->Settings.Tolerance.Window),
         Usage(this->Settings.UsageWindow), StartedAt(Loop.now()) {}
 
   Network::EventLoop &Loop;
@@ -33,7 +34,7 @@
   Network::Http1Client Client;
   Routing::ServerTable Servers;
   Routing::RetryShare Retries;
-  Admission::AllowanceAccount Allowances;
+  Admission::GrantHistory Grants;
   UsageCounter Usage;
   Fleet::DemandMeter Demand;
   /// Moving average of the tokens in a streamed response, by route name.
@@ -44,12 +45,17 @@
   /// When the latest poll was sent whose answer confirmed the declaration.
   std::optional<Common::TimePoint> DeclarationConfirmedAt;
   CrashingContentTracker CrashingContents;
-  /// Calls that wait for tokens of their team's allowance.
-  std::vector<std::shared_ptr<RoutedCall>> CallsAwaitingTokens;
+  /// Calls that wait for tokens of their team's allowance, by the number of
+  /// their need.
+  std::map<std::uint64_t, std::shared_ptr<RoutedCall>> CallsAwaitingTokens;
+  std::uint64_t LastTokenNeed = 0;
+  /// Needs and returned tokens that are not yet sent to the state daemon.
+  State::TokenRequest PendingTokens;
   /// Calls that arrived before this daemon had a confirmed declaration.
   std::vector<std::shared_ptr<RoutedCall>> CallsAwaitingDeclaration;
   Common::TimePoint StartedAt;
-  std::function<void()> PollSoon;
+  /// Sends PendingTokens within a millisecond.
+  std::function<void()> RequestTokensSoon;
 
   /// Whether a request should wait for the first confirmed declaration.
   bool startingUp(Common::TimePoint Now) const {
--- a/Source/EntryDaemon/RoutedAttempt.cpp
+++ b/Source/EntryDaemon/RoutedAttempt.cpp
@@ -17,6 +17,15 @@
 /// A request fails after this many servers were tried and the last one could
 /// not be connected to.
 constexpr std::size_t MaxUnreachableServers = 4;
+/// A request fails after this many servers rejected it.
+constexpr std::uint32_t MaxRejections = 3;
+/// Delay before a request that a server may have executed is tried again,
+/// because no server took it over at once.
+constexpr Common::Duration LaterRetryDelay = std::chrono::milliseconds(120);
+/// Callers give up a stream that pauses longer.
+constexpr Common::Duration MaxLaterRetryTime = std::chrono::milliseconds(1500);
+/// With less time left, it is not tried again.
+constexpr Common::Duration MinRetryTime = std::chrono::milliseconds(250);
 /// Callers wait this long for the first event of a stream, as documented in the
 /// callers' interface, so a request is not sent to a server with a longer
 /// queue: this multiple of the route's target time, but at least the minimum.
@@ -70,9 +79,14 @@
                : this->CallerHeaders.Prompt->PromptTokens;
     this->Context.Demand.record(
         this->Service,
-        Routing::EngineCost::milliseconds(PrefillTokens, ExpectedOutput), Now);
+        Routing::EngineCost::milliseconds(
+            PrefillTokens, this->Context.Servers.prefillRate(this->Service),
+            ExpectedOutput),
+        Now);
   }
   if (!Chosen) {
+    if (this->retryLater())
+      return;
     if (this->MayHaveExecuted)
       this->fail(CallFailure::ServerLost, HttpStatus::BadGateway);
     else
@@ -84,6 +98,8 @@
   // waits for the first output.
   const Common::Duration MaxQueueing = this->maxQueueingTime();
   if (Chosen->QueuedPrefillTime > MaxQueueing && !this->Streaming) {
+    if (this->retryLater())
+      return;
     this->fail(CallFailure::Overloaded,
                this->MayHaveExecuted ? HttpStatus::BadGateway
                                      : HttpStatus::Unavailable,
@@ -205,6 +221,9 @@
   Result.Prompt =
       this->CallerHeaders.Prompt ? &*this->CallerHeaders.Prompt : nullptr;
   Result.Excluded = this->TriedServers;
+  Result.Excluded.insert(this->ServersThatMayHaveExecuted.begin(),
+                         this->ServersThatMayHaveExecuted.end());
+  Result.Target = this->route().Target;
   return Result;
 }
 
@@ -276,6 +295,10 @@
   const std::string CompleteEvents = this->Splitter->feed(Bytes);
   if (CompleteEvents.empty())
     return;
+  this->RetryingLaterSince.reset();
+  if (!this->OutputStarted && !this->LastEventId)
+    this->Context.Servers.recordPrefillTime(*this->Server,
+                                            this->Context.Loop.now());
   this->recordExecutionStarted();
   if (this->Splitter->lastEventId())
     this->LastEventId = this->Splitter->lastEventId();
@@ -438,10 +461,38 @@
 bool RoutedCall::canRetry(AttemptResult Result) const {
   if (Result == AttemptResult::NotSent)
     return this->TriedServers.size() < MaxUnreachableServers;
-  const bool Repeatable =
-      Result == AttemptResult::NotExecuted || this->route().isIdempotent();
-  // The current attempt is not yet included in Attempts.
-  return Repeatable && this->Attempts + 1 < this->route().MaxAttempts;
+  // The current attempt is not yet included in the counts.
+  if (Result == AttemptResult::NotExecuted)
+    return this->Executions < this->route().MaxAttempts &&
+           this->Rejections + 1 < MaxRejections;
+  return this->route().isIdempotent() &&
+         this->Executions + 1 < this->route().MaxAttempts;
+}
+
+bool RoutedCall::retryLater() {
+  if (!this->MayHaveExecuted || !this->route().isIdempotent() ||
+      this->Executions >= this->route().MaxAttempts ||
+      this->timeLeft() < MinRetryTime)
+    return false;
+  const Common::TimePoint Now = this->Context.Loop.now();
+  if (!this->RetryingLaterSince)
+    this->RetryingLaterSince = Now;
+  if (Now - *this->RetryingLaterSince > MaxLaterRetryTime)
+    return false;
+  this->RetryTimer = this->Context.Loop.callAfter(
+      LaterRetryDelay, [Self = this->shared_from_this()] {
+        if (Self->Done)
+          return;
+        // By now, the servers that rejected the request may accept it.
+        Self->TriedServers.clear();
+        Self->Rejections = 0;
+        if (Self->Context.Retries.tryConsume(Self->Service,
+                                             Self->Context.Loop.now()))
+          Self->dispatch();
+        else if (!Self->retryLater())
+          Self->fail(CallFailure::ServerLost, HttpStatus::BadGateway);
+      });
+  return true;
 }
 
 void RoutedCall::handleAttemptFailure(AttemptResult Result, CallFailure Failure,
@@ -455,8 +506,12 @@
   this->RetryReserved = false;
   if (Result != AttemptResult::NotSent)
     ++this->Attempts;
+  if (Result == AttemptResult::NotExecuted)
+    ++this->Rejections;
   if (Result == AttemptResult::MayHaveExecuted ||
       Result == AttemptResult::StreamInterrupted) {
+    ++this->Executions;
+    this->ServersThatMayHaveExecuted.insert(Common::BackendServerId(ServerId));
     this->MayHaveExecuted = true;
     this->recordExecutionStarted();
   }
@@ -468,13 +523,8 @@
     this->dispatch();
     return;
   }
-  if (this->Streaming) {
-    Telemetry::log(Events::StreamBroken, this->CallerHeaders.RequestId,
-                   this->LastEventId.value_or(""));
-    this->Exchange->abort();
-    this->finish();
+  if (this->retryLater())
     return;
-  }
   const bool NeverExecuted =
       !this->MayHaveExecuted && (Result == AttemptResult::NotSent ||
                                  Result == AttemptResult::NotExecuted);
--- a/Source/EntryDaemon/RoutedCall.cpp
+++ b/Source/EntryDaemon/RoutedCall.cpp
@@ -17,6 +17,13 @@
 constexpr double TokenWaitTargetShare = 0.25;
 constexpr Common::Duration MinTokenWait = std::chrono::milliseconds(60);
 constexpr Common::Duration MaxTokenWait = std::chrono::milliseconds(300);
+/// Added for the way to the state daemon and back, which refuses the call in
+/// time unless the connection to it is lost.
+constexpr Common::Duration TokenWaitMargin = std::chrono::milliseconds(50);
+/// Retry-After of calls that got no decision on their tokens: by then, this
+/// daemon has connected to another state daemon.
+constexpr Common::Duration RetryAfterNoDecision =
+    std::chrono::milliseconds(900);
 /// Applies if neither the route has a timeout nor the caller sets a deadline.
 constexpr Common::Duration DefaultTimeout = std::chrono::seconds(60);
 constexpr Common::Duration RetryAfterNoDeclaration =
@@ -145,55 +152,63 @@
       CountsTokens
           ? static_cast<double>(this->CallerHeaders.Prompt->totalTokens())
           : this->Team->PlainRequestTokens;
-  if (this->Context.Allowances.tryConsume(*this->Team, this->TokenCost,
-                                          this->ArrivedAt)) {
-    this->TokensCharged = true;
-    this->dispatch();
-    return;
-  }
   const auto TargetShare = std::chrono::duration_cast<Common::Duration>(
       this->route().Target * TokenWaitTargetShare);
   const Common::Duration Wait =
       std::clamp(TargetShare, MinTokenWait, MaxTokenWait);
-  this->AwaitingTokens = true;
   this->AwaitingTokensSince = this->Context.Loop.now();
-  this->Context.CallsAwaitingTokens.push_back(this->shared_from_this());
-  this->Context.PollSoon();
+  this->TokenWaitEnd = this->AwaitingTokensSince + Wait;
+  this->TokenNeedNumber = ++this->Context.LastTokenNeed;
+  this->Context.CallsAwaitingTokens[this->TokenNeedNumber] =
+      this->shared_from_this();
+  this->Context.PendingTokens.Needs.push_back(this->tokenNeed());
+  this->Context.RequestTokensSoon();
   this->TokenWaitTimer = this->Context.Loop.callAfter(
-      Wait, [Self = this->shared_from_this()] { Self->refuseOverAllowance(); });
+      Wait + TokenWaitMargin, [Self = this->shared_from_this()] {
+        if (Self->TokenNeedNumber != 0)
+          Self->refuseOverAllowance(RetryAfterNoDecision);
+      });
 }
 
-void RoutedCall::refuseOverAllowance() {
-  if (!this->AwaitingTokens || this->Done)
-    return;
-  this->AwaitingTokens = false;
-  const Common::Duration Wait =
-      this->Context.Allowances.estimateWait(*this->Team, this->TokenCost);
+State::TokenNeed RoutedCall::tokenNeed() const {
+  const auto Wait = std::chrono::duration_cast<Common::Duration>(
+      this->TokenWaitEnd - this->Context.Loop.now());
+  const std::int64_t Milliseconds =
+      std::max<std::int64_t>(Common::toMilliseconds(Wait), 0);
+  return {this->TokenNeedNumber, this->Team->Name, this->TokenCost,
+          static_cast<std::uint64_t>(Milliseconds)};
+}
+
+void RoutedCall::stopAwaitingTokens() {
+  this->Context.CallsAwaitingTokens.erase(this->TokenNeedNumber);
+  this->TokenNeedNumber = 0;
+  this->TokenWaitTimer.cancel();
+}
+
+void RoutedCall::refuseOverAllowance(Common::Duration RetryAfter) {
   Telemetry::log(Events::AllowanceShort, this->CallerHeaders.RequestId,
-                 this->Team->Name.str(), this->TokenCost,
-                 this->Context.Allowances.available(this->Team->Name),
+                 this->Team->Name.str(), this->TokenCost, this->TokenNeedNumber,
                  this->Team->TokenRate, this->Team->TokenBurst,
                  Common::toMilliseconds(this->Context.Loop.now() -
                                         this->AwaitingTokensSince),
-                 Common::toMilliseconds(Wait));
-  this->fail(CallFailure::OverAllowance, HttpStatus::TooManyRequests, Wait);
+                 Common::toMilliseconds(RetryAfter));
+  this->stopAwaitingTokens();
+  this->fail(CallFailure::OverAllowance, HttpStatus::TooManyRequests,
+             RetryAfter);
 }
 
-void RoutedCall::handleTokenGrant(Common::TimePoint PollSentAt) {
-  if (!this->AwaitingTokens || this->Done)
+void RoutedCall::handleTokenDecision(const State::TokenDecision &Decision) {
+  if (this->Done || Decision.Number != this->TokenNeedNumber)
     return;
-  if (!this->Context.Allowances.retryConsume(*this->Team, this->TokenCost)) {
-    // The leader answered a poll that included this call's demand, and granted
-    // too few tokens for it.
-    if (PollSentAt > this->AwaitingTokensSince)
-      this->refuseOverAllowance();
-    else
-      this->Context.CallsAwaitingTokens.push_back(this->shared_from_this());
+  if (!Decision.Granted) {
+    this->refuseOverAllowance(
+        std::chrono::milliseconds(Decision.RetryAfterMilliseconds));
     return;
   }
-  this->AwaitingTokens = false;
+  this->stopAwaitingTokens();
   this->TokensCharged = true;
-  this->TokenWaitTimer.cancel();
+  this->Context.Grants.record(this->Team->Name, this->TokenCost,
+                              this->Context.Loop.now());
   this->dispatch();
 }
 
@@ -304,10 +319,11 @@
                                          this->Context.Loop.now() -
                                              this->ArrivedAt);
   this->DeadlineTimer.cancel();
-  this->TokenWaitTimer.cancel();
+  this->stopAwaitingTokens();
   this->StartupWaitTimer.cancel();
   this->BackpressureTimer.cancel();
   this->SilenceTimer.cancel();
+  this->RetryTimer.cancel();
   const Network::Http1Client::CallPtr OpenCall = this->Call;
   if (this->Server) {
     this->MayHaveExecuted = true;
@@ -315,8 +331,10 @@
   }
   Network::Http1Client::cancel(OpenCall);
   if (this->TokensCharged && !this->MayHaveExecuted &&
-      !this->ExecutionStartRecorded)
-    this->Context.Allowances.refund(*this->Team, this->TokenCost);
+      !this->ExecutionStartRecorded) {
+    this->Context.PendingTokens.Returned[this->Team->Name] += this->TokenCost;
+    this->Context.RequestTokensSoon();
+  }
 }
 
 } // namespace EntryDaemon
--- a/Source/EntryDaemon/RoutedCall.h
+++ b/Source/EntryDaemon/RoutedCall.h
@@ -28,9 +28,9 @@
   /// Continues a call that arrived during startup: the first declaration is
   /// confirmed, or the call has waited as long as it may.
   void continueAfterStartup();
-  /// Called after an answer to the poll sent at PollSentAt, which may have
-  /// granted tokens to the call's team.
-  void handleTokenGrant(Common::TimePoint PollSentAt);
+  /// The tokens that the call needs and how much longer it may wait for them.
+  State::TokenNeed tokenNeed() const;
+  void handleTokenDecision(const State::TokenDecision &Decision);
 
 private:
   enum class AttemptResult {
@@ -45,7 +45,8 @@
   /// has been sent an error response.
   bool resolve();
   void admit();
-  void refuseOverAllowance();
+  void refuseOverAllowance(Common::Duration RetryAfter);
+  void stopAwaitingTokens();
   void dispatch();
   /// Longest queued prefill time at which the request is still sent to a
   /// server.
@@ -65,6 +66,10 @@
   void handleAttemptFailure(AttemptResult Result, CallFailure Failure,
                             Routing::ServerOutcome Outcome);
   bool canRetry(AttemptResult Result) const;
+  /// Makes another attempt after a short delay, if the request can still be
+  /// taken over by a server although an earlier one may have executed it.
+  /// Returns false if it cannot.
+  bool retryLater();
   void endAttempt(Routing::ServerOutcome Outcome);
   void finishBuffered();
   void startStream(const Network::Http1Head &Head);
@@ -104,16 +109,27 @@
   double TokenCost = 0;
   bool TokensCharged = false;
   bool Resolved = false;
-  bool AwaitingTokens = false;
+  /// Number of the token need while the call waits for the tokens; 0 otherwise.
+  std::uint64_t TokenNeedNumber = 0;
+  Common::TimePoint TokenWaitEnd;
   Common::TimePoint AwaitingTokensSince;
   bool Done = false;
 
   std::uint32_t Attempts = 0;
+  /// Attempts that may have executed the request. Servers that reported that
+  /// they did not execute it do not count against the route's MaxAttempts.
+  std::uint32_t Executions = 0;
+  std::uint32_t Rejections = 0;
   /// A retry was taken from the retry budget for the next attempt.
   bool RetryReserved = false;
   /// Whether any attempt may have executed the request.
   bool MayHaveExecuted = false;
+  /// Servers that were tried in this round of attempts.
   std::set<Common::BackendServerId> TriedServers;
+  std::set<Common::BackendServerId> ServersThatMayHaveExecuted;
+  /// When no server took the request over at once, after one may have executed
+  /// it.
+  std::optional<Common::TimePoint> RetryingLaterSince;
   /// The server of the current attempt.
   std::optional<Routing::PlacementChoice> Server;
   Network::Http1Client::CallPtr Call;
@@ -133,6 +149,7 @@
   Network::EventHandle StartupWaitTimer;
   Network::EventHandle BackpressureTimer;
   Network::EventHandle SilenceTimer;
+  Network::EventHandle RetryTimer;
 };
 
 } // namespace EntryDaemon
--- a/Source/StateDaemon/Controller.cpp
+++ b/Source/StateDaemon/Controller.cpp
@@ -22,6 +22,15 @@
 /// Heartbeats that change nothing but the time of the last one are forwarded in
 /// batches, once per period.
 constexpr Common::Duration RefreshFlushPeriod = std::chrono::milliseconds(300);
+/// Entry daemons only need them often enough not to take a server for silent.
+constexpr Common::Duration EntryRefreshPeriod = std::chrono::milliseconds(900);
+/// Changes within this time share a message.
+constexpr Common::Duration ChangeFlushDelay = std::chrono::milliseconds(4);
+constexpr Common::Duration LoadPublishPeriod = std::chrono::milliseconds(250);
+/// Token needs within this time share a request to the leader.
+constexpr Common::Duration TokenDemandDelay = std::chrono::milliseconds(2);
+/// How often reserves are refilled and expired needs are refused.
+constexpr Common::Duration TokenCheckPeriod = std::chrono::milliseconds(100);
 /// Serving servers that were silent for longer are left out of the snapshot for
 /// a daemon that connects.
 constexpr Common::Duration SnapshotServerAge = std::chrono::seconds(5);
@@ -36,7 +45,8 @@
 } // namespace
 
 Controller::Controller(Network::EventLoop &Loop, ControllerSettings Settings)
-    : Loop(Loop), Settings(std::move(Settings)) {}
+    : Loop(Loop), Settings(std::move(Settings)),
+      Tokens(this->Settings.Tolerance) {}
 
 absl::StatusOr<std::unique_ptr<Controller>>
 Controller::create(Network::EventLoop &Loop, ControllerSettings Settings) {
@@ -144,6 +154,15 @@
   }));
   this->EventHandles.push_back(this->Loop.callEvery(
       RefreshFlushPeriod, [this] { this->flushRefreshes(); }));
+  this->EventHandles.push_back(this->Loop.callEvery(
+      EntryRefreshPeriod, [this] { this->flushEntryRefreshes(); }));
+  this->EventHandles.push_back(this->Loop.callEvery(
+      LoadPublishPeriod, [this] { this->publishLoads(); }));
+  this->EventHandles.push_back(this->Loop.callEvery(TokenCheckPeriod, [this] {
+    this->Tokens.refuseExpired(this->Loop.now());
+    this->sendTokenDemand();
+    this->sendTokenDecisions();
+  }));
   this->EventHandles.push_back(this->Loop.callEvery(ExpiryPeriod, [this] {
     this->Registry.removeExpired(this->Loop.now(), ServerRetention);
   }));
@@ -171,9 +190,6 @@
   Telemetry::log(Events::DeclarationInForce, this->PushedVersion.Value);
   this->broadcastToEntries(State::DeclarationPush{
       this->State.declarationVersion(), this->State.document()});
-  // Duties exist only together with a tracker.
-  if (!this->Tracker)
-    return;
   this->decodeDeclaration();
   if (this->Duties)
     this->Duties->setDeclaration(this->Declaration);
@@ -190,6 +206,7 @@
   }
   this->Declaration =
       std::make_shared<const Configuration::ServiceMap>(std::move(*Map));
+  this->Tokens.setDeclaration(this->Declaration);
 }
 
 void Controller::handleFrame(Network::ConnectionId From,
@@ -212,6 +229,14 @@
     this->handleEntryHello(From, *Hello);
   else if (auto *Poll = std::get_if<State::EntryPoll>(&*Frame))
     this->handleEntryPoll(From, std::move(*Poll));
+  else if (const auto *Needs = std::get_if<State::TokenRequest>(&*Frame))
+    this->handleTokenRequest(*Needs);
+  else if (const auto *Demand = std::get_if<State::TokenPoolRequest>(&*Frame))
+    this->handleTokenPoolRequest(From, *Demand);
+  else if (std::get_if<State::ServerLoads>(&*Frame))
+    // Passed on as received.
+    for (const auto &Each : this->Entries)
+      this->LinkServer->send(Each.second, Payload);
 }
 
 void Controller::handleLinkFrame(const std::string &Payload) {
@@ -222,6 +247,8 @@
   }
   if (const auto *Answer = std::get_if<State::EntryPollResponse>(&*Frame))
     this->forwardPollAnswer(*Answer);
+  else if (const auto *Grant = std::get_if<State::TokenPoolGrant>(&*Frame))
+    this->handleTokenPoolGrant(*Grant);
   else if (const auto *Message = std::get_if<Consensus::Message>(&*Frame))
     this->Driver->step(*Message);
 }
@@ -275,20 +302,93 @@
     this->sendTo(From, Answer);
     return;
   }
-  const auto *Replica = this->Driver->replica();
   const bool FromEntry =
       this->Entries.count(Poll.Entry) != 0 && this->Entries[Poll.Entry] == From;
   // A poll is forwarded at most once: only if it comes directly from the entry
   // daemon.
-  if (!Replica || !FromEntry)
+  if (!FromEntry)
     return;
+  if (Network::FrameClient *Leader = this->leaderLink())
+    Leader->send(Network::encode(State::ControlFrame(std::move(Poll))));
+}
+
+Network::FrameClient *Controller::leaderLink() {
+  const auto *Replica = this->Driver->replica();
+  if (!Replica)
+    return nullptr;
   const Consensus::Member *Leader =
       Replica->membership().find(Replica->leader());
   if (!Leader || Leader->Id == Replica->self())
-    return;
+    return nullptr;
   const auto Link = this->Links.find(Leader->Address);
-  if (Link != this->Links.end())
-    Link->second->send(Network::encode(State::ControlFrame(Poll)));
+  return Link == this->Links.end() ? nullptr : Link->second.get();
+}
+
+void Controller::handleTokenRequest(const State::TokenRequest &Request) {
+  this->Tokens.handleRequest(Request, this->Loop.now());
+  this->sendTokenDecisions();
+  if (this->Tokens.hasWaiting())
+    this->scheduleTokenDemand();
+}
+
+void Controller::scheduleTokenDemand() {
+  if (this->TokenDemandScheduled)
+    return;
+  this->TokenDemandScheduled = true;
+  this->TokenDemandTimer = this->Loop.callAfter(TokenDemandDelay, [this] {
+    this->TokenDemandScheduled = false;
+    this->sendTokenDemand();
+    this->sendTokenDecisions();
+  });
+}
+
+void Controller::sendTokenDemand() {
+  const Common::TimePoint Now = this->Loop.now();
+  const auto *Replica = this->Driver->replica();
+  if (!Replica)
+    return;
+  this->Tokens.setHolders(Replica->membership().members().size());
+  const bool Leads = this->Driver->holdsLeadership() && this->Tracker;
+  Network::FrameClient *Leader = Leads ? nullptr : this->leaderLink();
+  if (!Leads && (!Leader || !Leader->isConnected()))
+    return;
+  const auto Demand = this->Tokens.takeDemand(Now);
+  if (!Demand)
+    return;
+  if (Leads)
+    this->Tokens.handleGrant(
+        this->Tracker->grantTokens(*Demand, this->Declaration.get(), Now), Now);
+  else
+    Leader->send(Network::encode(State::ControlFrame(*Demand)));
+}
+
+void Controller::handleTokenPoolRequest(
+    Network::ConnectionId From, const State::TokenPoolRequest &Request) {
+  if (this->Driver->holdsLeadership() && this->Tracker)
+    this->sendTo(From, this->Tracker->grantTokens(
+                           Request, this->Declaration.get(), this->Loop.now()));
+}
+
+void Controller::handleTokenPoolGrant(const State::TokenPoolGrant &Grant) {
+  this->Tokens.handleGrant(Grant, this->Loop.now());
+  this->sendTokenDecisions();
+}
+
+void Controller::sendTokenDecisions() {
+  for (State::TokenDecisions &Each : this->Tokens.takeDecisions()) {
+    const auto Entry = this->Entries.find(Each.Entry);
+    if (Entry != this->Entries.end())
+      this->sendTo(Entry->second, std::move(Each));
+  }
+}
+
+void Controller::publishLoads() {
+  if (!this->Tracker || !this->Driver->holdsLeadership())
+    return;
+  this->Tracker->expire(this->Loop.now());
+  const State::ControlFrame Frame = this->Tracker->totalLoads();
+  this->broadcastToPeers(Frame);
+  this->broadcastToEntries(Frame);
 }
 
 void Controller::forwardPollAnswer(const State::EntryPollResponse &Answer) {
@@ -305,7 +405,7 @@
     return;
   case Membership::ServerRegistry::Outcome::Refreshed:
     this->PendingRefreshes.push_back(
-        {Record.Id, Record.StartedAt, Record.Sequence});
+        {Record.Id, Record.StartedAt, Record.Sequence, Record.Phase});
     return;
   case Membership::ServerRegistry::Outcome::Stale:
     this->Metrics.incrementCounter("heartbeats_stale_total");
@@ -319,11 +419,26 @@
                  Changed.DataCentre.str(), Changed.Address.str(),
                  Membership::nameOf(Changed.Phase), Changed.StartedAt,
                  Changed.Sequence, Changed.Reclaimable ? "1" : "0");
-  State::RegistryDelta Delta;
-  Delta.Changed.push_back(Changed);
   if (ToPeers)
-    this->broadcastToPeers(Delta);
-  this->broadcastToEntries(Delta);
+    this->PeerChanges.push_back(Changed);
+  this->EntryChanges.push_back(Changed);
+  if (this->ChangeFlushScheduled)
+    return;
+  this->ChangeFlushScheduled = true;
+  this->ChangeFlushTimer = this->Loop.callAfter(ChangeFlushDelay, [this] {
+    this->ChangeFlushScheduled = false;
+    this->flushServerChanges();
+  });
+}
+
+void Controller::flushServerChanges() {
+  State::RegistryDelta ToPeers;
+  ToPeers.Changed.swap(this->PeerChanges);
+  if (!ToPeers.Changed.empty())
+    this->broadcastToPeers(ToPeers);
+  State::RegistryDelta ToEntries;
+  ToEntries.Changed.swap(this->EntryChanges);
+  this->broadcastToEntries(ToEntries);
 }
 
 void Controller::flushRefreshes() {
@@ -331,7 +446,19 @@
     return;
   State::RegistryDelta Delta;
   Delta.Refreshed.swap(this->PendingRefreshes);
+  for (const State::ServerRefresh &Each : Delta.Refreshed)
+    this->EntryRefreshes[Each.Id] = Each;
   this->broadcastToPeers(Delta);
+}
+
+void Controller::flushEntryRefreshes() {
+  if (this->EntryRefreshes.empty())
+    return;
+  State::RegistryDelta Delta;
+  Delta.Refreshed.reserve(this->EntryRefreshes.size());
+  for (const auto &Each : this->EntryRefreshes)
+    Delta.Refreshed.push_back(Each.second);
+  this->EntryRefreshes.clear();
   this->broadcastToEntries(Delta);
 }
 
@@ -344,13 +471,12 @@
       this->publishServerChange(this->Registry.find(Each.Id)->Record,
                                 !FromPeer);
   }
-  State::RegistryDelta Forwarded;
   for (const State::ServerRefresh &Each : Delta.Refreshed) {
-    this->Registry.refresh(Each.Id, Each.StartedAt, Each.Sequence, Now);
-    Forwarded.Refreshed.push_back(Each);
+    if (this->Registry.refresh(Each.Id, Each.StartedAt, Each.Sequence,
+                               Each.Phase, Now))
+      this->publishServerChange(this->Registry.find(Each.Id)->Record, false);
+    this->EntryRefreshes[Each.Id] = Each;
   }
-  if (!Forwarded.Refreshed.empty())
-    this->broadcastToEntries(Forwarded);
 }
 
 State::RegistryDelta Controller::registrySnapshot() const {
--- a/Source/StateDaemon/Controller.h
+++ b/Source/StateDaemon/Controller.h
@@ -11,6 +11,7 @@
 #include "StateDaemon/DutyRunner.h"
 #include "StateDaemon/EntryDaemonTracker.h"
 #include "StateDaemon/ReplicaDriver.h"
+#include "StateDaemon/TokenPool.h"
 #include "Telemetry/Metrics.h"
 
 #include <map>
@@ -54,6 +55,19 @@
   void handleEntryHello(Network::ConnectionId From,
                         const State::EntryHello &Hello);
   void handleEntryPoll(Network::ConnectionId From, State::EntryPoll Poll);
+  void handleTokenRequest(const State::TokenRequest &Request);
+  void handleTokenPoolRequest(Network::ConnectionId From,
+                              const State::TokenPoolRequest &Request);
+  void handleTokenPoolGrant(const State::TokenPoolGrant &Grant);
+  /// Sends the pool's demand to the leader after a short delay, in which more
+  /// requests of entry daemons can join it.
+  void scheduleTokenDemand();
+  void sendTokenDemand();
+  void sendTokenDecisions();
+  /// The link to the leader; null if there is none or this daemon leads.
+  Network::FrameClient *leaderLink();
+  /// Sends the total loads to all daemons while this daemon leads.
+  void publishLoads();
   void forwardPollAnswer(const State::EntryPollResponse &Answer);
   void sendTo(Network::ConnectionId To, const State::ControlFrame &Frame);
   void broadcastToEntries(const State::ControlFrame &Frame);
@@ -64,7 +78,9 @@
   void updateServer(const Membership::ServerRecord &Record);
   void publishServerChange(const Membership::ServerRecord &Changed,
                            bool ToPeers);
+  void flushServerChanges();
   void flushRefreshes();
+  void flushEntryRefreshes();
   void mergeRegistryDelta(const State::RegistryDelta &Delta, bool FromPeer);
   State::RegistryDelta registrySnapshot() const;
 
@@ -91,8 +107,19 @@
   Telemetry::Metrics Metrics;
   State::ControlState State;
   Membership::ServerRegistry Registry;
-  /// Refreshes that are not yet passed on.
+  /// Refreshes that are not yet passed on to the other state daemons, and to
+  /// the entry daemons.
   std::vector<State::ServerRefresh> PendingRefreshes;
+  std::map<Common::BackendServerId, State::ServerRefresh> EntryRefreshes;
+  /// Changed records that are not yet passed on to the other state daemons, and
+  /// to the entry daemons.
+  std::vector<Membership::ServerRecord> PeerChanges;
+  std::vector<Membership::ServerRecord> EntryChanges;
+  bool ChangeFlushScheduled = false;
+  TokenPool Tokens;
+  bool TokenDemandScheduled = false;
+  Network::EventHandle ChangeFlushTimer;
+  Network::EventHandle TokenDemandTimer;
   std::unique_ptr<ReplicaDriver> Driver;
   std::unique_ptr<Network::FrameServer> LinkServer;
   std::unique_ptr<Network::Http1Server> Http;
--- a/Source/StateDaemon/DutyRunner.cpp
+++ b/Source/StateDaemon/DutyRunner.cpp
@@ -152,9 +152,9 @@
 
 void DutyRunner::scaleServices() {
   const Common::TimePoint Now = this->Deps.Loop.now();
-  const auto Planned =
-      this->Autoscaler.plan(*this->Declaration, this->Deps.Registry,
-                            this->Deps.Tracker.engineDemand(Now), Now);
+  const auto Planned = this->Autoscaler.plan(
+      *this->Declaration, this->Deps.Registry,
+      this->Deps.Tracker.engineDemand(this->Deps.Registry), Now);
   for (const Fleet::ScalingAction &Each : Planned) {
     if (!this->tryTakeRateToken()) {
       this->Autoscaler.onUnconfirmed(Each, Now);
--- a/Source/StateDaemon/EntryDaemonTracker.cpp
+++ b/Source/StateDaemon/EntryDaemonTracker.cpp
@@ -10,8 +10,14 @@
     const State::EntryPoll &Poll, const Configuration::ServiceMap *Declaration,
     const State::ControlState &State, Common::TimePoint Now) {
   Entry &Sender = this->Entries[Poll.Entry];
+  if (Sender.Live)
+    this->addLoads(Sender.Loads, -1);
+  else
+    ++this->LiveEntries;
+  Sender.Live = true;
   Sender.LastPollAt = Now;
   Sender.Loads = Poll.Loads;
+  this->addLoads(Sender.Loads, 1);
   Sender.Services = Poll.Services;
   Sender.RecentGrants = Poll.RecentGrants;
   this->MaxReportedEntries =
@@ -21,7 +27,6 @@
     this->learnAllowances(*Declaration, Now);
   this->Clocks.addReading(Poll.Entry, Poll.Wall, Now);
   this->Usage.update(Poll.Entry, Poll.Incarnation, Poll.Usage);
-  this->expireCrashes(Now);
   for (const State::CrashReport &Each : Poll.Crashes)
     this->recordCrash(Each, Now);
 
@@ -29,9 +34,8 @@
   Answer.Entry = Poll.Entry;
   Answer.Incarnation = Poll.Incarnation;
   Answer.Sequence = Poll.Sequence;
-  Answer.EntryCount = static_cast<std::uint32_t>(this->liveEntryCount(Now));
+  Answer.EntryCount = static_cast<std::uint32_t>(this->LiveEntries);
   Answer.ReferenceTime = this->Clocks.timeAt(Now);
-  Answer.Loads = this->loadsOfOthers(Poll.Entry, Now);
   Answer.NewestVersion = State.declarationVersion();
   // The entry daemon heard of the version in an earlier answer, but its own
   // state daemon has not pushed the declaration since.
@@ -39,17 +43,6 @@
       Poll.NewestSeenVersion >= Answer.NewestVersion)
     Answer.Declaration =
         State::DeclarationPush{State.declarationVersion(), State.document()};
-  if (Declaration) {
-    for (const State::TokenDemand &Each : Poll.Demands) {
-      const Configuration::Team *Limits = Declaration->team(Each.Team);
-      if (!Limits)
-        continue;
-      const double Granted =
-          this->Allowances.grant(*Limits, Each.Needed, Each.Reserve, Now);
-      if (Granted > 0)
-        Answer.Grants.push_back({Each.Team, Granted});
-    }
-  }
   for (const auto &Each : this->Refused) {
     if (Answer.RefusedContents.size() >= MaxRefusedPerAnswer)
       break;
@@ -58,6 +51,61 @@
   return Answer;
 }
 
+State::TokenPoolGrant
+EntryDaemonTracker::grantTokens(const State::TokenPoolRequest &Request,
+                                const Configuration::ServiceMap *Declaration,
+                                Common::TimePoint Now) {
+  State::TokenPoolGrant Result;
+  Result.Sequence = Request.Sequence;
+  for (const State::TokenDemand &Each : Request.Demands) {
+    const Configuration::Team *Limits =
+        Declaration ? Declaration->team(Each.Team) : nullptr;
+    if (!Limits)
+      continue;
+    const auto Granted =
+        this->Allowances.grant(*Limits, Each.Needed, Each.Reserve, Now);
+    Result.Grants.push_back(
+        {Each.Team, Granted.Tokens,
+         static_cast<std::uint64_t>(Common::toMilliseconds(Granted.Wait))});
+  }
+  return Result;
+}
+
+void EntryDaemonTracker::addLoads(const std::vector<State::ServerLoad> &Loads,
+                                  int Sign) {
+  for (const State::ServerLoad &Each : Loads) {
+    LoadSum &Sum = this->Loads[Each.Id];
+    Sum.Requests += Sign * static_cast<std::int64_t>(Each.Requests);
+    Sum.PromptTokens += Sign * static_cast<std::int64_t>(Each.PromptTokens);
+  }
+}
+
+State::ServerLoads EntryDaemonTracker::totalLoads() const {
+  State::ServerLoads Result;
+  Result.Loads.reserve(this->Loads.size());
+  for (const auto &[Id, Sum] : this->Loads)
+    if (Sum.Requests > 0)
+      Result.Loads.push_back({Id, static_cast<std::uint32_t>(Sum.Requests),
+                              static_cast<std::uint64_t>(Sum.PromptTokens)});
+  return Result;
+}
+
+void EntryDaemonTracker::expire(Common::TimePoint Now) {
+  for (auto &Each : this->Entries) {
+    Entry &Silent = Each.second;
+    if (!Silent.Live || Now - Silent.LastPollAt <= EntryTimeout)
+      continue;
+    Silent.Live = false;
+    --this->LiveEntries;
+    this->addLoads(Silent.Loads, -1);
+    Silent.Loads.clear();
+    Silent.Services.clear();
+  }
+  std::erase_if(this->Loads,
+                [](const auto &Each) { return Each.second.Requests <= 0; });
+  this->expireCrashes(Now);
+}
+
 void EntryDaemonTracker::learnAllowances(
     const Configuration::ServiceMap &Declaration, Common::TimePoint Now) {
   this->AllowancesLearned = true;
@@ -105,43 +153,22 @@
   });
 }
 
-std::vector<State::ServerLoad>
-EntryDaemonTracker::loadsOfOthers(const Common::DaemonId &Excluded,
-                                  Common::TimePoint Now) const {
-  std::map<Common::BackendServerId, State::ServerLoad> Sum;
-  for (const auto &[Name, Each] : this->Entries) {
-    if (Name == Excluded || Now - Each.LastPollAt > EntryTimeout)
-      continue;
-    for (const State::ServerLoad &Load : Each.Loads) {
-      State::ServerLoad &Total = Sum[Load.Id];
-      Total.Id = Load.Id;
-      Total.Requests += Load.Requests;
-      Total.PromptTokens += Load.PromptTokens;
-    }
+std::map<Common::ServiceName, double> EntryDaemonTracker::engineDemand(
+    const Membership::ServerRegistry &Servers) const {
+  std::map<Common::ServiceName, double> Result;
+  for (const auto &Each : this->Entries)
+    for (const State::ServiceDemand &Demand : Each.second.Services)
+      Result[Demand.Service] += Demand.Engines;
+  std::map<Common::ServiceName, double> OccupiedEngines;
+  for (const auto &[Id, Sum] : this->Loads) {
+    const auto *Server = Servers.find(Id);
+    if (Server && Server->Record.Slots != 0)
+      OccupiedEngines[Server->Record.Service] +=
+          static_cast<double>(Sum.Requests) / Server->Record.Slots;
   }
-  std::vector<State::ServerLoad> Result;
-  Result.reserve(Sum.size());
-  for (auto &Each : Sum)
-    Result.push_back(std::move(Each.second));
+  for (auto &[Service, Engines] : Result)
+    Engines = std::max(Engines, OccupiedEngines[Service]);
   return Result;
 }
 
-std::map<Common::ServiceName, double>
-EntryDaemonTracker::engineDemand(Common::TimePoint Now) const {
-  std::map<Common::ServiceName, double> Sum;
-  for (const auto &Each : this->Entries)
-    if (Now - Each.second.LastPollAt <= EntryTimeout)
-      for (const State::ServiceDemand &Demand : Each.second.Services)
-        Sum[Demand.Service] += Demand.Engines;
-  return Sum;
-}
-
-std::size_t EntryDaemonTracker::liveEntryCount(Common::TimePoint Now) const {
-  std::size_t Count = 0;
-  for (const auto &Each : this->Entries)
-    if (Now - Each.second.LastPollAt <= EntryTimeout)
-      ++Count;
-  return Count;
-}
-
 } // namespace StateDaemon
--- a/Source/StateDaemon/EntryDaemonTracker.h
+++ b/Source/StateDaemon/EntryDaemonTracker.h
@@ -2,6 +2,7 @@
 #define SYCAMOREREACH_STATEDAEMON_ENTRYDAEMONTRACKER_H
 
 #include "Admission/AllowanceLedger.h"
+#include "Membership/ServerRegistry.h"
 #include "State/ClockMedian.h"
 #include "State/ControlProtocol.h"
 #include "State/UsageAggregator.h"
@@ -36,10 +37,23 @@
     return this->Clocks.timeAt(Now);
   }
   State::UsageAggregator &usage() { return this->Usage; }
-  /// Engine time that all live entry daemons ask for, in engines per service.
+  /// Grants tokens to a state daemon for its entry daemons. Declaration is null
+  /// until a declaration is in force.
+  State::TokenPoolGrant
+  grantTokens(const State::TokenPoolRequest &Request,
+              const Configuration::ServiceMap *Declaration,
+              Common::TimePoint Now);
+  /// Load of all live entry daemons on each server that is not idle.
+  State::ServerLoads totalLoads() const;
+  /// Removes what has expired. Called periodically, so that polls do not go
+  /// over all entry daemons.
+  void expire(Common::TimePoint Now);
+  /// Engines that the requests of all live entry daemons keep busy, by service:
+  /// the engine time that they ask for or the slots that they occupy, whichever
+  /// is more.
   std::map<Common::ServiceName, double>
-  engineDemand(Common::TimePoint Now) const;
-  std::size_t liveEntryCount(Common::TimePoint Now) const;
+  engineDemand(const Membership::ServerRegistry &Servers) const;
+  std::size_t liveEntryCount() const { return this->LiveEntries; }
 
 private:
   /// An entry daemon that sent no poll for longer is not counted as live.
@@ -58,6 +72,7 @@
   static constexpr std::size_t MaxRefusedPerAnswer = 256;
 
   struct Entry {
+    bool Live = false;
     Common::TimePoint LastPollAt;
     std::vector<State::ServerLoad> Loads;
     std::vector<State::ServiceDemand> Services;
@@ -69,8 +84,12 @@
                        Common::TimePoint Now);
   void recordCrash(const State::CrashReport &Report, Common::TimePoint Now);
   void expireCrashes(Common::TimePoint Now);
-  std::vector<State::ServerLoad> loadsOfOthers(const Common::DaemonId &Excluded,
-                                               Common::TimePoint Now) const;
+  struct LoadSum {
+    std::int64_t Requests = 0;
+    std::int64_t PromptTokens = 0;
+  };
+  /// Adds the loads to the sums, or subtracts them if Sign is -1.
+  void addLoads(const std::vector<State::ServerLoad> &Loads, int Sign);
 
   Common::TimePoint LeadingSince;
   bool AllowancesLearned = false;
@@ -78,6 +97,9 @@
   /// estimate the grants of the unreachable ones.
   std::uint32_t MaxReportedEntries = 0;
   std::map<Common::DaemonId, Entry> Entries;
+  std::size_t LiveEntries = 0;
+  /// Sums over the live entry daemons.
+  std::map<Common::BackendServerId, LoadSum> Loads;
   Admission::AllowanceLedger Allowances;
   State::ClockMedian Clocks;
   State::UsageAggregator Usage;
--- a/Source/UnitTests/Admission/AllowanceTest.cpp
+++ b/Source/UnitTests/Admission/AllowanceTest.cpp
@@ -1,5 +1,6 @@
 #include "Admission/AllowanceAccount.h"
 #include "Admission/AllowanceLedger.h"
+#include "Admission/GrantHistory.h"
 
 #include "Common/Random.h"
 
@@ -22,16 +23,16 @@
   return Result;
 }
 
-/// Simulates entry daemons that consume as much as they can while leaders
-/// change.
+/// Simulates state daemons whose entry daemons consume as much as they can
+/// while leaders change.
 class AllowanceSimulation {
 public:
-  AllowanceSimulation(std::uint64_t Seed, std::size_t Daemons,
+  AllowanceSimulation(std::uint64_t Seed, std::size_t Holders,
                       const Configuration::Team &Limits)
       : Randomness(Seed), Limits(Limits) {
-    for (std::size_t I = 0; I < Daemons; ++I) {
-      this->Allowances.emplace_back(this->Tolerance);
-      this->Allowances.back().setDaemons(Daemons);
+    for (std::size_t I = 0; I < Holders; ++I) {
+      this->Holders.push_back({AllowanceAccount(this->Tolerance), {}});
+      this->Holders.back().Account.setHolders(Holders);
     }
     this->Ledger =
         std::make_unique<AllowanceLedger>(this->Tolerance, this->Now);
@@ -41,7 +42,7 @@
     const Common::TimePoint End = this->Now + Length;
     while (this->Now < End) {
       this->Now += 20ms;
-      for (AllowanceAccount &Each : this->Allowances)
+      for (Holder &Each : this->Holders)
         this->spend(Each);
       if (this->Randomness.chance(0.002))
         this->changeLeader();
@@ -57,36 +58,46 @@
   }
 
 private:
-  void spend(AllowanceAccount &Daemon) {
+  struct Holder {
+    AllowanceAccount Account;
+    std::vector<double> Waiting;
+  };
+  void spend(Holder &Spender) {
     const double Tokens = this->Randomness.chance(0.2)
                               ? 12'000
                               : 200 + 2000 * this->Randomness.fraction();
-    if (Daemon.tryConsume(this->Limits, Tokens, this->Now))
-      this->Spent.emplace_back(this->Now, Tokens);
-    else
-      this->Waiting[&Daemon].push_back(Tokens);
+    Spender.Account.recordDemand(this->Limits, Tokens, this->Now);
+    if (!this->consume(Spender, Tokens))
+      Spender.Waiting.push_back(Tokens);
     if (!this->Ledger || !this->Randomness.chance(0.2))
       return;
-    for (const auto &Each : Daemon.takeDemands(this->Now))
-      Daemon.addGrant(Each.Team,
-                      this->Ledger->grant(this->Limits, Each.Needed,
-                                          Each.Reserve, this->Now),
-                      this->Now);
-    for (const double Each : this->Waiting[&Daemon])
-      if (Daemon.retryConsume(this->Limits, Each))
-        this->Spent.emplace_back(this->Now, Each);
-    this->Waiting[&Daemon].clear();
-    Daemon.trimReserves();
+    AllowanceAccount::TokensByTeam Needed;
+    for (const double Each : Spender.Waiting)
+      Needed[this->Limits.Name] += Each;
+    for (const auto &Each : Spender.Account.demands(Needed, {}, this->Now))
+      Spender.Account.add(Each.Team, this->Ledger
+                                         ->grant(this->Limits, Each.Needed,
+                                                 Each.Reserve, this->Now)
+                                         .Tokens);
+    for (const double Each : Spender.Waiting)
+      this->consume(Spender, Each);
+    Spender.Waiting.clear();
+    Spender.Account.trimReserves();
+  }
+  bool consume(Holder &Spender, double Tokens) {
+    if (!Spender.Account.tryConsume(this->Limits.Name, Tokens))
+      return false;
+    this->Spent.emplace_back(this->Now, Tokens);
+    this->Grants.record(this->Limits.Name, Tokens, this->Now);
+    return true;
   }
 
   void changeLeader() {
     this->Ledger =
         std::make_unique<AllowanceLedger>(this->Tolerance, this->Now);
     std::vector<double> Granted(8, 0);
-    for (AllowanceAccount &Each : this->Allowances)
-      for (const auto &Recent : Each.recentGrants(this->Now))
-        for (std::size_t I = 0; I < Recent.CumulativeTokens.size(); ++I)
-          Granted[I] += Recent.CumulativeTokens[I];
+    for (const auto &Recent : this->Grants.recent(this->Now))
+      Granted = Recent.CumulativeTokens;
     this->Ledger->restoreFromGrants(this->Limits, Granted, this->Now);
   }
 
@@ -106,9 +117,10 @@
   Common::Random Randomness;
   Configuration::Team Limits;
   Common::TimePoint Now{1000s};
-  std::vector<AllowanceAccount> Allowances;
+  std::vector<Holder> Holders;
+  /// The grants of all entry daemons.
+  GrantHistory Grants{8s};
   std::unique_ptr<AllowanceLedger> Ledger;
-  std::map<AllowanceAccount *, std::vector<double>> Waiting;
   std::deque<std::pair<Common::TimePoint, double>> Spent;
 };
 
@@ -136,23 +148,49 @@
 }
 
 BOOST_AUTO_TEST_CASE(TeamWithoutLimitIsNotLimited) {
-  AllowanceAccount Allowances(AllowanceTolerance{});
-  BOOST_TEST(Allowances.tryConsume(makeTeam(0, 0), 1e9, Common::TimePoint(1s)));
+  AllowanceLedger Ledger(AllowanceTolerance{}, Common::TimePoint(1s));
+  const auto Granted =
+      Ledger.grant(makeTeam(0, 0), 1e9, 5, Common::TimePoint(1s));
+  BOOST_TEST(Granted.Tokens == 1e9 + 5);
 }
 
 BOOST_AUTO_TEST_CASE(LoweredLimitReducesReserve) {
   AllowanceAccount Allowances(AllowanceTolerance{0, 0.1, 8s});
-  Allowances.setDaemons(1);
+  Allowances.setHolders(1);
   Configuration::Team High = makeTeam(100'000, 100'000);
   const Common::TimePoint Now(1s);
-  BOOST_TEST(!Allowances.tryConsume(High, 1000, Now));
-  Allowances.addGrant(High.Name, 50'000, Now);
+  Allowances.recordDemand(High, 1000, Now);
+  Allowances.add(High.Name, 50'000);
   Configuration::ServiceMapParts Parts;
   High.TokenRate = 1000;
   High.TokenBurst = 1000;
   Parts.Teams = {High};
   Allowances.applyLimits(*Configuration::ServiceMap::create(Parts));
-  BOOST_TEST(!Allowances.retryConsume(High, 1000));
+  BOOST_TEST(!Allowances.tryConsume(High.Name, 1000));
+}
+
+// Callers of a team that is out of tokens are refused at the same moment. Their
+// return must be spread over the time in which the tokens are refilled.
+BOOST_AUTO_TEST_CASE(RefusedRequestsReturnOneAfterAnother) {
+  const Common::TimePoint Now(100s);
+  AllowanceLedger Ledger(AllowanceTolerance{}, Now);
+  const Configuration::Team Limits = makeTeam(10'000, 0);
+  const auto First = Ledger.grant(Limits, 5'000, 0, Now);
+  const auto Second = Ledger.grant(Limits, 5'000, 0, Now);
+  BOOST_TEST(First.Tokens == 0);
+  BOOST_TEST(Common::toSeconds(First.Wait) == 0.5);
+  BOOST_TEST(Common::toSeconds(Second.Wait) == 1.0);
+}
+
+// Reserves of many state daemons must not empty the bucket for the requests
+// that wait at another one.
+BOOST_AUTO_TEST_CASE(ReservesLeaveTokensForWaitingRequests) {
+  const Common::TimePoint Start(100s);
+  AllowanceLedger Ledger(AllowanceTolerance{}, Start);
+  const Configuration::Team Limits = makeTeam(10'000, 40'000);
+  const Common::TimePoint Now = Start + 10s;
+  BOOST_TEST(Ledger.grant(Limits, 0, 100'000, Now).Tokens == 30'000);
+  BOOST_TEST(Ledger.grant(Limits, 10'000, 0, Now).Tokens == 10'000);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/StateDaemon/EntryDaemonTrackerTest.cpp
+++ b/Source/UnitTests/StateDaemon/EntryDaemonTrackerTest.cpp
@@ -74,6 +74,7 @@
   for (std::uint64_t Server = 1; Server <= 6; ++Server) {
     State::EntryPoll Poll = pollFrom("e1", Server);
     Poll.Crashes = {{77, Common::BackendServerId("s"), Server}};
+    Tracker.expire(Common::TimePoint(Server * 20s));
     const auto Answer = Tracker.handlePoll(Poll, nullptr, Newest,
                                            Common::TimePoint(Server * 20s));
     BOOST_TEST(Answer.RefusedContents.empty());
@@ -88,6 +89,7 @@
     Poll.Crashes.push_back({77, Common::BackendServerId("s"), Server});
   BOOST_TEST(Tracker.handlePoll(Poll, nullptr, Newest, Common::TimePoint(11s))
                  .RefusedContents.size() == 1u);
+  Tracker.expire(Common::TimePoint(200s));
   BOOST_TEST(Tracker
                  .handlePoll(pollFrom("e1", 2), nullptr, Newest,
                              Common::TimePoint(200s))
@@ -108,7 +110,7 @@
   BOOST_TEST(!Tracker.isRefused(5, Common::TimePoint(40s)));
 }
 
-BOOST_AUTO_TEST_CASE(LoadsOfOtherLiveEntryDaemonsAreSummed) {
+BOOST_AUTO_TEST_CASE(LoadsOfLiveEntryDaemonsAreSummed) {
   EntryDaemonTracker Tracker({}, Common::TimePoint(10s));
   const State::ControlState Newest = stateWith(1);
   for (const char *Each : {"e1", "e2", "e3"}) {
@@ -116,15 +118,25 @@
     Poll.Loads = {{Common::BackendServerId("s"), 2, 100}};
     Tracker.handlePoll(Poll, nullptr, Newest, Common::TimePoint(11s));
   }
+  BOOST_REQUIRE(Tracker.totalLoads().Loads.size() == 1u);
+  BOOST_TEST(Tracker.totalLoads().Loads[0].Requests == 6u);
+  // The newest report of a daemon replaces its earlier one.
   auto Answer = Tracker.handlePoll(pollFrom("e1", 2), nullptr, Newest,
                                    Common::TimePoint(12s));
-  BOOST_REQUIRE(Answer.Loads.size() == 1u);
-  BOOST_TEST(Answer.Loads[0].Requests == 4u);
+  BOOST_TEST(Tracker.totalLoads().Loads[0].Requests == 4u);
   BOOST_TEST(Answer.EntryCount == 3u);
   Answer = Tracker.handlePoll(pollFrom("e1", 3), nullptr, Newest,
                               Common::TimePoint(20s));
-  BOOST_TEST(Answer.Loads.empty());
-  BOOST_TEST(Answer.EntryCount == 1u);
+  Tracker.expire(Common::TimePoint(20s));
+  BOOST_TEST(Tracker.totalLoads().Loads.empty());
+  BOOST_TEST(Tracker.liveEntryCount() == 1u);
+  // A daemon that comes back counts again.
+  State::EntryPoll Back = pollFrom("e2", 2);
+  Back.Loads = {{Common::BackendServerId("s"), 1, 50}};
+  Tracker.handlePoll(Back, nullptr, Newest, Common::TimePoint(21s));
+  BOOST_REQUIRE(Tracker.totalLoads().Loads.size() == 1u);
+  BOOST_TEST(Tracker.totalLoads().Loads[0].Requests == 1u);
+  BOOST_TEST(Tracker.liveEntryCount() == 2u);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
