Network: An exchange is open until its response is written

During a planned stop a stream's end was in the output buffer when the last exchange counted as closed; the process stopped and cut the response off. Requests that had arrived in part did not count either.

Change: an exchange counts from the first byte of its request until its response is written to the socket.

Ruled out: the shutdown limit (8 s, the stop came after 3.5 s).

Two tests, which failed before.

--- a/Source/Core/Network/Http1Server.cpp
+++ b/Source/Core/Network/Http1Server.cpp
@@ -3,6 +3,7 @@
 #include "Network/SocketAddress.h"
 
 #include <absl/strings/str_cat.h>
+#include <algorithm>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -72,6 +73,11 @@
   void handleOutputFlushed();
   void close();
   std::size_t unsentBytes() const;
+  /// Whether a request is arriving or a response is not completely written.
+  bool isBusy() const {
+    return this->CurrentExchange || this->Reader.isStarted() ||
+           this->unsentBytes() != 0;
+  }
   /// Whether the connection has been idle for longer than IdleTimeout, or has
   /// lingered for longer than LingerTimeout.
   bool isExpired(Common::TimePoint Now, Common::Duration IdleTimeout) const;
@@ -124,10 +130,8 @@
 }
 
 Http1ServerConnection::~Http1ServerConnection() {
-  if (this->CurrentExchange) {
+  if (this->CurrentExchange)
     this->CurrentExchange->Connection = nullptr;
-    --this->Server.OpenCount;
-  }
   bufferevent_free(this->Socket);
 }
 
@@ -182,7 +186,6 @@
       this->RequestBody.clear();
       this->Reader.reset();
       this->CurrentExchange = Exchange;
-      ++this->Server.OpenCount;
       // Deferred, since the handler may respond at once and so destroy this
       // connection.
       this->Server.Loop.defer(
@@ -218,7 +221,6 @@
   if (Exchange) {
     this->CurrentExchange.reset();
     Exchange->Connection = nullptr;
-    --this->Server.OpenCount;
     if (Exchange->DisconnectHandler) {
       const auto Run = std::move(Exchange->DisconnectHandler);
       Exchange->DisconnectHandler = nullptr;
@@ -277,7 +279,6 @@
   this->CurrentExchange.reset();
   Exchange->Connection = nullptr;
   Exchange->DisconnectHandler = nullptr;
-  --this->Server.OpenCount;
   this->PhaseStart = this->Server.Loop.now();
   if (!Reusable || !Exchange->Head.KeepAlive || this->Server.ShuttingDown) {
     this->closeAfterFlush();
@@ -404,6 +405,12 @@
     evconnlistener_free(this->Listener);
 }
 
+std::size_t Http1Server::openExchanges() const {
+  return static_cast<std::size_t>(
+      std::count_if(this->Connections.begin(), this->Connections.end(),
+                    [](const auto &Each) { return Each.first->isBusy(); }));
+}
+
 void Http1Server::accept(int Descriptor) {
   auto Accepted =
       std::make_unique<detail::Http1ServerConnection>(*this, Descriptor);
--- a/Source/Core/Network/Http1Server.h
+++ b/Source/Core/Network/Http1Server.h
@@ -105,8 +105,9 @@
   /// Closes each connection after its next response, and idle connections after
   /// IdleTimeout.
   void startShutdown(Common::Duration IdleTimeout);
-  /// Number of exchanges whose response is not complete.
-  std::size_t openExchanges() const { return this->OpenCount; }
+  /// Number of exchanges whose request has begun to arrive and whose response
+  /// is not completely written to the socket.
+  std::size_t openExchanges() const;
   std::size_t connections() const { return this->Connections.size(); }
 
 private:
@@ -123,7 +124,6 @@
   std::map<detail::Http1ServerConnection *,
            std::unique_ptr<detail::Http1ServerConnection>>
       Connections;
-  std::size_t OpenCount = 0;
   bool ShuttingDown = false;
   EventHandle ExpiryTimer;
 };
--- a/Source/UnitTests/Network/Http1ContractTest.cpp
+++ b/Source/UnitTests/Network/Http1ContractTest.cpp
@@ -266,6 +266,49 @@
   BOOST_TEST((*Server)->openExchanges() == 0u);
 }
 
+// A process that stops once no exchange is open must not cut off a response
+// that a slow caller has not received yet (halonen-polkky-large, scale-2: a
+// stream lost its end during a planned stop).
+BOOST_AUTO_TEST_CASE(ExchangeIsOpenUntilItsResponseIsWritten) {
+  const auto Loop = createLoop();
+  std::size_t OpenAfterReply = 0;
+  const std::string LargeBody(8u << 20, 'x');
+  std::unique_ptr<Http1Server> Server;
+  Http1Server::Handlers Handlers;
+  Handlers.OnRequest = [&](const std::shared_ptr<Http1Exchange> &Exchange) {
+    Exchange->reply(200, {}, LargeBody);
+    OpenAfterReply = Server->openExchanges();
+  };
+  const Address Listen = allocateAddress();
+  auto Created = Http1Server::create(*Loop, Listen, std::move(Handlers));
+  BOOST_REQUIRE(Created.ok());
+  Server = std::move(*Created);
+  RawCaller Caller(*Loop, Listen);
+  Caller.write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  BOOST_REQUIRE(runUntil(
+      *Loop, [&] { return Caller.received().size() > LargeBody.size(); }));
+  BOOST_TEST(OpenAfterReply == 1u);
+  BOOST_TEST(runUntil(*Loop, [&] { return Server->openExchanges() == 0; }));
+}
+
+// A request that has arrived in part is answered before a planned stop.
+BOOST_AUTO_TEST_CASE(ExchangeIsOpenWhileItsRequestArrives) {
+  const auto Loop = createLoop();
+  Http1Server::Handlers Handlers;
+  Handlers.OnRequest = [&](const std::shared_ptr<Http1Exchange> &Exchange) {
+    Exchange->reply(200, {}, "ok");
+  };
+  const Address Listen = allocateAddress();
+  auto Server = Http1Server::create(*Loop, Listen, std::move(Handlers));
+  BOOST_REQUIRE(Server.ok());
+  RawCaller Caller(*Loop, Listen);
+  Caller.write("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nab");
+  BOOST_TEST(runUntil(*Loop, [&] { return (*Server)->openExchanges() == 1; }));
+  Caller.write("cd");
+  BOOST_TEST(runUntil(*Loop, [&] { return !Caller.received().empty(); }));
+  BOOST_TEST(runUntil(*Loop, [&] { return (*Server)->openExchanges() == 0; }));
+}
+
 BOOST_AUTO_TEST_CASE(AbortedStreamIsIncomplete) {
   const auto Loop = createLoop();
   Http1Server::Handlers Handlers;
