--- a/Source/UnitTests/Routing/ServerTableTest.cpp
+++ b/Source/UnitTests/Routing/ServerTableTest.cpp
@@ -108,6 +108,105 @@
   BOOST_TEST(static_cast<double>(MaxPending) <= 1.5 * TotalPending / 6);
 }
 
+// A flood in which one long part has a third of the traffic, over many engines
+// with few slots. No engine may get more requests than it has slots while
+// others are free (tuul-hinge-grown: a quarter of all arrivals was rejected).
+BOOST_AUTO_TEST_CASE(HotPartDoesNotFillItsEngineWhileOthersAreFree) {
+  Fixture Test(0);
+  for (int I = 0; I < 60; ++I)
+    Test.Servers.apply(makeEngine(I, 16), Test.Now);
+  std::map<std::string, std::uint32_t> Running;
+  for (int I = 0; I < 480; ++I) {
+    const std::string Shared = I % 3 == 0 ? "hot" : "doc-" + std::to_string(I);
+    const auto At = Test.startRequest(makePrompt(Shared, 6300, 100, I));
+    Test.Servers.recordFirstOutput(At);
+    ++Running[At.Id.str()];
+  }
+  std::uint32_t Most = 0;
+  for (const auto &Each : Running)
+    Most = std::max(Most, Each.second);
+  BOOST_TEST(Most <= 16u);
+}
+
+// The engine of a hot part is full. Two daemons without any exchange must
+// overflow to the same engine, so that only one more prefills the part.
+BOOST_AUTO_TEST_CASE(DaemonsOverflowToTheSameEngine) {
+  Fixture One(40, 1);
+  Fixture Two(40, 2);
+  for (int I = 0; I < 20; ++I) {
+    const auto Prompt = makePrompt("doc-" + std::to_string(I), 5000, 100, I);
+    const auto Home = One.Servers.choose({Models, &Prompt, {}, {}}, One.Now);
+    for (Fixture *Each : {&One, &Two})
+      Each->Servers.setTotalLoads({{Home->Id, 64, 0}});
+    const auto First = One.Servers.choose({Models, &Prompt, {}, {}}, One.Now);
+    const auto Second = Two.Servers.choose({Models, &Prompt, {}, {}}, Two.Now);
+    BOOST_TEST(First->Id.str() != Home->Id.str());
+    BOOST_TEST(First->Id.str() == Second->Id.str());
+    for (Fixture *Each : {&One, &Two})
+      Each->Servers.setTotalLoads({});
+  }
+}
+
+// All engines but crashed ones are overloaded.
+BOOST_AUTO_TEST_CASE(CrashedEngineIsWorseThanAFullOne) {
+  Fixture Test(2);
+  Test.Now += std::chrono::seconds(20);
+  Test.Servers.refresh(Common::BackendServerId("e1"), 1, 2,
+                       Membership::ServerPhase::Serving, Test.Now);
+  Test.Servers.setTotalLoads({{Common::BackendServerId("e1"), 120, 300'000}});
+  const auto Prompt = makePrompt("doc", 100, 100, 1);
+  BOOST_TEST(
+      Test.Servers.choose({Models, &Prompt, {}, {}}, Test.Now)->Id.str() ==
+      "e1");
+}
+
+// An engine rejects a request because other daemons filled it.
+BOOST_AUTO_TEST_CASE(EngineThatRejectedARequestCountsAsFull) {
+  Fixture Test(4);
+  const auto Home = Test.startRequest(makePrompt("doc", 5000, 100, 0));
+  Test.Servers.recordEnd(Home, ServerOutcome::Rejected, Test.Now);
+  for (int I = 1; I < 10; ++I)
+    BOOST_TEST(Test.startRequest(makePrompt("doc", 5000, 100, I)).Id.str() !=
+               Home.Id.str());
+  Test.Now += std::chrono::milliseconds(500);
+  const auto Prompt = makePrompt("other", 1, 1, 1);
+  BOOST_TEST(Test.Servers
+                 .choose({Models,
+                          &Prompt,
+                          {Common::BackendServerId("e0"),
+                           Common::BackendServerId("e1"),
+                           Common::BackendServerId("e2")},
+                          {}},
+                         Test.Now)
+                 .has_value());
+}
+
+// Servers that came and left must not change where parts are looked for.
+BOOST_AUTO_TEST_CASE(RingDoesNotDependOnTheOrderOfChanges) {
+  Fixture Changed(60, 1);
+  for (int I = 0; I < 20; ++I) {
+    auto Leaving = makeEngine(I);
+    Leaving.Phase = Membership::ServerPhase::Leaving;
+    Leaving.Sequence = 2;
+    Changed.Servers.apply(Leaving, Changed.Now);
+  }
+  // e60 replaces e20 at its address.
+  auto Replacement = makeEngine(60);
+  Replacement.Address = makeEngine(20).Address;
+  Replacement.StartedAt = 2;
+  Changed.Servers.apply(Replacement, Changed.Now);
+  Fixture Fresh(0, 2);
+  for (int I = 60; I > 20; --I)
+    Fresh.Servers.apply(makeEngine(I), Fresh.Now);
+  for (int I = 0; I < 100; ++I) {
+    const auto Prompt = makePrompt("doc-" + std::to_string(I), 5000, 100, I);
+    BOOST_TEST(
+        Changed.Servers.choose({Models, &Prompt, {}, {}}, Changed.Now)
+            ->Id.str() ==
+        Fresh.Servers.choose({Models, &Prompt, {}, {}}, Fresh.Now)->Id.str());
+  }
+}
+
 // Other daemons load an engine that has no requests from this daemon.
 BOOST_AUTO_TEST_CASE(RemoteLoadIsCounted) {
   Fixture Test(2);
