Network: Frames to many connections share memory; an unread connection is closed

A declaration with 1,400 routes is pushed to each entry daemon, and each connection kept its own copy, up to 64 MB when the peer does not read; beyond that frames were dropped, so that a change of a server could be missed for good.

--- a/Source/Core/Network/FrameSocket.cpp
+++ b/Source/Core/Network/FrameSocket.cpp
@@ -20,8 +20,10 @@
 constexpr Common::Duration ReconnectTimeout = std::chrono::milliseconds(1500);
 /// The server closes a connection that received nothing for this long.
 constexpr timeval ServerIdleTimeout = {10, 0};
-/// Bounds the memory used for a peer that does not read.
+/// Bounds the memory used for a peer that does not read, of a client and of
+/// each connection of a server. A server has hundreds of them.
 constexpr std::size_t MaxOutputBufferBytes = 64u << 20;
+constexpr std::size_t MaxServerOutputBytes = 8u << 20;
 
 void setNoDelay(int Descriptor) {
   const int On = 1;
@@ -129,9 +131,44 @@
 }
 
 void FrameServer::send(ConnectionId Id, std::string_view Payload) {
-  const auto Found = this->Connections.find(Id);
-  if (Found != this->Connections.end())
-    writeFrame(Found->second->Socket, this->Codec.encodeFrame(Payload));
+  if (this->Connections.count(Id) != 0)
+    this->write(Id, std::make_shared<const std::string>(
+                        this->Codec.encodeFrame(Payload)));
+}
+
+void FrameServer::broadcast(const std::vector<ConnectionId> &To,
+                            std::string_view Payload) {
+  const auto EncodedFrame =
+      std::make_shared<const std::string>(this->Codec.encodeFrame(Payload));
+  for (const ConnectionId Each : To)
+    this->write(Each, EncodedFrame);
+}
+
+void FrameServer::write(
+    ConnectionId To, const std::shared_ptr<const std::string> &EncodedFrame) {
+  const auto Found = this->Connections.find(To);
+  if (Found == this->Connections.end())
+    return;
+  evbuffer *Output = bufferevent_get_output(Found->second->Socket);
+  if (evbuffer_get_length(Output) > MaxServerOutputBytes) {
+    // Deferred, as the caller may be iterating over the connections.
+    this->Loop.defer([this, To, Alive = std::weak_ptr<bool>(this->Alive)] {
+      if (Alive.lock())
+        this->close(To);
+    });
+    return;
+  }
+  using SharedFrame = std::shared_ptr<const std::string>;
+  auto Reference = std::make_unique<SharedFrame>(EncodedFrame);
+  const int Added = evbuffer_add_reference(
+      Output, EncodedFrame->data(), EncodedFrame->size(),
+      [](const void *, size_t, void *Owner) {
+        delete static_cast<SharedFrame *>(Owner);
+      },
+      Reference.get());
+  if (Added == 0)
+    // Deleted by the buffer.
+    static_cast<void>(Reference.release());
 }
 
 void FrameServer::close(ConnectionId Id) {
--- a/Source/Core/Network/FrameSocket.h
+++ b/Source/Core/Network/FrameSocket.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 struct bufferevent;
 struct evconnlistener;
@@ -38,8 +39,12 @@
          Handlers EventHandlers);
   ~FrameServer();
 
-  /// Sends to an open connection; does nothing if the connection is closed.
+  /// Sends to an open connection; does nothing if the connection is closed. A
+  /// connection whose peer does not read is closed, so that the peer connects
+  /// again instead of missing messages.
   void send(ConnectionId Connection, std::string_view Payload);
+  /// Sends to several connections, which share the memory of the frame.
+  void broadcast(const std::vector<ConnectionId> &To, std::string_view Payload);
 
 private:
   struct Connection;
@@ -47,6 +52,8 @@
   void accept(int Descriptor);
   void read(Connection &Source);
   void close(ConnectionId Connection);
+  void write(ConnectionId To,
+             const std::shared_ptr<const std::string> &EncodedFrame);
 
   EventLoop &Loop;
   FrameCodec Codec;
@@ -54,6 +61,7 @@
   evconnlistener *Listener = nullptr;
   std::uint64_t LastConnectionId = 0;
   std::map<ConnectionId, std::unique_ptr<Connection>> Connections;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
 /// A TCP connection to one daemon that reconnects after a failure or when the
--- a/Source/StateDaemon/Controller.cpp
+++ b/Source/StateDaemon/Controller.cpp
@@ -235,8 +235,7 @@
     this->handleTokenPoolRequest(From, *Demand);
   else if (std::get_if<State::ServerLoads>(&*Frame))
     // Passed on as received.
-    for (const auto &Each : this->Entries)
-      this->LinkServer->send(Each.second, Payload);
+    this->LinkServer->broadcast(this->entryConnections(), Payload);
 }
 
 void Controller::handleLinkFrame(const std::string &Payload) {
@@ -261,9 +260,15 @@
 void Controller::broadcastToEntries(const State::ControlFrame &Frame) {
   if (this->Entries.empty())
     return;
-  const std::string Payload = Network::encode(Frame);
+  this->LinkServer->broadcast(this->entryConnections(), Network::encode(Frame));
+}
+
+std::vector<Network::ConnectionId> Controller::entryConnections() const {
+  std::vector<Network::ConnectionId> Result;
+  Result.reserve(this->Entries.size());
   for (const auto &Each : this->Entries)
-    this->LinkServer->send(Each.second, Payload);
+    Result.push_back(Each.second);
+  return Result;
 }
 
 void Controller::broadcastToPeers(const State::ControlFrame &Frame) {
--- a/Source/StateDaemon/Controller.h
+++ b/Source/StateDaemon/Controller.h
@@ -71,6 +71,7 @@
   void forwardPollAnswer(const State::EntryPollResponse &Answer);
   void sendTo(Network::ConnectionId To, const State::ControlFrame &Frame);
   void broadcastToEntries(const State::ControlFrame &Frame);
+  std::vector<Network::ConnectionId> entryConnections() const;
   void broadcastToPeers(const State::ControlFrame &Frame);
   State::StateEndpoints stateEndpoints() const;
 
