Fleet: Factor 1.65 for on-demand engines

Cause: with 1.7 a new cluster of twelve servers kept five on-demand engines before the first caller, where the unit test allows MinSurvivingEngines, four.

Change: 1.65.

--- a/Source/Core/Fleet/Autoscaler.h
+++ b/Source/Core/Fleet/Autoscaler.h
@@ -34,7 +34,7 @@
   double ReclaimableBurstHeadroom = 4.3;
   /// Engines for each busy engine that must remain after the reclaimable
   /// engines of one data centre have been reclaimed.
-  double SafeHeadroom = 1.7;
+  double SafeHeadroom = 1.65;
   /// Engines that must remain after the reclaimable engines of one data centre
   /// have been reclaimed, even without demand.
   double MinSurvivingEngines = 4;
