--- a/Source/PolicyBench/ControlMain.cpp
+++ b/Source/PolicyBench/ControlMain.cpp
@@ -6,6 +6,7 @@
 #include "StateDaemon/TokenPool.h"
 
 #include <absl/strings/str_format.h>
+#include <cmath>
 #include <iostream>
 
 namespace {
@@ -202,8 +203,8 @@
                                  static_cast<double>(Requests));
       RequestTokens(I % Entries);
     }
-    const int Publications =
-        static_cast<int>(LoadMessagesPerSecond / PollsPerSecond + 0.5);
+    const auto Publications =
+        static_cast<int>(std::lround(LoadMessagesPerSecond / PollsPerSecond));
     for (int I = 0; I < Publications; ++I)
       PublishLoads();
   }
--- a/Source/UnitTests/Settings/SettingsFileTest.cpp
+++ b/Source/UnitTests/Settings/SettingsFileTest.cpp
@@ -20,10 +20,9 @@
 )";
 
 std::string writeSettingsFile(const std::string &Text) {
-  const std::string Path =
-      (std::filesystem::temp_directory_path() /
-       ("settings-file-test-" + std::to_string(::getpid())))
-          .string();
+  std::string Path = (std::filesystem::temp_directory_path() /
+                      ("settings-file-test-" + std::to_string(::getpid())))
+                         .string();
   std::ofstream(Path) << Text;
   return Path;
 }
