StateDaemon: A new leader does not decode its declaration again

Every state daemon decodes each declaration for its token pool when it takes it over, so decoding it once more at an election was the same work on a loaded leader.

--- a/Source/StateDaemon/Controller.h
+++ b/Source/StateDaemon/Controller.h
@@ -98,7 +98,8 @@
   void redirectToLeader(Network::Http1Exchange &Exchange,
                         const std::string &Path);
   void pushDeclaration();
-  /// Decodes the applied declaration document for the tracker and the duties.
+  /// Decodes the applied declaration document for the token pool, the tracker
+  /// and the duties.
   void decodeDeclaration();
   void updateGauges();
   void shutDown();
--- a/Source/StateDaemon/ControllerGroup.cpp
+++ b/Source/StateDaemon/ControllerGroup.cpp
@@ -63,8 +63,6 @@
     this->Tracker =
         std::make_unique<EntryDaemonTracker>(this->Settings.Tolerance, Now);
     this->Tracker->addOwnClock(this->Settings.Name, this->Loop.wallNow(), Now);
-    if (!this->State.document().empty())
-      this->decodeDeclaration();
     if (!this->Settings.DutyAddress.empty()) {
       this->Duties = std::make_unique<DutyRunner>(DutyRunner::Dependencies{
           this->Loop, this->Settings, *this->Client, *this->Driver, this->State,
--- a/Source/StateDaemon/TokenPool.cpp
+++ b/Source/StateDaemon/TokenPool.cpp
@@ -13,7 +13,7 @@
 /// Retry-After of needs that expired without an answer from the leader, which
 /// is enough for the election of another one.
 constexpr Common::Duration RetryAfterNoLeader = std::chrono::milliseconds(900);
-/// Further needs are refused at once.
+/// Beyond this number, the need that has waited longest is refused.
 constexpr std::size_t MaxWaiting = 20'000;
 
 std::uint64_t milliseconds(Common::Duration Value) {
