Network, EntryDaemon: Log and count why connections close

The logs could not tell the hypotheses on lost requests apart: a closed connection left no line, and 'stopped' gave only a number.

Change: the server reports each closed connection with its reason, what of the response is unsent and whether input was unread. The entry daemon counts them (connections_closed_total, connections_closed_unread_total, connections_cut_total) and logs connection_cut for each request that its own close leaves without a complete answer, with the time since the request arrived and since SIGTERM; 'stopped' says why and after how long. No decision changed.

--- a/Source/Core/Network/Http1Server.cpp
+++ b/Source/Core/Network/Http1Server.cpp
@@ -68,10 +68,13 @@
   /// Ends the current exchange; keeps the connection for the next request if
   /// Reusable and the caller and server allow it.
   void finish(bool Reusable);
+  /// Ends the current exchange with its response incomplete.
+  void abort();
   /// Closes the connection once the output buffer is empty.
   void closeAfterFlush();
   void handleOutputFlushed();
-  void close();
+  void close(Http1Server::Closure Reason);
+  Http1Server::ClosedConnection describe(Http1Server::Closure Reason) const;
   std::size_t unsentBytes() const;
   /// Whether a request is arriving or a response is not completely written.
   bool isBusy() const {
@@ -88,12 +91,16 @@
 
 private:
   void parse();
+  bool hasUnreadInput() const;
 
   Http1Server &Server;
   bufferevent *Socket = nullptr;
   Http1Reader Reader;
   std::string RequestBody;
   std::shared_ptr<Http1Exchange> CurrentExchange;
+  /// The last exchange, until its response is written.
+  std::shared_ptr<Http1Exchange> UnwrittenExchange;
+  Http1Server::Closure PlannedClosure = Http1Server::Closure::Complete;
   /// When the connection became idle, started to receive a request or started
   /// to linger, whichever was last.
   Common::TimePoint PhaseStart;
@@ -181,6 +188,7 @@
     case Http1Reader::State::Complete: {
       auto Exchange = std::make_shared<Http1Exchange>();
       Exchange->Connection = this;
+      Exchange->ReceivedAt = this->Server.Loop.now();
       Exchange->Head = this->Reader.head();
       Exchange->Body = std::move(this->RequestBody);
       this->RequestBody.clear();
@@ -227,27 +235,51 @@
       Run();
     }
   }
-  this->close();
+  if (Exchange)
+    this->UnwrittenExchange = Exchange;
+  this->close(Http1Server::Closure::Disconnected);
 }
 
-void Http1ServerConnection::close() { this->Server.erase(this); }
+void Http1ServerConnection::close(Http1Server::Closure Reason) {
+  this->Server.erase(this, Reason);
+}
+
+bool Http1ServerConnection::hasUnreadInput() const {
+  char Byte = 0;
+  return evbuffer_get_length(bufferevent_get_input(this->Socket)) != 0 ||
+         recv(bufferevent_getfd(this->Socket), &Byte, sizeof(Byte),
+              MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+Http1Server::ClosedConnection
+Http1ServerConnection::describe(Http1Server::Closure Reason) const {
+  return {
+      Reason,
+      this->CurrentExchange ? this->CurrentExchange : this->UnwrittenExchange,
+      this->unsentBytes(),
+      Reason != Http1Server::Closure::Disconnected && this->hasUnreadInput()};
+}
 
 void Http1ServerConnection::closeAfterFlush() {
   this->ClosingAfterFlush = true;
   if (this->unsentBytes() == 0) {
+    this->UnwrittenExchange.reset();
     this->Server.Loop.defer(
-        [Server = &this->Server, Self = this] { Server->erase(Self); });
+        [Server = &this->Server, Self = this, Reason = this->PlannedClosure] {
+          Server->erase(Self, Reason);
+        });
   }
 }
 
 void Http1ServerConnection::handleOutputFlushed() {
+  this->UnwrittenExchange.reset();
   if (!this->ClosingAfterFlush || this->Lingering)
     return;
   evbuffer *Input = bufferevent_get_input(this->Socket);
   const bool MidRequest =
       this->Reader.isStarted() || evbuffer_get_length(Input) != 0;
   if (!MidRequest) {
-    this->close();
+    this->close(this->PlannedClosure);
     return;
   }
   this->Lingering = true;
@@ -279,6 +311,8 @@
   this->CurrentExchange.reset();
   Exchange->Connection = nullptr;
   Exchange->DisconnectHandler = nullptr;
+  if (this->unsentBytes() != 0)
+    this->UnwrittenExchange = Exchange;
   this->PhaseStart = this->Server.Loop.now();
   if (!Reusable || !Exchange->Head.KeepAlive || this->Server.ShuttingDown) {
     this->closeAfterFlush();
@@ -289,6 +323,11 @@
     this->parse();
 }
 
+void Http1ServerConnection::abort() {
+  this->PlannedClosure = Http1Server::Closure::Aborted;
+  this->finish(false);
+}
+
 std::size_t Http1ServerConnection::unsentBytes() const {
   return evbuffer_get_length(bufferevent_get_output(this->Socket));
 }
@@ -354,8 +393,7 @@
 void Http1Exchange::abort() {
   if (!this->Connection)
     return;
-  detail::Http1ServerConnection *UsedConnection = this->Connection;
-  UsedConnection->finish(false);
+  this->Connection->abort();
 }
 
 std::size_t Http1Exchange::unsentBytes() const {
@@ -418,8 +456,19 @@
   this->Connections[Connection] = std::move(Accepted);
 }
 
-void Http1Server::erase(detail::Http1ServerConnection *Connection) {
-  this->Connections.erase(Connection);
+void Http1Server::erase(detail::Http1ServerConnection *Connection,
+                        Closure Reason) {
+  const auto Found = this->Connections.find(Connection);
+  if (Found == this->Connections.end())
+    return;
+  if (this->ServerHandlers.OnClosed)
+    this->ServerHandlers.OnClosed(Connection->describe(Reason));
+  this->Connections.erase(Found);
+}
+
+void Http1Server::closeAll() {
+  while (!this->Connections.empty())
+    this->erase(this->Connections.begin()->first, Closure::Stopped);
 }
 
 void Http1Server::closeExpiredConnections() {
@@ -433,7 +482,7 @@
       Overdue.push_back(Each.first);
   }
   for (detail::Http1ServerConnection *Each : Expired)
-    Each->close();
+    Each->close(Closure::Expired);
   for (detail::Http1ServerConnection *Each : Overdue)
     Each->reject(Rejection::HeaderTimeout);
 }
--- a/Source/Core/Network/Http1Server.h
+++ b/Source/Core/Network/Http1Server.h
@@ -26,6 +26,7 @@
 public:
   const Http1Head &head() const { return this->Head; }
   const std::string &body() const { return this->Body; }
+  Common::TimePoint receivedAt() const { return this->ReceivedAt; }
   /// The target without its query.
   std::string path() const;
   std::optional<std::string> header(std::string_view Name) const {
@@ -60,8 +61,8 @@
   detail::Http1ServerConnection *Connection = nullptr;
   Http1Head Head;
   std::string Body;
+  Common::TimePoint ReceivedAt;
   bool Streaming = false;
-  bool Chunked = false;
   std::function<void()> DisconnectHandler;
 };
 
@@ -84,9 +85,34 @@
     BodyTooLarge,
     HeaderTimeout,
   };
+  /// Why a connection was closed.
+  enum class Closure {
+    /// Its last response was written.
+    Complete,
+    /// Its response was broken off with Http1Exchange::abort().
+    Aborted,
+    /// IdleTimeout or LingerTimeout passed.
+    Expired,
+    /// The caller closed it, or it failed.
+    Disconnected,
+    /// The server stopped.
+    Stopped,
+  };
+  struct ClosedConnection {
+    Closure Reason;
+    /// The exchange whose response is not completely written; null if there is
+    /// none.
+    std::shared_ptr<const Http1Exchange> Unfinished;
+    /// Bytes of responses that were not written to the socket.
+    std::size_t UnsentBytes = 0;
+    /// Whether bytes of the caller were not read. The connection was then
+    /// reset, which may also discard a response that the caller has not read.
+    bool HasUnreadInput = false;
+  };
   struct Handlers {
     std::function<void(std::shared_ptr<Http1Exchange>)> OnRequest;
     std::function<void(Rejection)> OnRejected;
+    std::function<void(const ClosedConnection &)> OnClosed;
   };
 
   /// Unavailable when the address cannot be bound.
@@ -109,12 +135,14 @@
   /// is not completely written to the socket.
   std::size_t openExchanges() const;
   std::size_t connections() const { return this->Connections.size(); }
+  /// Closes all connections.
+  void closeAll();
 
 private:
   friend class detail::Http1ServerConnection;
   Http1Server(EventLoop &Loop, Handlers ServerHandlers);
   void accept(int Descriptor);
-  void erase(detail::Http1ServerConnection *Connection);
+  void erase(detail::Http1ServerConnection *Connection, Closure Reason);
   void closeExpiredConnections();
 
   EventLoop &Loop;
--- a/Source/Core/Telemetry/LogEvents.h
+++ b/Source/Core/Telemetry/LogEvents.h
@@ -78,6 +78,11 @@
     LogLevel::Warning, "stream_broken", {"request", "last_event"}};
 inline constexpr LogEvent<1> StreamOutOfTime{
     LogLevel::Warning, "stream_out_of_time", {"request"}};
+inline constexpr LogEvent<7> ConnectionCut{LogLevel::Warning,
+                                           "connection_cut",
+                                           {"request", "reason", "response",
+                                            "unsent_bytes", "unread_input",
+                                            "after_ms", "shutdown_ms"}};
 inline constexpr LogEvent<2> CallerGone{
     LogLevel::Info, "caller_gone", {"request", "after_ms"}};
 inline constexpr LogEvent<3> ModelCallRefused{
@@ -176,7 +181,8 @@
 inline constexpr LogEvent<0> ShuttingDown{LogLevel::Info, "shutting_down", {}};
 inline constexpr LogEvent<1> GatewayShuttingDown{
     LogLevel::Info, "shutting_down", {"open"}};
-inline constexpr LogEvent<1> Stopped{LogLevel::Info, "stopped", {"open"}};
+inline constexpr LogEvent<3> Stopped{
+    LogLevel::Info, "stopped", {"open", "reason", "after_ms"}};
 
 } // namespace Events
 
--- a/Source/EntryDaemon/Gateway.cpp
+++ b/Source/EntryDaemon/Gateway.cpp
@@ -72,6 +72,10 @@
                                                    "reason", Name);
     Telemetry::log(Events::RequestUnreadable, Name);
   };
+  RequestHandlers.OnClosed =
+      [this](const Network::Http1Server::ClosedConnection &Closed) {
+        this->recordClosedConnection(Closed);
+      };
   auto RequestListener = Network::Http1Server::create(
       this->Loop, this->Context.Settings.Http, std::move(RequestHandlers));
   if (!RequestListener.ok())
@@ -180,6 +184,33 @@
   std::make_shared<RoutedCall>(this->Context, Exchange)->start();
 }
 
+void Gateway::recordClosedConnection(
+    const Network::Http1Server::ClosedConnection &Closed) {
+  using Closure = Network::Http1Server::Closure;
+  // In the order of the enum Closure.
+  constexpr const char *Names[] = {"complete", "aborted", "expired",
+                                   "disconnected", "stopped"};
+  const char *Name = Names[static_cast<std::size_t>(Closed.Reason)];
+  this->Context.Metrics.incrementLabelledCounter("connections_closed_total",
+                                                 "reason", Name);
+  if (Closed.HasUnreadInput)
+    this->Context.Metrics.incrementLabelledCounter(
+        "connections_closed_unread_total", "reason", Name);
+  if (!Closed.Unfinished || Closed.Reason == Closure::Disconnected)
+    return;
+  this->Context.Metrics.incrementLabelledCounter("connections_cut_total",
+                                                 "reason", Name);
+  const Network::Http1Exchange &Exchange = *Closed.Unfinished;
+  const char *Response = !Exchange.isOpen()       ? "unsent"
+                         : Exchange.isStreaming() ? "streaming"
+                                                  : "none";
+  Telemetry::log(
+      Events::ConnectionCut, Platform::requestId(Exchange.head().Headers), Name,
+      Response, Closed.UnsentBytes, Closed.HasUnreadInput ? "1" : "0",
+      Common::toMilliseconds(this->Loop.now() - Exchange.receivedAt()),
+      Common::toMilliseconds(this->shutdownTime()));
+}
+
 void Gateway::applyRegistryDelta(const State::RegistryDelta &Delta) {
   const Common::TimePoint Now = this->Loop.now();
   for (const Membership::ServerRecord &Each : Delta.Changed) {
@@ -338,14 +369,22 @@
                                              [this] { this->checkShutdown(); });
 }
 
+Common::Duration Gateway::shutdownTime() const {
+  if (!this->ShuttingDown)
+    return Common::Duration::zero();
+  return std::chrono::duration_cast<Common::Duration>(this->Loop.now() -
+                                                      this->ShutdownStartedAt);
+}
+
 void Gateway::checkShutdown() {
-  const Common::Duration Elapsed = std::chrono::duration_cast<Common::Duration>(
-      this->Loop.now() - this->ShutdownStartedAt);
-  const bool Idle = this->RequestServer->openExchanges() == 0;
+  const Common::Duration Elapsed = this->shutdownTime();
+  const std::size_t Open = this->RequestServer->openExchanges();
   const bool TimedOut =
       Elapsed > this->Context.Settings.ShutdownTime - ShutdownMargin;
-  if ((Idle && Elapsed > BalancerDrainTime) || TimedOut) {
-    Telemetry::log(Events::Stopped, this->RequestServer->openExchanges());
+  if ((Open == 0 && Elapsed > BalancerDrainTime) || TimedOut) {
+    this->RequestServer->closeAll();
+    Telemetry::log(Events::Stopped, Open, Open == 0 ? "idle" : "timed_out",
+                   Common::toMilliseconds(Elapsed));
     this->Loop.stop();
   }
 }
--- a/Source/EntryDaemon/Gateway.h
+++ b/Source/EntryDaemon/Gateway.h
@@ -29,6 +29,8 @@
   absl::Status listen();
   void openControlLink();
   void handleRequest(const std::shared_ptr<Network::Http1Exchange> &Exchange);
+  void
+  recordClosedConnection(const Network::Http1Server::ClosedConnection &Closed);
   void applyRegistryDelta(const State::RegistryDelta &Delta);
   void applyDeclaration(const State::DeclarationPush &Push);
   void fillPoll(State::EntryPoll &Poll);
@@ -44,6 +46,8 @@
   void reloadSettings();
   void shutDown();
   void checkShutdown();
+  /// Time since SIGTERM; zero before it.
+  Common::Duration shutdownTime() const;
 
   Network::EventLoop &Loop;
   GatewayContext Context;
