Admission, EntryDaemon: Refuse requests that might outlast a planned stop

Callers saw: a stream taken 3.2 s after SIGTERM was cut at the end of the grace period (LOST, 'taken long after SIGTERM and given up').

Cause: all requests were taken until 3.3 s after SIGTERM, whatever their deadline, and cut 0.4 s before the limit. A long one cannot end in between.

Change: Admission::ShutdownSchedule holds the decisions of a stop, without network. A request whose deadline is before the end is always accepted, also later than before. Others get 503 at once: not executed, Retry-After 50 ms; the balancer sends the caller to another daemon. The reason is now request_failed reason=shutting_down; request_refused is gone, so the static check of LogEventsTest names connection_cut instead.

Ruled out: a server's failure (its run ended with 200 or was cut by the stop); the unsent output (unsent_bytes=0 in all connection_cut lines).

--- /dev/null
+++ b/Source/Core/Admission/ShutdownSchedule.h
@@ -0,0 +1,53 @@
+#ifndef SYCAMOREREACH_ADMISSION_SHUTDOWNSCHEDULE_H
+#define SYCAMOREREACH_ADMISSION_SHUTDOWNSCHEDULE_H
+
+#include "Common/Time.h"
+
+#include <cstddef>
+#include <optional>
+
+namespace Admission {
+
+/// Decides, during the planned stop of a daemon behind a load balancer, which
+/// new requests it still accepts and when it stops.
+class ShutdownSchedule {
+public:
+  struct Options {
+    /// Time from the signal until the process is killed.
+    Common::Duration Limit = std::chrono::seconds(8);
+    /// Time after which the load balancer has stopped sending connections: it
+    /// checks readiness once a second and acts on two results.
+    Common::Duration BalancerDrainTime = std::chrono::milliseconds(3300);
+    /// A request that might outlast the process is accepted only up to this
+    /// time. Later, the load balancer sends a caller who comes back to another
+    /// daemon.
+    Common::Duration LongRequestIntake = std::chrono::milliseconds(2500);
+    /// How long before Limit the process stops.
+    Common::Duration StopMargin = std::chrono::milliseconds(400);
+  };
+
+  explicit ShutdownSchedule(const Options &Timing) : Timing(Timing) {}
+
+  const Options &options() const { return this->Timing; }
+
+  void start(Common::TimePoint Now) { this->StartedAt = Now; }
+  bool isStarted() const { return this->StartedAt.has_value(); }
+  /// Time since the start; zero before it.
+  Common::Duration elapsed(Common::TimePoint Now) const;
+
+  /// Whether to accept a request that arrives now. TimeLeft is the time until
+  /// its deadline, ExpectedDuration how long such requests take, if known.
+  bool accepts(Common::TimePoint Now, Common::Duration TimeLeft,
+               std::optional<Common::Duration> ExpectedDuration) const;
+
+  /// Idle means that no request is in progress and no response is unsent.
+  bool shouldStop(Common::TimePoint Now, bool Idle) const;
+
+private:
+  Options Timing;
+  std::optional<Common::TimePoint> StartedAt;
+};
+
+} // namespace Admission
+
+#endif
--- a/Source/Core/Telemetry/LogEvents.h
+++ b/Source/Core/Telemetry/LogEvents.h
@@ -55,8 +55,6 @@
                                            {"request", "route", "reason",
                                             "status", "attempts", "team",
                                             "tokens", "after_ms", "version"}};
-inline constexpr LogEvent<2> RequestRefused{
-    LogLevel::Info, "request_refused", {"request", "reason"}};
 inline constexpr LogEvent<1> RequestUnreadable{
     LogLevel::Info, "request_unreadable", {"reason"}};
 inline constexpr LogEvent<5> AttemptFailed{
--- a/Source/EntryDaemon/CallFailure.cpp
+++ b/Source/EntryDaemon/CallFailure.cpp
@@ -11,7 +11,7 @@
       "no_declaration", "stale_declaration", "bad_headers",     "unknown_route",
       "unknown_key",    "over_allowance",    "content_refused", "no_server",
       "overloaded",     "server_rejected",   "server_lost",     "server_silent",
-      "bad_answer",     "deadline_passed"};
+      "bad_answer",     "deadline_passed",   "shutting_down"};
   return FailureNames[static_cast<std::size_t>(Failure)];
 }
 
--- a/Source/EntryDaemon/CallFailure.h
+++ b/Source/EntryDaemon/CallFailure.h
@@ -20,6 +20,7 @@
   ServerSilent,
   BadAnswer,
   DeadlinePassed,
+  ShuttingDown,
 };
 
 /// The name used in logs, metrics and error responses.
--- a/Source/EntryDaemon/Gateway.cpp
+++ b/Source/EntryDaemon/Gateway.cpp
@@ -18,11 +18,6 @@
 constexpr Common::Duration HousekeepingPeriod = std::chrono::seconds(5);
 constexpr Common::Duration ReadinessCheckPeriod =
     std::chrono::milliseconds(500);
-/// Time after which the load balancer has stopped sending connections: it
-/// checks readiness once a second and acts on two results.
-constexpr Common::Duration BalancerDrainTime = std::chrono::milliseconds(3300);
-/// How long before the platform's shutdown limit the process stops.
-constexpr Common::Duration ShutdownMargin = std::chrono::milliseconds(400);
 constexpr Common::Duration ShutdownCheckPeriod = std::chrono::milliseconds(50);
 /// Delay until the next poll when a newer declaration exists than the one that
 /// this daemon has.
@@ -158,6 +153,7 @@
       SettingsReloadPeriod, [this] { this->reloadSettings(); }));
   this->EventHandles.push_back(this->Loop.callEvery(HousekeepingPeriod, [this] {
     this->Context.Servers.removeExpired(this->Loop.now());
+    this->Context.removeExpiredDurations(this->Loop.now());
   }));
   this->EventHandles.push_back(this->Loop.callEvery(
       ReadinessCheckPeriod, [this] { this->logReadinessChange(); }));
@@ -169,18 +165,6 @@
 void Gateway::handleRequest(
     const std::shared_ptr<Network::Http1Exchange> &Exchange) {
   this->Context.Metrics.incrementCounter("requests_total");
-  if (this->ShuttingDown &&
-      this->Loop.now() - this->ShutdownStartedAt > BalancerDrainTime) {
-    // The request might not complete before shutdown; the caller can retry it
-    // at another daemon.
-    this->Context.Metrics.incrementLabelledCounter("call_failures_total",
-                                                   "reason", "shutting_down");
-    Telemetry::log(Events::RequestRefused,
-                   Platform::requestId(Exchange->head().Headers),
-                   "shutting_down");
-    Exchange->reply(503, {{"Retry-After", "0.05"}}, "");
-    return;
-  }
   std::make_shared<RoutedCall>(this->Context, Exchange)->start();
 }
 
@@ -208,7 +192,7 @@
       Events::ConnectionCut, Platform::requestId(Exchange.head().Headers), Name,
       Response, Closed.UnsentBytes, Closed.HasUnreadInput ? "1" : "0",
       Common::toMilliseconds(this->Loop.now() - Exchange.receivedAt()),
-      Common::toMilliseconds(this->shutdownTime()));
+      Common::toMilliseconds(this->Context.Shutdown.elapsed(this->Loop.now())));
 }
 
 void Gateway::applyRegistryDelta(const State::RegistryDelta &Delta) {
@@ -245,7 +229,7 @@
   Limits.MaxBodyBytes = Declared.MaxBodyBytes;
   Limits.HeaderTimeout = Declared.HeaderTimeout;
   Limits.IdleTimeout = Declared.IdleTimeout;
-  if (!this->ShuttingDown)
+  if (!this->Context.Shutdown.isStarted())
     this->RequestServer->setLimits(Limits);
   Telemetry::log(Events::DeclarationInForce, Push.Version.Value);
   // Earlier polls were answered for the older version; only a new poll can
@@ -331,7 +315,7 @@
 }
 
 bool Gateway::isReady() const {
-  return !this->ShuttingDown &&
+  return !this->Context.Shutdown.isStarted() &&
          this->Context.declarationValid(this->Loop.now());
 }
 
@@ -357,36 +341,27 @@
 }
 
 void Gateway::shutDown() {
-  if (this->ShuttingDown)
+  if (this->Context.Shutdown.isStarted())
     return;
-  this->ShuttingDown = true;
-  this->ShutdownStartedAt = this->Loop.now();
+  this->Context.Shutdown.start(this->Loop.now());
   Telemetry::log(Events::GatewayShuttingDown,
                  this->RequestServer->openExchanges());
   // The listener stays open until the load balancer stops sending connections.
-  this->RequestServer->startShutdown(BalancerDrainTime);
+  this->RequestServer->startShutdown(
+      this->Context.Shutdown.options().BalancerDrainTime);
   this->ShutdownTimer = this->Loop.callEvery(ShutdownCheckPeriod,
                                              [this] { this->checkShutdown(); });
 }
 
-Common::Duration Gateway::shutdownTime() const {
-  if (!this->ShuttingDown)
-    return Common::Duration::zero();
-  return std::chrono::duration_cast<Common::Duration>(this->Loop.now() -
-                                                      this->ShutdownStartedAt);
-}
-
 void Gateway::checkShutdown() {
-  const Common::Duration Elapsed = this->shutdownTime();
+  const Common::TimePoint Now = this->Loop.now();
   const std::size_t Open = this->RequestServer->openExchanges();
-  const bool TimedOut =
-      Elapsed > this->Context.Settings.ShutdownTime - ShutdownMargin;
-  if ((Open == 0 && Elapsed > BalancerDrainTime) || TimedOut) {
-    this->RequestServer->closeAll();
-    Telemetry::log(Events::Stopped, Open, Open == 0 ? "idle" : "timed_out",
-                   Common::toMilliseconds(Elapsed));
-    this->Loop.stop();
-  }
+  if (!this->Context.Shutdown.shouldStop(Now, Open == 0))
+    return;
+  this->RequestServer->closeAll();
+  Telemetry::log(Events::Stopped, Open, Open == 0 ? "idle" : "timed_out",
+                 Common::toMilliseconds(this->Context.Shutdown.elapsed(Now)));
+  this->Loop.stop();
 }
 
 } // namespace EntryDaemon
--- a/Source/EntryDaemon/Gateway.h
+++ b/Source/EntryDaemon/Gateway.h
@@ -46,8 +46,6 @@
   void reloadSettings();
   void shutDown();
   void checkShutdown();
-  /// Time since SIGTERM; zero before it.
-  Common::Duration shutdownTime() const;
 
   Network::EventLoop &Loop;
   GatewayContext Context;
@@ -60,8 +58,6 @@
   /// The newest declaration version that a poll answer reported.
   Common::ConfigurationVersion NewestVersion;
   bool LastReady = false;
-  bool ShuttingDown = false;
-  Common::TimePoint ShutdownStartedAt;
   std::vector<Network::EventHandle> EventHandles;
   Network::EventHandle ShutdownTimer;
   Network::EventHandle TokenRequestTimer;
--- a/Source/EntryDaemon/GatewayContext.h
+++ b/Source/EntryDaemon/GatewayContext.h
@@ -2,6 +2,8 @@
 #define SYCAMOREREACH_ENTRYDAEMON_GATEWAYCONTEXT_H
 
 #include "Admission/GrantHistory.h"
+#include "Admission/ShutdownSchedule.h"
+#include "Common/RecentMaximum.h"
 #include "Configuration/ServiceMap.h"
 #include "EntryDaemon/CrashingContentTracker.h"
 #include "EntryDaemon/GatewaySettings.h"
@@ -27,7 +29,8 @@
         Servers(serverTableOptions(this->Settings)),
         Retries(this->Settings.Retries),
         Grants(this->Settings.Tolerance.Window),
-        Usage(this->Settings.UsageWindow), StartedAt(Loop.now()) {}
+        Usage(this->Settings.UsageWindow),
+        Shutdown(shutdownOptions(this->Settings)), StartedAt(Loop.now()) {}
 
   Network::EventLoop &Loop;
   GatewaySettings Settings;
@@ -39,6 +42,9 @@
   Fleet::DemandMeter Demand;
   /// Moving average of the tokens in a streamed response, by route name.
   std::map<std::string, double> MeanOutputTokens;
+  /// Durations of successful calls, by route name.
+  std::map<std::string, Common::RecentMaximum<Common::Duration>> CallDurations;
+  Admission::ShutdownSchedule Shutdown;
   Telemetry::Metrics Metrics;
   /// The declaration in force; null before the first one arrives.
   std::shared_ptr<const Configuration::ServiceMap> Declaration;
@@ -68,8 +74,28 @@
            Now - *this->DeclarationConfirmedAt <
                this->Settings.DeclarationValidity;
   }
+  /// The longest recent duration of a route's successful calls, if any.
+  std::optional<Common::Duration>
+  longestRecentDuration(const std::string &RouteName) {
+    const auto Found = this->CallDurations.find(RouteName);
+    return Found == this->CallDurations.end()
+               ? std::nullopt
+               : Found->second.maximum(this->Loop.now());
+  }
+  void recordDuration(const std::string &RouteName, Common::Duration Duration,
+                      Common::TimePoint Now) {
+    this->CallDurations.try_emplace(RouteName, DurationPeriod)
+        .first->second.record(Duration, Now);
+  }
+  /// Discards the durations of routes without recent calls.
+  void removeExpiredDurations(Common::TimePoint Now) {
+    std::erase_if(this->CallDurations, [Now](const auto &Each) {
+      return !Each.second.maximum(Now).has_value();
+    });
+  }
 
 private:
+  static constexpr Common::Duration DurationPeriod = std::chrono::seconds(10);
   /// Requests that arrive within this time of the start wait for the first
   /// confirmed declaration. Enough for a leader election and two connection
   /// attempts.
@@ -77,6 +103,12 @@
       std::chrono::milliseconds(2500);
   static Routing::ServerTableOptions
   serverTableOptions(const GatewaySettings &Settings);
+  static Admission::ShutdownSchedule::Options
+  shutdownOptions(const GatewaySettings &Settings) {
+    Admission::ShutdownSchedule::Options Result;
+    Result.Limit = Settings.ShutdownTime;
+    return Result;
+  }
 };
 
 } // namespace EntryDaemon
--- a/Source/EntryDaemon/RoutedAttempt.cpp
+++ b/Source/EntryDaemon/RoutedAttempt.cpp
@@ -345,7 +345,7 @@
     if (Complete && !this->Splitter->hasPartialEvent()) {
       this->endAttempt(Routing::ServerOutcome::Answered);
       this->updateMeanOutput();
-      this->logServed(this->ResponseHead->Status);
+      this->recordServed(this->ResponseHead->Status);
       this->Exchange->endStream();
       this->finish();
       return;
@@ -418,7 +418,7 @@
   }
   this->endAttempt(Success ? Routing::ServerOutcome::Answered
                            : Routing::ServerOutcome::Failed);
-  this->logServed(Head.Status);
+  this->recordServed(Head.Status);
   this->Exchange->reply(Head.Status,
                         Platform::encodeResponseHeaders(Head.Headers),
                         this->ResponseBody);
--- a/Source/EntryDaemon/RoutedCall.cpp
+++ b/Source/EntryDaemon/RoutedCall.cpp
@@ -28,6 +28,9 @@
 constexpr Common::Duration DefaultTimeout = std::chrono::seconds(60);
 constexpr Common::Duration RetryAfterNoDeclaration =
     std::chrono::milliseconds(500);
+/// The caller's next attempt goes to another daemon.
+constexpr Common::Duration RetryAfterShuttingDown =
+    std::chrono::milliseconds(50);
 /// How long a call waits for the first declaration during startup.
 constexpr Common::Duration MaxStartupWait = std::chrono::milliseconds(900);
 
@@ -107,6 +110,13 @@
   if (Limit <= Common::Duration::zero())
     Limit = DefaultTimeout;
   this->Deadline = this->ArrivedAt + Limit;
+  if (!this->Context.Shutdown.accepts(
+          this->Context.Loop.now(), this->timeLeft(),
+          this->Context.longestRecentDuration(this->Route->Name))) {
+    this->fail(CallFailure::ShuttingDown, HttpStatus::Unavailable,
+               RetryAfterShuttingDown);
+    return false;
+  }
   this->DeadlineTimer = this->Context.Loop.callAfter(
       this->timeLeft(),
       [Self = this->shared_from_this()] { Self->handleDeadline(); });
@@ -245,11 +255,13 @@
                                      this->Context.Loop.now());
 }
 
-void RoutedCall::logServed(int Status) const {
-  Telemetry::log(
-      Events::RequestServed, this->CallerHeaders.RequestId, Status,
-      this->Attempts + 1,
-      Common::toMilliseconds(this->Context.Loop.now() - this->ArrivedAt));
+void RoutedCall::recordServed(int Status) const {
+  const Common::TimePoint Now = this->Context.Loop.now();
+  const auto Duration =
+      std::chrono::duration_cast<Common::Duration>(Now - this->ArrivedAt);
+  this->Context.recordDuration(this->Route->Name, Duration, Now);
+  Telemetry::log(Events::RequestServed, this->CallerHeaders.RequestId, Status,
+                 this->Attempts + 1, Common::toMilliseconds(Duration));
 }
 
 void RoutedCall::handleDisconnect() {
--- a/Source/EntryDaemon/RoutedCall.h
+++ b/Source/EntryDaemon/RoutedCall.h
@@ -82,7 +82,7 @@
   /// Labels of this call's latency metrics.
   std::string metricLabels() const;
   void updateMeanOutput();
-  void logServed(int Status) const;
+  void recordServed(int Status) const;
   Routing::ServerOutcome outcomeIfAbandoned() const;
   void reportCrash();
 
--- a/Source/FaultTests/RoutedCluster.cpp
+++ b/Source/FaultTests/RoutedCluster.cpp
@@ -84,6 +84,14 @@
           Exchange.header("X-Sycamorereach-Tenant").value_or("nobody"));
 }
 
+void RoutedCluster::startEventStream(Network::Http1Exchange &Exchange) {
+  Exchange.startStream(
+      200, {{"Content-Type", "text/event-stream"},
+            {"X-Sycamorereach-Request-Id",
+             Exchange.header("X-Sycamorereach-Request-Id").value_or("")},
+            {"X-Sycamorereach-Replica-Signature", "signed"}});
+}
+
 void RoutedCluster::startStateDaemon(int Number, bool FirstStart) {
   const std::string Name = "state" + std::to_string(Number);
   this->Processes[Name] = std::make_unique<Process>(
@@ -107,7 +115,8 @@
           "--http=" + this->entryAddress().str(),
           "--ready=" + this->readinessAddress().str(),
           std::string("--link-port=") + LinkPort, "--seeds=" + seedAddresses(),
-          "--revoke-time=5000", "--shutdown-time=8"},
+          "--revoke-time=5000",
+          "--shutdown-time=" + std::to_string(this->ShutdownSeconds)},
       this->Folder + "/entry.log" + std::to_string(++this->LogCount));
 }
 
@@ -223,11 +232,13 @@
 
 std::shared_ptr<RoutedResponse>
 RoutedCluster::startRequest(const std::string &Path, const std::string &Key,
-                            const std::string &Method) {
+                            const std::string &Method,
+                            int DeadlineMilliseconds) {
   return this->startCall(
       this->entryAddress(), Method, Path, Method == "POST" ? "body" : "",
       {{"X-Sycamorereach-Request-Id", std::to_string(++this->LastRequestId)},
-       {"X-Sycamorereach-Request-Deadline", "3000"},
+       {"X-Sycamorereach-Request-Deadline",
+        std::to_string(DeadlineMilliseconds)},
        {"Authorization", "Bearer " + Key}});
 }
 
--- a/Source/FaultTests/RoutedCluster.h
+++ b/Source/FaultTests/RoutedCluster.h
@@ -71,7 +71,8 @@
   /// Like request, without waiting for the end.
   std::shared_ptr<RoutedResponse>
   startRequest(const std::string &Path, const std::string &Key = "key-1",
-               const std::string &Method = "POST");
+               const std::string &Method = "POST",
+               int DeadlineMilliseconds = 3000);
   /// Sends a heartbeat with State for the server shop-<Server>. The fake
   /// servers shop-1 and shop-2 accept connections; shop-3 refuses them.
   void announce(const std::string &State, int Server = 1);
@@ -92,11 +93,15 @@
   /// Handles the requests that reach a fake server; by default it responds
   /// with status 200.
   std::function<void(std::shared_ptr<Network::Http1Exchange>)> OnServerRequest;
+  /// The --shutdown-time of entry daemons that are started from now on.
+  int ShutdownSeconds = 8;
   /// Number of requests that have reached the fake servers.
   int ServerRequests = 0;
   Network::EventLoop &loop() { return *this->Loop; }
   /// Sends the response of a fake server, signed as a replica's.
   static void respond(Network::Http1Exchange &Exchange, int Status = 200);
+  /// Starts a stream of events as a fake server, signed as a replica's.
+  static void startEventStream(Network::Http1Exchange &Exchange);
 
 private:
   std::unique_ptr<Network::EventLoop> Loop;
--- a/Source/FaultTests/RoutedServingTest.cpp
+++ b/Source/FaultTests/RoutedServingTest.cpp
@@ -164,11 +164,7 @@
           return;
         }
         Stream = Exchange;
-        Exchange->startStream(
-            200, {{"Content-Type", "text/event-stream"},
-                  {"X-Sycamorereach-Request-Id",
-                   Exchange->header("X-Sycamorereach-Request-Id").value_or("")},
-                  {"X-Sycamorereach-Replica-Signature", "signed"}});
+        RoutedCluster::startEventStream(*Exchange);
       };
   std::vector<std::shared_ptr<RoutedResponse>> Streams;
   BOOST_REQUIRE(Fixture.waitUntil([&] {
@@ -265,11 +261,7 @@
   Fixture.startAll();
   Fixture.OnServerRequest =
       [&Fixture](const std::shared_ptr<Network::Http1Exchange> &Exchange) {
-        Exchange->startStream(
-            200, {{"Content-Type", "text/event-stream"},
-                  {"X-Sycamorereach-Request-Id",
-                   Exchange->header("X-Sycamorereach-Request-Id").value_or("")},
-                  {"X-Sycamorereach-Replica-Signature", "signed"}});
+        RoutedCluster::startEventStream(*Exchange);
         Exchange->sendChunk("id: 1\ndata: a\n\n");
         Fixture.loop().defer([Exchange] { Exchange->abort(); });
       };
@@ -423,6 +415,75 @@
   BOOST_TEST(Fixture.process("entry").exitCode() == 0);
 }
 
+// LOST: a stream that was taken more than 3 s after SIGTERM was cut when the
+// grace period ended. Callers can send such a request to another daemon.
+BOOST_AUTO_TEST_CASE(ARequestThatMightOutlastTheProcessIsRefused) {
+  RoutedCluster Fixture;
+  Fixture.ShutdownSeconds = 5;
+  Fixture.startAll();
+  std::set<std::string> PathsThatReachedServer;
+  Fixture.OnServerRequest =
+      [&](const std::shared_ptr<Network::Http1Exchange> &Exchange) {
+        PathsThatReachedServer.insert(Exchange->path());
+        if (Exchange->path() == "/a/x") {
+          RoutedCluster::respond(*Exchange);
+          return;
+        }
+        RoutedCluster::startEventStream(*Exchange);
+        Exchange->sendChunk("id: 1\ndata: a\n\n");
+      };
+  struct SentRequest {
+    std::string Path;
+    Common::TimePoint SentAt;
+    std::shared_ptr<RoutedResponse> Response;
+  };
+  std::vector<SentRequest> Long;
+  std::vector<SentRequest> Short;
+  constexpr Common::Duration SendPeriod = std::chrono::milliseconds(20);
+  const Common::TimePoint SignalledAt = Fixture.loop().now();
+  Fixture.process("entry").signal(SIGTERM);
+  BOOST_TEST(Fixture.waitUntil([&] {
+    const Common::TimePoint Now = Fixture.loop().now();
+    if (!Long.empty() && Now - Long.back().SentAt < SendPeriod)
+      return Fixture.process("entry").hasExited();
+    const std::string Path = "/a/flow/" + std::to_string(Long.size());
+    Long.push_back({Path, Now, Fixture.startRequest(Path)});
+    Short.push_back(
+        {"/a/x", Now, Fixture.startRequest("/a/x", "key-1", "POST", 300)});
+    return Fixture.process("entry").hasExited();
+  }));
+  BOOST_TEST(Fixture.process("entry").exitCode() == 0);
+  BOOST_TEST(Fixture.waitUntil([&] {
+    return std::all_of(Long.begin(), Long.end(),
+                       [](const auto &Each) { return Each.Response->Done; });
+  }));
+  // A request that is sent later may not be cut at the end of the grace period.
+  constexpr Common::Duration MaySendUntil = std::chrono::seconds(3);
+  int Refused = 0;
+  for (const SentRequest &Each : Long) {
+    if (Each.SentAt - SignalledAt <= MaySendUntil)
+      continue;
+    BOOST_TEST(!PathsThatReachedServer.contains(Each.Path));
+    // The last requests find the process gone, or cross its exit.
+    if (Each.Response->Result == Network::Http1CallResult::NotSent ||
+        Each.Response->Result == Network::Http1CallResult::NoResponse)
+      continue;
+    BOOST_TEST((Each.Response->Result == Network::Http1CallResult::Complete));
+    BOOST_TEST(Each.Response->Status == 503);
+    BOOST_TEST(
+        Network::findHeader(Each.Response->Headers, "Retry-After").has_value());
+    ++Refused;
+  }
+  BOOST_TEST(Refused > 1);
+  // One whose deadline is before the stop is served until the stop.
+  int Served = 0;
+  for (const SentRequest &Each : Short)
+    if (Each.SentAt - SignalledAt > MaySendUntil &&
+        Each.Response->Status == 200)
+      ++Served;
+  BOOST_TEST(Served > 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace FaultTests
--- a/Source/UnitTests/Telemetry/LogEventsTest.cpp
+++ b/Source/UnitTests/Telemetry/LogEventsTest.cpp
@@ -30,7 +30,7 @@
 static_assert(namesRequest(Events::RequestSent) &&
               namesRequest(Events::RequestServed) &&
               namesRequest(Events::RequestFailed) &&
-              namesRequest(Events::RequestRefused) &&
+              namesRequest(Events::ConnectionCut) &&
               namesRequest(Events::AttemptFailed) &&
               namesRequest(Events::AllowanceShort) &&
               namesRequest(Events::ServerSilent) &&
