EntryDaemon: Answer the requests in progress before a planned stop ends

Callers saw: a request that still waited when the grace period ended, for tokens, a retry or the first declaration, or whose server had not answered, was closed without any status (LOST, neither an answer nor a refusal).

Cause: at the limit the loop stopped with exchanges open. Nobody told their calls.

Change: 400 ms before the limit each open call ends: 503 with Retry-After if no server may have executed it, else 502; a begun stream is broken off as before. The process then stops when the responses are written, at the latest 150 ms before the limit. The decision is ShutdownSchedule::nextAction.

Evidence: RoutedServing/ACallThatWaitsAtTheEndOfAShutdownIsRefused and /ACallThatRunsAtTheEndOfAShutdownIsAnswered failed before (Status [0 != 503] and [0 != 502], no response) and pass.

--- a/Source/Core/Admission/ShutdownSchedule.cpp
+++ b/Source/Core/Admission/ShutdownSchedule.cpp
@@ -17,19 +17,24 @@
     return true;
   const Common::Duration Elapsed = this->elapsed(Now);
   const Common::Duration Available =
-      this->Timing.Limit - this->Timing.StopMargin - Elapsed;
+      this->Timing.Limit - this->Timing.EndMargin - Elapsed;
   if (TimeLeft <= Available)
     return true;
   return Elapsed <= this->Timing.LongRequestIntake &&
          ExpectedDuration.value_or(Common::Duration::zero()) <= Available;
 }
 
-bool ShutdownSchedule::shouldStop(Common::TimePoint Now, bool Idle) const {
+ShutdownSchedule::Action ShutdownSchedule::nextAction(Common::TimePoint Now,
+                                                      bool Idle) const {
   if (!this->StartedAt)
-    return false;
+    return Action::Continue;
   const Common::Duration Elapsed = this->elapsed(Now);
-  return (Idle && Elapsed > this->Timing.BalancerDrainTime) ||
-         Elapsed > this->Timing.Limit - this->Timing.StopMargin;
+  const bool Ending = Elapsed > this->Timing.Limit - this->Timing.EndMargin;
+  if (Idle && (Ending || Elapsed > this->Timing.BalancerDrainTime))
+    return Action::Stop;
+  if (Elapsed > this->Timing.Limit - this->Timing.StopMargin)
+    return Action::Stop;
+  return Ending ? Action::EndRequests : Action::Continue;
 }
 
 } // namespace Admission
--- a/Source/Core/Admission/ShutdownSchedule.h
+++ b/Source/Core/Admission/ShutdownSchedule.h
@@ -22,8 +22,17 @@
     /// time. Later, the load balancer sends a caller who comes back to another
     /// daemon.
     Common::Duration LongRequestIntake = std::chrono::milliseconds(2500);
-    /// How long before Limit the process stops.
-    Common::Duration StopMargin = std::chrono::milliseconds(400);
+    /// How long before Limit the requests that are still in progress are ended.
+    Common::Duration EndMargin = std::chrono::milliseconds(400);
+    /// How long before Limit the process stops even if responses are unsent.
+    Common::Duration StopMargin = std::chrono::milliseconds(150);
+  };
+
+  enum class Action {
+    Continue,
+    /// Answer or abort all requests in progress.
+    EndRequests,
+    Stop,
   };
 
   explicit ShutdownSchedule(const Options &Timing) : Timing(Timing) {}
@@ -41,7 +50,7 @@
                std::optional<Common::Duration> ExpectedDuration) const;
 
   /// Idle means that no request is in progress and no response is unsent.
-  bool shouldStop(Common::TimePoint Now, bool Idle) const;
+  Action nextAction(Common::TimePoint Now, bool Idle) const;
 
 private:
   Options Timing;
--- a/Source/EntryDaemon/GatewayContext.h
+++ b/Source/EntryDaemon/GatewayContext.h
@@ -17,6 +17,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 
 namespace EntryDaemon {
 
@@ -45,6 +46,8 @@
   /// Durations of successful calls, by route name.
   std::map<std::string, Common::RecentMaximum<Common::Duration>> CallDurations;
   Admission::ShutdownSchedule Shutdown;
+  /// All calls that have not finished.
+  std::set<std::shared_ptr<RoutedCall>> OpenCalls;
   Telemetry::Metrics Metrics;
   /// The declaration in force; null before the first one arrives.
   std::shared_ptr<const Configuration::ServiceMap> Declaration;
--- a/Source/EntryDaemon/RoutedCall.h
+++ b/Source/EntryDaemon/RoutedCall.h
@@ -31,6 +31,8 @@
   /// The tokens that the call needs and how much longer it may wait for them.
   State::TokenNeed tokenNeed() const;
   void handleTokenDecision(const State::TokenDecision &Decision);
+  /// Ends the call because the process is about to stop.
+  void endBeforeStop();
 
 private:
   enum class AttemptResult {
@@ -92,6 +94,10 @@
             std::optional<Common::Duration> RetryAfter = std::nullopt);
   void finish();
   Common::Duration timeLeft() const;
+  /// Whether a server may have executed or may be executing the request.
+  bool mayHaveExecuted() const {
+    return this->MayHaveExecuted || this->Server.has_value();
+  }
   const Configuration::Route &route() const { return *this->Route; }
   std::uint64_t contentHash() const;
 
--- a/Source/FaultTests/RoutedServingTest.cpp
+++ b/Source/FaultTests/RoutedServingTest.cpp
@@ -484,6 +484,47 @@
   BOOST_TEST(Served > 0);
 }
 
+// LOST: a call that waited when the grace period ended was closed without a
+// status.
+BOOST_AUTO_TEST_CASE(ACallThatWaitsAtTheEndOfAShutdownIsRefused) {
+  RoutedCluster Fixture;
+  Fixture.ShutdownSeconds = 1;
+  // Without a state daemon the call waits for a declaration.
+  Fixture.startEntryDaemon();
+  BOOST_TEST(Fixture.waitUntil([&] {
+    return Fixture
+               .call(Fixture.readinessAddress(), "GET", "/sycamorereach/ready")
+               .Status == 503;
+  }));
+  const auto Response = Fixture.startRequest("/a/x");
+  Fixture.call(Fixture.readinessAddress(), "GET", "/sycamorereach/ready");
+  Fixture.process("entry").signal(SIGTERM);
+  BOOST_TEST(Fixture.waitUntil([&] { return Response->Done; }));
+  BOOST_TEST((Response->Result == Network::Http1CallResult::Complete));
+  BOOST_TEST(Response->Status == 503);
+  BOOST_TEST(
+      Fixture.waitUntil([&] { return Fixture.process("entry").hasExited(); }));
+}
+
+// LOST: a call whose server had not answered when the grace period ended was
+// closed without a status. The server may have executed it.
+BOOST_AUTO_TEST_CASE(ACallThatRunsAtTheEndOfAShutdownIsAnswered) {
+  RoutedCluster Fixture;
+  Fixture.ShutdownSeconds = 1;
+  Fixture.startAll();
+  Fixture.OnServerRequest =
+      [&](const std::shared_ptr<Network::Http1Exchange> &Exchange) {
+        // The server never responds.
+        Exchange->onCallerDisconnected([Exchange] {});
+        Fixture.process("entry").signal(SIGTERM);
+      };
+  const RoutedResponse Response = Fixture.request("/a/once/x");
+  BOOST_TEST((Response.Result == Network::Http1CallResult::Complete));
+  BOOST_TEST(Response.Status == 502);
+  BOOST_TEST(
+      Fixture.waitUntil([&] { return Fixture.process("entry").hasExited(); }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace FaultTests
