Network: Idle time runs from the written response

Cause: Http1ServerConnection::isExpired ignored unsent output. The idle time ran from the end of the exchange, with the response still in the output buffer of a slow caller; a declaration with a shorter idle time or startShutdown made it pass at once.

Evidence, on the code before: IdleTimeRunsFromTheWrittenResponse failed for a new idle timeout and for a planned stop alike: check Caller.received().size() > LargeBody.size() has failed [2916352 <=]

Change: a connection with unsent output is not idle; the idle time starts when the output buffer has drained. A caller that reads nothing would now keep its connection, so a finished response without progress for SendTimeout (30 s) ends it. This also bounds a response that closes its connection, which had no limit: the first case of ClosesConnectionOfCallerThatDoesNotRead failed before as well ("critical check runUntil(*Loop, [&] { return !Closed.empty(); }) has failed"). A response that is still streaming is limited by its exchange (the call's deadline).

KeepsConnectionOfCallerThatReadsSlowly holds SendTimeout to progress: with the update on written bytes taken out it fails [ <=].

--- a/Source/Core/Network/Http1Server.cpp
+++ b/Source/Core/Network/Http1Server.cpp
@@ -81,9 +81,10 @@
     return this->CurrentExchange || this->Reader.isStarted() ||
            this->unsentBytes() != 0;
   }
-  /// Whether the connection has been idle for longer than IdleTimeout, or has
-  /// lingered for longer than LingerTimeout.
-  bool isExpired(Common::TimePoint Now, Common::Duration IdleTimeout) const;
+  /// Whether the connection has been idle for longer than IdleTimeout, has not
+  /// sent any of its output for longer than SendTimeout, or has lingered for
+  /// longer than LingerTimeout.
+  bool isExpired(Common::TimePoint Now) const;
   /// Whether a request head has been incomplete for longer than HeaderTimeout.
   bool isHeadOverdue(Common::TimePoint Now) const;
   /// Sends an error response without running OnRequest, and closes.
@@ -91,6 +92,8 @@
 
 private:
   void parse();
+  static void handleOutputChange(evbuffer *, const evbuffer_cb_info *Change,
+                                 void *Self);
   bool hasUnreadInput() const;
 
   Http1Server &Server;
@@ -104,6 +107,8 @@
   /// When the connection became idle, started to receive a request or started
   /// to linger, whichever was last.
   Common::TimePoint PhaseStart;
+  /// When output was last written to the socket, or added to an empty buffer.
+  Common::TimePoint OutputProgressAt;
   bool ClosingAfterFlush = false;
   /// The response is sent and further input is discarded. Closing with unread
   /// input would reset the connection, and the caller could lose the response.
@@ -133,12 +138,16 @@
         static_cast<Http1ServerConnection *>(Self)->handleDisconnect();
       },
       this);
+  evbuffer_add_cb(bufferevent_get_output(this->Socket), handleOutputChange,
+                  this);
   bufferevent_enable(this->Socket, EV_READ | EV_WRITE);
 }
 
 Http1ServerConnection::~Http1ServerConnection() {
   if (this->CurrentExchange)
     this->CurrentExchange->Connection = nullptr;
+  evbuffer_remove_cb(bufferevent_get_output(this->Socket), handleOutputChange,
+                     this);
   bufferevent_free(this->Socket);
 }
 
@@ -271,9 +280,21 @@
   }
 }
 
+void Http1ServerConnection::handleOutputChange(evbuffer *,
+                                               const evbuffer_cb_info *Change,
+                                               void *Self) {
+  auto *Connection = static_cast<Http1ServerConnection *>(Self);
+  if (Change->n_deleted != 0 || Change->orig_size == 0)
+    Connection->OutputProgressAt = Connection->Server.Loop.now();
+}
+
 void Http1ServerConnection::handleOutputFlushed() {
+  if (this->Lingering)
+    return;
   this->UnwrittenExchange.reset();
-  if (!this->ClosingAfterFlush || this->Lingering)
+  if (!this->CurrentExchange && !this->Reader.isStarted())
+    this->PhaseStart = this->Server.Loop.now();
+  if (!this->ClosingAfterFlush)
     return;
   evbuffer *Input = bufferevent_get_input(this->Socket);
   const bool MidRequest =
@@ -332,12 +353,17 @@
   return evbuffer_get_length(bufferevent_get_output(this->Socket));
 }
 
-bool Http1ServerConnection::isExpired(Common::TimePoint Now,
-                                      Common::Duration IdleTimeout) const {
+bool Http1ServerConnection::isExpired(Common::TimePoint Now) const {
   if (this->Lingering)
     return Now - this->PhaseStart > LingerTimeout;
-  return !this->CurrentExchange && !this->Reader.isStarted() &&
-         !this->ClosingAfterFlush && Now - this->PhaseStart > IdleTimeout;
+  // The owner of an exchange limits its duration.
+  if (this->CurrentExchange)
+    return false;
+  const Http1Server::Limits &Limits = this->Server.ServerLimits;
+  if (this->unsentBytes() != 0)
+    return Now - this->OutputProgressAt > Limits.SendTimeout;
+  return !this->Reader.isStarted() && !this->ClosingAfterFlush &&
+         Now - this->PhaseStart > Limits.IdleTimeout;
 }
 
 bool Http1ServerConnection::isHeadOverdue(Common::TimePoint Now) const {
@@ -476,7 +502,7 @@
   std::vector<detail::Http1ServerConnection *> Expired;
   std::vector<detail::Http1ServerConnection *> Overdue;
   for (const auto &Each : this->Connections) {
-    if (Each.first->isExpired(Now, this->ServerLimits.IdleTimeout))
+    if (Each.first->isExpired(Now))
       Expired.push_back(Each.first);
     else if (Each.first->isHeadOverdue(Now))
       Overdue.push_back(Each.first);
--- a/Source/Core/Network/Http1Server.h
+++ b/Source/Core/Network/Http1Server.h
@@ -75,7 +75,10 @@
     std::size_t MaxBodyBytes = 4u << 20;
     /// Maximum time from the first byte of a request to the end of its head.
     Common::Duration HeaderTimeout = std::chrono::seconds(3);
-    /// Maximum idle time of a keep-alive connection.
+    /// Maximum time without progress in sending a finished response.
+    Common::Duration SendTimeout = std::chrono::seconds(30);
+    /// Maximum idle time of a keep-alive connection; it runs from the moment
+    /// when the response is written.
     Common::Duration IdleTimeout = std::chrono::seconds(15);
   };
   /// Why a request was rejected before it reached OnRequest.
@@ -91,7 +94,7 @@
     Complete,
     /// Its response was broken off with Http1Exchange::abort().
     Aborted,
-    /// IdleTimeout or LingerTimeout passed.
+    /// IdleTimeout, SendTimeout or LingerTimeout passed.
     Expired,
     /// The caller closed it, or it failed.
     Disconnected,
--- a/Source/UnitTests/Network/Http1ContractTest.cpp
+++ b/Source/UnitTests/Network/Http1ContractTest.cpp
@@ -93,6 +93,23 @@
      {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok"},
      Http1CallResult::NoResponse}};
 
+const std::string SimpleRequest = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+
+std::unique_ptr<Http1Server> createServer(EventLoop &Loop,
+                                          const Address &Listen,
+                                          Http1Server::Handlers Handlers) {
+  auto Server = Http1Server::create(Loop, Listen, std::move(Handlers));
+  BOOST_REQUIRE(Server.ok());
+  return std::move(*Server);
+}
+
+/// Waits until the server has closed a connection that sends nothing, and so
+/// has checked all connections against its idle timeout.
+bool awaitIdleExpiry(EventLoop &Loop, const Address &Server) {
+  const RawCaller Idle(Loop, Server);
+  return runUntil(Loop, [&] { return Idle.ended(); });
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Http1Contract)
@@ -327,6 +344,107 @@
   BOOST_TEST(Caller.received().find("0\r\n\r\n") == std::string::npos);
 }
 
+// Guards against an idle timeout that cuts off a response which a slow caller
+// is still receiving, after a shorter timeout was declared or at a planned
+// stop.
+BOOST_AUTO_TEST_CASE(IdleTimeRunsFromTheWrittenResponse) {
+  const std::string LargeBody(16u << 20, 'x');
+  for (const bool ShutDown : {false, true}) {
+    const auto Loop = createLoop();
+    Http1Server::Handlers Handlers;
+    Handlers.OnRequest = [&](const std::shared_ptr<Http1Exchange> &Exchange) {
+      Exchange->reply(200, {}, LargeBody);
+    };
+    const Address Listen = allocateAddress();
+    const auto Server = createServer(*Loop, Listen, std::move(Handlers));
+    RawCaller Caller(*Loop, Listen);
+    Caller.write(SimpleRequest);
+    BOOST_REQUIRE(runUntil(*Loop, [&] { return !Caller.received().empty(); }));
+    Caller.pauseReading();
+    if (ShutDown) {
+      Server->startShutdown(400ms);
+    } else {
+      Http1Server::Limits Limits;
+      Limits.IdleTimeout = 400ms;
+      Server->setLimits(Limits);
+    }
+    BOOST_REQUIRE(awaitIdleExpiry(*Loop, Listen));
+    Caller.resumeReading();
+    BOOST_TEST_CONTEXT((ShutDown ? "planned stop" : "new idle timeout")) {
+      BOOST_TEST(runUntil(*Loop, [&] {
+        return Caller.received().size() > LargeBody.size() || Caller.ended();
+      }));
+      BOOST_TEST(Caller.received().size() > LargeBody.size());
+      BOOST_TEST(!Caller.ended());
+      BOOST_TEST(runUntil(*Loop, [&] { return Caller.ended(); }));
+    }
+  }
+}
+
+// Guards against a connection that stays forever because its caller reads
+// nothing.
+BOOST_AUTO_TEST_CASE(ClosesConnectionOfCallerThatDoesNotRead) {
+  for (const char *Header : {"", "Connection: close\r\n"}) {
+    const auto Loop = createLoop();
+    std::vector<Http1Server::ClosedConnection> Closed;
+    Http1Server::Handlers Handlers;
+    Handlers.OnRequest = [](const std::shared_ptr<Http1Exchange> &Exchange) {
+      Exchange->reply(200, {}, std::string(16u << 20, 'x'));
+    };
+    Handlers.OnClosed = [&](const Http1Server::ClosedConnection &Each) {
+      Closed.push_back(Each);
+    };
+    const Address Listen = allocateAddress();
+    const auto Server = createServer(*Loop, Listen, std::move(Handlers));
+    Http1Server::Limits Limits;
+    Limits.SendTimeout = 100ms;
+    Server->setLimits(Limits);
+    RawCaller Caller(*Loop, Listen);
+    Caller.pauseReading();
+    Caller.write(std::string("GET / HTTP/1.1\r\nHost: x\r\n") + Header +
+                 "\r\n");
+    BOOST_REQUIRE(runUntil(*Loop, [&] { return !Closed.empty(); }));
+    BOOST_CHECK(Closed[0].Reason == Http1Server::Closure::Expired);
+    BOOST_TEST(Closed[0].UnsentBytes != 0u);
+    BOOST_TEST(Closed[0].Unfinished);
+  }
+}
+
+// Guards against a send timeout that cuts off a caller which reads slowly.
+BOOST_AUTO_TEST_CASE(KeepsConnectionOfCallerThatReadsSlowly) {
+  const auto Loop = createLoop();
+  const std::string LargeBody(40u << 20, 'x');
+  Http1Server::Handlers Handlers;
+  Handlers.OnRequest = [&](const std::shared_ptr<Http1Exchange> &Exchange) {
+    Exchange->reply(200, {}, LargeBody);
+  };
+  const Address Listen = allocateAddress();
+  const auto Server = createServer(*Loop, Listen, std::move(Handlers));
+  Http1Server::Limits Limits;
+  Limits.SendTimeout = 700ms;
+  Server->setLimits(Limits);
+  RawCaller Caller(*Loop, Listen);
+  Caller.write(SimpleRequest);
+  // Reads a part of the response at a time, for twice the timeout.
+  const Common::TimePoint Start = Loop->now();
+  std::size_t ReceivedBefore = 0;
+  EventHandle Resume;
+  const auto ReadPart = [&] {
+    if (Caller.received().size() - ReceivedBefore < (4u << 20) ||
+        Loop->now() - Start > 2 * Limits.SendTimeout)
+      return;
+    ReceivedBefore = Caller.received().size();
+    Caller.pauseReading();
+    Resume = Loop->callAfter(200ms, [&] { Caller.resumeReading(); });
+  };
+  BOOST_TEST(runUntil(*Loop, [&] {
+    ReadPart();
+    return Caller.received().size() > LargeBody.size() || Caller.ended();
+  }));
+  BOOST_TEST(Caller.received().size() > LargeBody.size());
+  BOOST_TEST((Loop->now() - Start > 2 * Limits.SendTimeout));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace UnitTests
--- a/Source/UnitTests/Network/RawPeer.cpp
+++ b/Source/UnitTests/Network/RawPeer.cpp
@@ -110,13 +110,24 @@
   }
 }
 
-RawCaller::RawCaller(Network::EventLoop &Loop, const Network::Address &To) {
+RawCaller::RawCaller(Network::EventLoop &Loop, const Network::Address &To,
+                     int ReceiveBufferBytes)
+    : Loop(Loop) {
   this->Descriptor = socket(AF_INET, SOCK_STREAM, 0);
+  if (ReceiveBufferBytes != 0)
+    setsockopt(this->Descriptor, SOL_SOCKET, SO_RCVBUF, &ReceiveBufferBytes,
+               sizeof(ReceiveBufferBytes));
   const sockaddr_in Endpoint = Network::toSocketAddress(To);
   BOOST_REQUIRE(connect(this->Descriptor,
                         reinterpret_cast<const sockaddr *>(&Endpoint),
                         sizeof(Endpoint)) == 0);
-  this->ReadEvent = Loop.onReadable(this->Descriptor, [this] {
+  this->resumeReading();
+}
+
+RawCaller::~RawCaller() { this->close(); }
+
+void RawCaller::resumeReading() {
+  this->ReadEvent = this->Loop.onReadable(this->Descriptor, [this] {
     char Buffer[65536];
     const ssize_t Length =
         recv(this->Descriptor, Buffer, sizeof(Buffer), MSG_DONTWAIT);
@@ -129,8 +140,6 @@
   });
 }
 
-RawCaller::~RawCaller() { this->close(); }
-
 void RawCaller::write(const std::string &Bytes) {
   BOOST_REQUIRE(send(this->Descriptor, Bytes.data(), Bytes.size(),
                      MSG_NOSIGNAL) == static_cast<ssize_t>(Bytes.size()));
--- a/Source/UnitTests/Network/RawPeer.h
+++ b/Source/UnitTests/Network/RawPeer.h
@@ -59,16 +59,23 @@
 /// Test client that sends arbitrary bytes and records the response.
 class RawCaller {
 public:
-  RawCaller(Network::EventLoop &Loop, const Network::Address &To);
+  /// A ReceiveBufferBytes of 0 leaves the size of the receive buffer to the
+  /// kernel.
+  RawCaller(Network::EventLoop &Loop, const Network::Address &To,
+            int ReceiveBufferBytes = 0);
   ~RawCaller();
 
   void write(const std::string &Bytes);
+  /// Leaves bytes that arrive in the socket until resumeReading().
+  void pauseReading() { this->ReadEvent.cancel(); }
+  void resumeReading();
   void close();
   const std::string &received() const { return this->Received; }
   /// Whether the server closed the connection.
   bool ended() const { return this->Ended; }
 
 private:
+  Network::EventLoop &Loop;
   int Descriptor = -1;
   std::string Received;
   bool Ended = false;
