Network: A request behind a stream begun before the stop is answered

Cause: Http1ServerConnection::finish closed every connection while the server shuts down, also after a response whose head was sent before and so had not announced the close. A request that had arrived behind it was drained and discarded.

Evidence, on the code before: AnswersRequestBehindStreamThatDidNotAnnounceTheClose, request sent before the end of the stream and together with it: check Exchanges.size() == (Next == Sent::Never ? 1u : 2u) has failed [1 != 2]

Change: finish closes only after a response that announced it. After one that did not, the connection closes once the response is written and no input waits, in the process or in the kernel; a request that waits is handled and its response announces the close. Requests behind an announced close are still not answered (RFC 9112, 9.6).

Not chosen: leaving such a connection open until the idle time. Its caller would send the next request to a process that is about to refuse it.

The Http1Contract tests passed.

--- a/Source/Core/Network/Http1Server.cpp
+++ b/Source/Core/Network/Http1Server.cpp
@@ -66,7 +66,7 @@
                  std::string_view FramingHeaders);
   void write(std::string_view Bytes);
   /// Ends the current exchange; keeps the connection for the next request if
-  /// Reusable and the caller and server allow it.
+  /// Reusable and the response did not announce the close.
   void finish(bool Reusable);
   /// Ends the current exchange with its response incomplete.
   void abort();
@@ -109,6 +109,8 @@
   Common::TimePoint PhaseStart;
   /// When output was last written to the socket, or added to an empty buffer.
   Common::TimePoint OutputProgressAt;
+  /// Whether the head of the last response said that the connection closes.
+  bool CloseAnnounced = false;
   bool ClosingAfterFlush = false;
   /// The response is sent and further input is discarded. Closing with unread
   /// input would reset the connection, and the caller could lose the response.
@@ -291,11 +293,18 @@
 void Http1ServerConnection::handleOutputFlushed() {
   if (this->Lingering)
     return;
+  const bool ResponseWritten = this->UnwrittenExchange != nullptr;
   this->UnwrittenExchange.reset();
-  if (!this->CurrentExchange && !this->Reader.isStarted())
+  if (!this->isBusy())
     this->PhaseStart = this->Server.Loop.now();
-  if (!this->ClosingAfterFlush)
+  if (!this->ClosingAfterFlush) {
+    // A response that began before the shutdown did not announce the close, so
+    // a request that follows it must be answered.
+    if (ResponseWritten && this->Server.ShuttingDown && !this->isBusy() &&
+        !this->hasUnreadInput())
+      this->close(Http1Server::Closure::Complete);
     return;
+  }
   evbuffer *Input = bufferevent_get_input(this->Socket);
   const bool MidRequest =
       this->Reader.isStarted() || evbuffer_get_length(Input) != 0;
@@ -317,7 +326,9 @@
   for (const HttpHeader &Header : Headers)
     absl::StrAppend(&Head, Header.Name, ": ", Header.Value, "\r\n");
   Head.append(FramingHeaders);
-  if (this->Server.ShuttingDown || !this->CurrentExchange->Head.KeepAlive)
+  this->CloseAnnounced =
+      this->Server.ShuttingDown || !this->CurrentExchange->Head.KeepAlive;
+  if (this->CloseAnnounced)
     Head += "Connection: close\r\n";
   Head += "\r\n";
   this->write(Head);
@@ -335,7 +346,7 @@
   if (this->unsentBytes() != 0)
     this->UnwrittenExchange = Exchange;
   this->PhaseStart = this->Server.Loop.now();
-  if (!Reusable || !Exchange->Head.KeepAlive || this->Server.ShuttingDown) {
+  if (!Reusable || this->CloseAnnounced) {
     this->closeAfterFlush();
     return;
   }
--- a/Source/Core/Network/Http1Server.h
+++ b/Source/Core/Network/Http1Server.h
@@ -132,7 +132,7 @@
     this->ServerLimits = ServerLimits;
   }
   /// Closes each connection after its next response, and idle connections after
-  /// IdleTimeout.
+  /// IdleTimeout. A request that follows a response already begun is answered.
   void startShutdown(Common::Duration IdleTimeout);
   /// Number of exchanges whose request has begun to arrive and whose response
   /// is not completely written to the socket.
--- a/Source/UnitTests/Network/Http1ContractTest.cpp
+++ b/Source/UnitTests/Network/Http1ContractTest.cpp
@@ -445,6 +445,50 @@
   BOOST_TEST((Loop->now() - Start > 2 * Limits.SendTimeout));
 }
 
+// Guards against a request that is read and never answered, because it follows
+// a stream which began before a planned stop and ends after it.
+BOOST_AUTO_TEST_CASE(AnswersRequestBehindStreamThatDidNotAnnounceTheClose) {
+  enum class Sent { BeforeStreamEnd, WithStreamEnd, Never };
+  for (const Sent Next :
+       {Sent::BeforeStreamEnd, Sent::WithStreamEnd, Sent::Never}) {
+    const auto Loop = createLoop();
+    std::vector<std::shared_ptr<Http1Exchange>> Exchanges;
+    Http1Server::Handlers Handlers;
+    Handlers.OnRequest = [&](const std::shared_ptr<Http1Exchange> &Exchange) {
+      Exchanges.push_back(Exchange);
+      if (Exchanges.size() == 1)
+        Exchange->startStream(200, {});
+      else
+        Exchange->reply(200, {}, "second");
+    };
+    const Address Listen = allocateAddress();
+    const auto Server = createServer(*Loop, Listen, std::move(Handlers));
+    RawCaller Caller(*Loop, Listen);
+    Caller.write(SimpleRequest);
+    // The last request follows a response that announces the close.
+    if (Next == Sent::BeforeStreamEnd)
+      Caller.write(SimpleRequest + SimpleRequest);
+    BOOST_REQUIRE(runUntil(*Loop, [&] { return !Caller.received().empty(); }));
+    Server->startShutdown(10s);
+    Exchanges[0]->endStream();
+    if (Next == Sent::WithStreamEnd)
+      Caller.write(SimpleRequest);
+    BOOST_REQUIRE(runUntil(*Loop, [&] { return Caller.ended(); }));
+    const std::size_t FirstSize = Caller.received().find("0\r\n\r\n") + 5;
+    const std::string First = Caller.received().substr(0, FirstSize);
+    const std::string Second = Caller.received().substr(FirstSize);
+    BOOST_TEST_CONTEXT("case " << static_cast<int>(Next)) {
+      BOOST_TEST(First.find("Connection: close") == std::string::npos);
+      BOOST_TEST(Exchanges.size() == (Next == Sent::Never ? 1u : 2u));
+      BOOST_TEST(Second.empty() == (Next == Sent::Never));
+      if (Next != Sent::Never) {
+        BOOST_TEST(Second.find("Connection: close") != std::string::npos);
+        BOOST_TEST(Second.find("\r\n\r\nsecond") != std::string::npos);
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace UnitTests
