Network: A close with input unread in the kernel does not reset

Cause: handleOutputFlushed decided on lingering by the input buffer of the process alone. Bytes that had reached the socket since made close() a reset, and the kernel discarded what it had not sent yet. abort() of a stream whose output was written never lingered.

Evidence, on the code before: ClosesWithoutResetIfInputArrivedWithTheResponse, for a complete response and for an aborted stream: check Caller.received().size() > Body.size() has failed [4096 <= 15360] check Caller.received().size() > Body.size() has failed [8192 <= 15360]

Change: hasUnreadInput, which also looks at the socket, decides. closeAfterFlush with empty output takes the same way, through a deferred callback of the bufferevent. It also replaces a deferred call that held the address of the connection and could have closed a new connection at the same address. A connection that lingers until its caller closes it counts as complete or aborted, not as disconnected.

Ruled out: reject() (400, 408, 413, 431), where the reader has begun a message, so the connection lingered before as well. Lingering ends at the caller's end of file; the test checks it.

Connections that are merely idle do not linger: they are closed without reading.

--- a/Source/Core/Network/Http1Server.cpp
+++ b/Source/Core/Network/Http1Server.cpp
@@ -18,7 +18,7 @@
 constexpr Common::Duration ExpiryCheckInterval = std::chrono::milliseconds(500);
 /// Input buffered while a request is in progress; reading pauses beyond it.
 constexpr std::size_t MaxBufferedInputBytes = 64u << 10;
-/// How long the rest of a rejected request is read and discarded before the
+/// How long input is read and discarded after the last response, before the
 /// connection is closed.
 constexpr Common::Duration LingerTimeout = std::chrono::seconds(1);
 /// Maximum number of connections that wait to be accepted.
@@ -248,7 +248,8 @@
   }
   if (Exchange)
     this->UnwrittenExchange = Exchange;
-  this->close(Http1Server::Closure::Disconnected);
+  this->close(this->Lingering ? this->PlannedClosure
+                              : Http1Server::Closure::Disconnected);
 }
 
 void Http1ServerConnection::close(Http1Server::Closure Reason) {
@@ -273,13 +274,9 @@
 
 void Http1ServerConnection::closeAfterFlush() {
   this->ClosingAfterFlush = true;
-  if (this->unsentBytes() == 0) {
-    this->UnwrittenExchange.reset();
-    this->Server.Loop.defer(
-        [Server = &this->Server, Self = this, Reason = this->PlannedClosure] {
-          Server->erase(Self, Reason);
-        });
-  }
+  // Deferred, as closing destroys this object.
+  if (this->unsentBytes() == 0)
+    bufferevent_trigger(this->Socket, EV_WRITE, BEV_TRIG_DEFER_CALLBACKS);
 }
 
 void Http1ServerConnection::handleOutputChange(evbuffer *,
@@ -305,15 +302,13 @@
       this->close(Http1Server::Closure::Complete);
     return;
   }
-  evbuffer *Input = bufferevent_get_input(this->Socket);
-  const bool MidRequest =
-      this->Reader.isStarted() || evbuffer_get_length(Input) != 0;
-  if (!MidRequest) {
+  if (!this->Reader.isStarted() && !this->hasUnreadInput()) {
     this->close(this->PlannedClosure);
     return;
   }
   this->Lingering = true;
   this->PhaseStart = this->Server.Loop.now();
+  evbuffer *Input = bufferevent_get_input(this->Socket);
   evbuffer_drain(Input, evbuffer_get_length(Input));
   bufferevent_enable(this->Socket, EV_READ);
   shutdown(bufferevent_getfd(this->Socket), SHUT_WR);
--- a/Source/UnitTests/Network/Http1ContractTest.cpp
+++ b/Source/UnitTests/Network/Http1ContractTest.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <optional>
+#include <unistd.h>
 
 namespace UnitTests {
 
@@ -489,6 +490,71 @@
   }
 }
 
+// Guards against a reset that discards a response which is written but has not
+// arrived: closing a socket with unread input resets the connection.
+BOOST_AUTO_TEST_CASE(ClosesWithoutResetIfInputArrivedWithTheResponse) {
+  // Larger than the receive buffer, and small enough for a single write.
+  const std::string Body(15u << 10, 'x');
+  for (const bool Abort : {false, true}) {
+    const auto Loop = createLoop();
+    std::shared_ptr<Http1Exchange> Exchange;
+    std::vector<Http1Server::ClosedConnection> Closed;
+    Http1Server::Handlers Handlers;
+    Handlers.OnRequest = [&](const std::shared_ptr<Http1Exchange> &Received) {
+      Exchange = Received;
+    };
+    Handlers.OnClosed = [&](const Http1Server::ClosedConnection &Each) {
+      Closed.push_back(Each);
+    };
+    const Address Listen = allocateAddress();
+    const auto Server = createServer(*Loop, Listen, std::move(Handlers));
+    RawCaller Caller(*Loop, Listen, 4096);
+    Caller.pauseReading();
+    Caller.write("GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    BOOST_REQUIRE(runUntil(*Loop, [&] { return Exchange != nullptr; }));
+    if (Abort) {
+      Exchange->startStream(200, {});
+      Exchange->sendChunk(Body);
+      BOOST_REQUIRE(
+          runUntil(*Loop, [&] { return Exchange->unsentBytes() == 0; }));
+      Caller.write(SimpleRequest);
+      Exchange->abort();
+    } else {
+      // The descriptor of the connection must not be first among the ready
+      // ones, so that the input arrives between the check for input and the
+      // write.
+      Loop->runOnce(1ms);
+      int Pipe[2] = {};
+      BOOST_REQUIRE(pipe(Pipe) == 0);
+      BOOST_REQUIRE(write(Pipe[1], "x", 1) == 1);
+      bool Written = false;
+      EventHandle BeforeResponse = Loop->onReadable(Pipe[0], [&] {
+        if (!Written)
+          Caller.write(SimpleRequest);
+        Written = true;
+      });
+      Exchange->reply(200, {}, Body);
+      BOOST_REQUIRE(runUntil(*Loop, [&] { return Written; }));
+      BeforeResponse.cancel();
+      ::close(Pipe[0]);
+      ::close(Pipe[1]);
+    }
+    Caller.resumeReading();
+    BOOST_TEST_CONTEXT((Abort ? "aborted stream" : "complete response")) {
+      BOOST_TEST(runUntil(*Loop, [&] { return Caller.ended(); }));
+      BOOST_TEST(Caller.received().size() > Body.size());
+      BOOST_TEST(
+          (Caller.received().find("\r\n0\r\n\r\n") == std::string::npos));
+      // The server stops to linger when the caller closes.
+      Caller.close();
+      BOOST_TEST(runUntil(*Loop, [&] { return !Closed.empty(); }));
+      BOOST_TEST(!Closed[0].HasUnreadInput);
+      BOOST_CHECK(Closed[0].Reason == (Abort ? Http1Server::Closure::Aborted
+                                             : Http1Server::Closure::Complete));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace UnitTests
