Network: An idle connection whose request has arrived is served

Cause: the expiry check closed an idle connection without looking at the socket. A request that arrives after the loop has collected its events, or while the process is held up, was not read yet.

Change: a connection with unread input is not expired; the request is served. If nothing waits, the connection is closed without reading, so a request that crosses the close is not read and its caller may repeat it.

--- a/Source/Core/Network/Http1Server.cpp
+++ b/Source/Core/Network/Http1Server.cpp
@@ -368,8 +368,9 @@
   const Http1Server::Limits &Limits = this->Server.ServerLimits;
   if (this->unsentBytes() != 0)
     return Now - this->OutputProgressAt > Limits.SendTimeout;
+  // A request may have arrived since the loop last looked for input.
   return !this->Reader.isStarted() && !this->ClosingAfterFlush &&
-         Now - this->PhaseStart > Limits.IdleTimeout;
+         Now - this->PhaseStart > Limits.IdleTimeout && !this->hasUnreadInput();
 }
 
 bool Http1ServerConnection::isHeadOverdue(Common::TimePoint Now) const {
--- a/Source/UnitTests/Network/Http1ContractTest.cpp
+++ b/Source/UnitTests/Network/Http1ContractTest.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <optional>
+#include <thread>
 #include <unistd.h>
 
 namespace UnitTests {
@@ -555,6 +556,36 @@
   }
 }
 
+// Guards against a connection that is closed as idle at the moment when its
+// next request arrives.
+BOOST_AUTO_TEST_CASE(ServesRequestThatArrivesWhenTheIdleTimeEnds) {
+  const auto Loop = createLoop();
+  Http1Server::Handlers Handlers;
+  Handlers.OnRequest = [&](const std::shared_ptr<Http1Exchange> &Exchange) {
+    Exchange->reply(200, {}, "answer");
+  };
+  const Address Listen = allocateAddress();
+  const auto Server = createServer(*Loop, Listen, std::move(Handlers));
+  Http1Server::Limits Limits;
+  Limits.IdleTimeout = 100ms;
+  Server->setLimits(Limits);
+  RawCaller Caller(*Loop, Listen);
+  Caller.write(SimpleRequest);
+  BOOST_REQUIRE(runUntil(*Loop, [&] { return !Caller.received().empty(); }));
+  const std::size_t FirstSize = Caller.received().size();
+  // A process that is held up handles both timers in one pass: the request
+  // arrives after the loop has looked for input and before the expiry check.
+  const EventHandle Request =
+      Loop->callAfter(0ms, [&] { Caller.write(SimpleRequest); });
+  const Common::TimePoint ExpiryDue = Loop->now() + 600ms;
+  while (Loop->now() < ExpiryDue)
+    std::this_thread::yield();
+  BOOST_TEST(runUntil(*Loop, [&] {
+    return Caller.received().size() == 2 * FirstSize || Caller.ended();
+  }));
+  BOOST_TEST(Caller.received().size() == 2 * FirstSize);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace UnitTests
