--- a/Source/Core/Network/Http1Server.cpp
+++ b/Source/Core/Network/Http1Server.cpp
@@ -18,7 +18,7 @@
 constexpr Common::Duration ExpiryCheckInterval = std::chrono::milliseconds(500);
 /// Input buffered while a request is in progress; reading pauses beyond it.
 constexpr std::size_t MaxBufferedInputBytes = 64u << 10;
-/// How long the rest of a rejected request is read and discarded before the
+/// How long input is read and discarded after the last response, before the
 /// connection is closed.
 constexpr Common::Duration LingerTimeout = std::chrono::seconds(1);
 /// Maximum number of connections that wait to be accepted.
@@ -66,7 +66,7 @@
                  std::string_view FramingHeaders);
   void write(std::string_view Bytes);
   /// Ends the current exchange; keeps the connection for the next request if
-  /// Reusable and the caller and server allow it.
+  /// Reusable and the response did not announce the close.
   void finish(bool Reusable);
   /// Ends the current exchange with its response incomplete.
   void abort();
@@ -81,9 +81,10 @@
     return this->CurrentExchange || this->Reader.isStarted() ||
            this->unsentBytes() != 0;
   }
-  /// Whether the connection has been idle for longer than IdleTimeout, or has
-  /// lingered for longer than LingerTimeout.
-  bool isExpired(Common::TimePoint Now, Common::Duration IdleTimeout) const;
+  /// Whether the connection has been idle for longer than IdleTimeout, has not
+  /// sent any of its output for longer than SendTimeout, or has lingered for
+  /// longer than LingerTimeout.
+  bool isExpired(Common::TimePoint Now) const;
   /// Whether a request head has been incomplete for longer than HeaderTimeout.
   bool isHeadOverdue(Common::TimePoint Now) const;
   /// Sends an error response without running OnRequest, and closes.
@@ -91,6 +92,8 @@
 
 private:
   void parse();
+  static void handleOutputChange(evbuffer *, const evbuffer_cb_info *Change,
+                                 void *Self);
   bool hasUnreadInput() const;
 
   Http1Server &Server;
@@ -104,6 +107,10 @@
   /// When the connection became idle, started to receive a request or started
   /// to linger, whichever was last.
   Common::TimePoint PhaseStart;
+  /// When output was last written to the socket, or added to an empty buffer.
+  Common::TimePoint OutputProgressAt;
+  /// Whether the head of the last response said that the connection closes.
+  bool CloseAnnounced = false;
   bool ClosingAfterFlush = false;
   /// The response is sent and further input is discarded. Closing with unread
   /// input would reset the connection, and the caller could lose the response.
@@ -133,12 +140,16 @@
         static_cast<Http1ServerConnection *>(Self)->handleDisconnect();
       },
       this);
+  evbuffer_add_cb(bufferevent_get_output(this->Socket), handleOutputChange,
+                  this);
   bufferevent_enable(this->Socket, EV_READ | EV_WRITE);
 }
 
 Http1ServerConnection::~Http1ServerConnection() {
   if (this->CurrentExchange)
     this->CurrentExchange->Connection = nullptr;
+  evbuffer_remove_cb(bufferevent_get_output(this->Socket), handleOutputChange,
+                     this);
   bufferevent_free(this->Socket);
 }
 
@@ -237,7 +248,8 @@
   }
   if (Exchange)
     this->UnwrittenExchange = Exchange;
-  this->close(Http1Server::Closure::Disconnected);
+  this->close(this->Lingering ? this->PlannedClosure
+                              : Http1Server::Closure::Disconnected);
 }
 
 void Http1ServerConnection::close(Http1Server::Closure Reason) {
@@ -262,28 +274,41 @@
 
 void Http1ServerConnection::closeAfterFlush() {
   this->ClosingAfterFlush = true;
-  if (this->unsentBytes() == 0) {
-    this->UnwrittenExchange.reset();
-    this->Server.Loop.defer(
-        [Server = &this->Server, Self = this, Reason = this->PlannedClosure] {
-          Server->erase(Self, Reason);
-        });
-  }
+  // Deferred, as closing destroys this object.
+  if (this->unsentBytes() == 0)
+    bufferevent_trigger(this->Socket, EV_WRITE, BEV_TRIG_DEFER_CALLBACKS);
+}
+
+void Http1ServerConnection::handleOutputChange(evbuffer *,
+                                               const evbuffer_cb_info *Change,
+                                               void *Self) {
+  auto *Connection = static_cast<Http1ServerConnection *>(Self);
+  if (Change->n_deleted != 0 || Change->orig_size == 0)
+    Connection->OutputProgressAt = Connection->Server.Loop.now();
 }
 
 void Http1ServerConnection::handleOutputFlushed() {
+  if (this->Lingering)
+    return;
+  const bool ResponseWritten = this->UnwrittenExchange != nullptr;
   this->UnwrittenExchange.reset();
-  if (!this->ClosingAfterFlush || this->Lingering)
+  if (!this->isBusy())
+    this->PhaseStart = this->Server.Loop.now();
+  if (!this->ClosingAfterFlush) {
+    // A response that began before the shutdown did not announce the close, so
+    // a request that follows it must be answered.
+    if (ResponseWritten && this->Server.ShuttingDown && !this->isBusy() &&
+        !this->hasUnreadInput())
+      this->close(Http1Server::Closure::Complete);
     return;
-  evbuffer *Input = bufferevent_get_input(this->Socket);
-  const bool MidRequest =
-      this->Reader.isStarted() || evbuffer_get_length(Input) != 0;
-  if (!MidRequest) {
+  }
+  if (!this->Reader.isStarted() && !this->hasUnreadInput()) {
     this->close(this->PlannedClosure);
     return;
   }
   this->Lingering = true;
   this->PhaseStart = this->Server.Loop.now();
+  evbuffer *Input = bufferevent_get_input(this->Socket);
   evbuffer_drain(Input, evbuffer_get_length(Input));
   bufferevent_enable(this->Socket, EV_READ);
   shutdown(bufferevent_getfd(this->Socket), SHUT_WR);
@@ -296,7 +321,9 @@
   for (const HttpHeader &Header : Headers)
     absl::StrAppend(&Head, Header.Name, ": ", Header.Value, "\r\n");
   Head.append(FramingHeaders);
-  if (this->Server.ShuttingDown || !this->CurrentExchange->Head.KeepAlive)
+  this->CloseAnnounced =
+      this->Server.ShuttingDown || !this->CurrentExchange->Head.KeepAlive;
+  if (this->CloseAnnounced)
     Head += "Connection: close\r\n";
   Head += "\r\n";
   this->write(Head);
@@ -314,7 +341,7 @@
   if (this->unsentBytes() != 0)
     this->UnwrittenExchange = Exchange;
   this->PhaseStart = this->Server.Loop.now();
-  if (!Reusable || !Exchange->Head.KeepAlive || this->Server.ShuttingDown) {
+  if (!Reusable || this->CloseAnnounced) {
     this->closeAfterFlush();
     return;
   }
@@ -332,12 +359,18 @@
   return evbuffer_get_length(bufferevent_get_output(this->Socket));
 }
 
-bool Http1ServerConnection::isExpired(Common::TimePoint Now,
-                                      Common::Duration IdleTimeout) const {
+bool Http1ServerConnection::isExpired(Common::TimePoint Now) const {
   if (this->Lingering)
     return Now - this->PhaseStart > LingerTimeout;
-  return !this->CurrentExchange && !this->Reader.isStarted() &&
-         !this->ClosingAfterFlush && Now - this->PhaseStart > IdleTimeout;
+  // The owner of an exchange limits its duration.
+  if (this->CurrentExchange)
+    return false;
+  const Http1Server::Limits &Limits = this->Server.ServerLimits;
+  if (this->unsentBytes() != 0)
+    return Now - this->OutputProgressAt > Limits.SendTimeout;
+  // A request may have arrived since the loop last looked for input.
+  return !this->Reader.isStarted() && !this->ClosingAfterFlush &&
+         Now - this->PhaseStart > Limits.IdleTimeout && !this->hasUnreadInput();
 }
 
 bool Http1ServerConnection::isHeadOverdue(Common::TimePoint Now) const {
@@ -476,7 +509,7 @@
   std::vector<detail::Http1ServerConnection *> Expired;
   std::vector<detail::Http1ServerConnection *> Overdue;
   for (const auto &Each : this->Connections) {
-    if (Each.first->isExpired(Now, this->ServerLimits.IdleTimeout))
+    if (Each.first->isExpired(Now))
       Expired.push_back(Each.first);
     else if (Each.first->isHeadOverdue(Now))
       Overdue.push_back(Each.first);
--- a/Source/UnitTests/Network/Http1ContractTest.cpp
+++ b/Source/UnitTests/Network/Http1ContractTest.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 #include <optional>
+#include <thread>
+#include <unistd.h>
 
 namespace UnitTests {
 
@@ -93,6 +95,23 @@
      {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok"},
      Http1CallResult::NoResponse}};
 
+const std::string SimpleRequest = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+
+std::unique_ptr<Http1Server> createServer(EventLoop &Loop,
+                                          const Address &Listen,
+                                          Http1Server::Handlers Handlers) {
+  auto Server = Http1Server::create(Loop, Listen, std::move(Handlers));
+  BOOST_REQUIRE(Server.ok());
+  return std::move(*Server);
+}
+
+/// Waits until the server has closed a connection that sends nothing, and so
+/// has checked all connections against its idle timeout.
+bool awaitIdleExpiry(EventLoop &Loop, const Address &Server) {
+  const RawCaller Idle(Loop, Server);
+  return runUntil(Loop, [&] { return Idle.ended(); });
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Http1Contract)
@@ -327,6 +346,246 @@
   BOOST_TEST(Caller.received().find("0\r\n\r\n") == std::string::npos);
 }
 
+// Guards against an idle timeout that cuts off a response which a slow caller
+// is still receiving, after a shorter timeout was declared or at a planned
+// stop.
+BOOST_AUTO_TEST_CASE(IdleTimeRunsFromTheWrittenResponse) {
+  const std::string LargeBody(16u << 20, 'x');
+  for (const bool ShutDown : {false, true}) {
+    const auto Loop = createLoop();
+    Http1Server::Handlers Handlers;
+    Handlers.OnRequest = [&](const std::shared_ptr<Http1Exchange> &Exchange) {
+      Exchange->reply(200, {}, LargeBody);
+    };
+    const Address Listen = allocateAddress();
+    const auto Server = createServer(*Loop, Listen, std::move(Handlers));
+    RawCaller Caller(*Loop, Listen);
+    Caller.write(SimpleRequest);
+    BOOST_REQUIRE(runUntil(*Loop, [&] { return !Caller.received().empty(); }));
+    Caller.pauseReading();
+    if (ShutDown) {
+      Server->startShutdown(400ms);
+    } else {
+      Http1Server::Limits Limits;
+      Limits.IdleTimeout = 400ms;
+      Server->setLimits(Limits);
+    }
+    BOOST_REQUIRE(awaitIdleExpiry(*Loop, Listen));
+    Caller.resumeReading();
+    BOOST_TEST_CONTEXT((ShutDown ? "planned stop" : "new idle timeout")) {
+      BOOST_TEST(runUntil(*Loop, [&] {
+        return Caller.received().size() > LargeBody.size() || Caller.ended();
+      }));
+      BOOST_TEST(Caller.received().size() > LargeBody.size());
+      BOOST_TEST(!Caller.ended());
+      BOOST_TEST(runUntil(*Loop, [&] { return Caller.ended(); }));
+    }
+  }
+}
+
+// Guards against a connection that stays forever because its caller reads
+// nothing.
+BOOST_AUTO_TEST_CASE(ClosesConnectionOfCallerThatDoesNotRead) {
+  for (const char *Header : {"", "Connection: close\r\n"}) {
+    const auto Loop = createLoop();
+    std::vector<Http1Server::ClosedConnection> Closed;
+    Http1Server::Handlers Handlers;
+    Handlers.OnRequest = [](const std::shared_ptr<Http1Exchange> &Exchange) {
+      Exchange->reply(200, {}, std::string(16u << 20, 'x'));
+    };
+    Handlers.OnClosed = [&](const Http1Server::ClosedConnection &Each) {
+      Closed.push_back(Each);
+    };
+    const Address Listen = allocateAddress();
+    const auto Server = createServer(*Loop, Listen, std::move(Handlers));
+    Http1Server::Limits Limits;
+    Limits.SendTimeout = 100ms;
+    Server->setLimits(Limits);
+    RawCaller Caller(*Loop, Listen);
+    Caller.pauseReading();
+    Caller.write(std::string("GET / HTTP/1.1\r\nHost: x\r\n") + Header +
+                 "\r\n");
+    BOOST_REQUIRE(runUntil(*Loop, [&] { return !Closed.empty(); }));
+    BOOST_CHECK(Closed[0].Reason == Http1Server::Closure::Expired);
+    BOOST_TEST(Closed[0].UnsentBytes != 0u);
+    BOOST_TEST(Closed[0].Unfinished);
+  }
+}
+
+// Guards against a send timeout that cuts off a caller which reads slowly.
+BOOST_AUTO_TEST_CASE(KeepsConnectionOfCallerThatReadsSlowly) {
+  const auto Loop = createLoop();
+  const std::string LargeBody(40u << 20, 'x');
+  Http1Server::Handlers Handlers;
+  Handlers.OnRequest = [&](const std::shared_ptr<Http1Exchange> &Exchange) {
+    Exchange->reply(200, {}, LargeBody);
+  };
+  const Address Listen = allocateAddress();
+  const auto Server = createServer(*Loop, Listen, std::move(Handlers));
+  Http1Server::Limits Limits;
+  Limits.SendTimeout = 700ms;
+  Server->setLimits(Limits);
+  RawCaller Caller(*Loop, Listen);
+  Caller.write(SimpleRequest);
+  // Reads a part of the response at a time, for twice the timeout.
+  const Common::TimePoint Start = Loop->now();
+  std::size_t ReceivedBefore = 0;
+  EventHandle Resume;
+  const auto ReadPart = [&] {
+    if (Caller.received().size() - ReceivedBefore < (4u << 20) ||
+        Loop->now() - Start > 2 * Limits.SendTimeout)
+      return;
+    ReceivedBefore = Caller.received().size();
+    Caller.pauseReading();
+    Resume = Loop->callAfter(200ms, [&] { Caller.resumeReading(); });
+  };
+  BOOST_TEST(runUntil(*Loop, [&] {
+    ReadPart();
+    return Caller.received().size() > LargeBody.size() || Caller.ended();
+  }));
+  BOOST_TEST(Caller.received().size() > LargeBody.size());
+  BOOST_TEST((Loop->now() - Start > 2 * Limits.SendTimeout));
+}
+
+// Guards against a request that is read and never answered, because it follows
+// a stream which began before a planned stop and ends after it.
+BOOST_AUTO_TEST_CASE(AnswersRequestBehindStreamThatDidNotAnnounceTheClose) {
+  enum class Sent { BeforeStreamEnd, WithStreamEnd, Never };
+  for (const Sent Next :
+       {Sent::BeforeStreamEnd, Sent::WithStreamEnd, Sent::Never}) {
+    const auto Loop = createLoop();
+    std::vector<std::shared_ptr<Http1Exchange>> Exchanges;
+    Http1Server::Handlers Handlers;
+    Handlers.OnRequest = [&](const std::shared_ptr<Http1Exchange> &Exchange) {
+      Exchanges.push_back(Exchange);
+      if (Exchanges.size() == 1)
+        Exchange->startStream(200, {});
+      else
+        Exchange->reply(200, {}, "second");
+    };
+    const Address Listen = allocateAddress();
+    const auto Server = createServer(*Loop, Listen, std::move(Handlers));
+    RawCaller Caller(*Loop, Listen);
+    Caller.write(SimpleRequest);
+    // The last request follows a response that announces the close.
+    if (Next == Sent::BeforeStreamEnd)
+      Caller.write(SimpleRequest + SimpleRequest);
+    BOOST_REQUIRE(runUntil(*Loop, [&] { return !Caller.received().empty(); }));
+    Server->startShutdown(10s);
+    Exchanges[0]->endStream();
+    if (Next == Sent::WithStreamEnd)
+      Caller.write(SimpleRequest);
+    BOOST_REQUIRE(runUntil(*Loop, [&] { return Caller.ended(); }));
+    const std::size_t FirstSize = Caller.received().find("0\r\n\r\n") + 5;
+    const std::string First = Caller.received().substr(0, FirstSize);
+    const std::string Second = Caller.received().substr(FirstSize);
+    BOOST_TEST_CONTEXT("case " << static_cast<int>(Next)) {
+      BOOST_TEST(First.find("Connection: close") == std::string::npos);
+      BOOST_TEST(Exchanges.size() == (Next == Sent::Never ? 1u : 2u));
+      BOOST_TEST(Second.empty() == (Next == Sent::Never));
+      if (Next != Sent::Never) {
+        BOOST_TEST(Second.find("Connection: close") != std::string::npos);
+        BOOST_TEST(Second.find("\r\n\r\nsecond") != std::string::npos);
+      }
+    }
+  }
+}
+
+// Guards against a reset that discards a response which is written but has not
+// arrived: closing a socket with unread input resets the connection.
+BOOST_AUTO_TEST_CASE(ClosesWithoutResetIfInputArrivedWithTheResponse) {
+  // Larger than the receive buffer, and small enough for a single write.
+  const std::string Body(15u << 10, 'x');
+  for (const bool Abort : {false, true}) {
+    const auto Loop = createLoop();
+    std::shared_ptr<Http1Exchange> Exchange;
+    std::vector<Http1Server::ClosedConnection> Closed;
+    Http1Server::Handlers Handlers;
+    Handlers.OnRequest = [&](const std::shared_ptr<Http1Exchange> &Received) {
+      Exchange = Received;
+    };
+    Handlers.OnClosed = [&](const Http1Server::ClosedConnection &Each) {
+      Closed.push_back(Each);
+    };
+    const Address Listen = allocateAddress();
+    const auto Server = createServer(*Loop, Listen, std::move(Handlers));
+    RawCaller Caller(*Loop, Listen, 4096);
+    Caller.pauseReading();
+    Caller.write("GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    BOOST_REQUIRE(runUntil(*Loop, [&] { return Exchange != nullptr; }));
+    if (Abort) {
+      Exchange->startStream(200, {});
+      Exchange->sendChunk(Body);
+      BOOST_REQUIRE(
+          runUntil(*Loop, [&] { return Exchange->unsentBytes() == 0; }));
+      Caller.write(SimpleRequest);
+      Exchange->abort();
+    } else {
+      // The descriptor of the connection must not be first among the ready
+      // ones, so that the input arrives between the check for input and the
+      // write.
+      Loop->runOnce(1ms);
+      int Pipe[2] = {};
+      BOOST_REQUIRE(pipe(Pipe) == 0);
+      BOOST_REQUIRE(write(Pipe[1], "x", 1) == 1);
+      bool Written = false;
+      EventHandle BeforeResponse = Loop->onReadable(Pipe[0], [&] {
+        if (!Written)
+          Caller.write(SimpleRequest);
+        Written = true;
+      });
+      Exchange->reply(200, {}, Body);
+      BOOST_REQUIRE(runUntil(*Loop, [&] { return Written; }));
+      BeforeResponse.cancel();
+      ::close(Pipe[0]);
+      ::close(Pipe[1]);
+    }
+    Caller.resumeReading();
+    BOOST_TEST_CONTEXT((Abort ? "aborted stream" : "complete response")) {
+      BOOST_TEST(runUntil(*Loop, [&] { return Caller.ended(); }));
+      BOOST_TEST(Caller.received().size() > Body.size());
+      BOOST_TEST(
+          (Caller.received().find("\r\n0\r\n\r\n") == std::string::npos));
+      // The server stops to linger when the caller closes.
+      Caller.close();
+      BOOST_TEST(runUntil(*Loop, [&] { return !Closed.empty(); }));
+      BOOST_TEST(!Closed[0].HasUnreadInput);
+      BOOST_CHECK(Closed[0].Reason == (Abort ? Http1Server::Closure::Aborted
+                                             : Http1Server::Closure::Complete));
+    }
+  }
+}
+
+// Guards against a connection that is closed as idle at the moment when its
+// next request arrives.
+BOOST_AUTO_TEST_CASE(ServesRequestThatArrivesWhenTheIdleTimeEnds) {
+  const auto Loop = createLoop();
+  Http1Server::Handlers Handlers;
+  Handlers.OnRequest = [&](const std::shared_ptr<Http1Exchange> &Exchange) {
+    Exchange->reply(200, {}, "answer");
+  };
+  const Address Listen = allocateAddress();
+  const auto Server = createServer(*Loop, Listen, std::move(Handlers));
+  Http1Server::Limits Limits;
+  Limits.IdleTimeout = 100ms;
+  Server->setLimits(Limits);
+  RawCaller Caller(*Loop, Listen);
+  Caller.write(SimpleRequest);
+  BOOST_REQUIRE(runUntil(*Loop, [&] { return !Caller.received().empty(); }));
+  const std::size_t FirstSize = Caller.received().size();
+  // A process that is held up handles both timers in one pass: the request
+  // arrives after the loop has looked for input and before the expiry check.
+  const EventHandle Request =
+      Loop->callAfter(0ms, [&] { Caller.write(SimpleRequest); });
+  const Common::TimePoint ExpiryDue = Loop->now() + 600ms;
+  while (Loop->now() < ExpiryDue)
+    std::this_thread::yield();
+  BOOST_TEST(runUntil(*Loop, [&] {
+    return Caller.received().size() == 2 * FirstSize || Caller.ended();
+  }));
+  BOOST_TEST(Caller.received().size() == 2 * FirstSize);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace UnitTests
