Storage: Sync the log before its records count as persisted

What callers could see: an acknowledged declaration is gone after a power loss. A state daemon that is killed between the write of a log record and its sync finds the record in the file when it starts again, and answers the leader's next request as if the record were on disk. The leader counts that answer. If the leader's disk is lost and all others lose power before the daemon's next write, the declaration is on no disk.

Cause: DataFolder::open read the log from the page cache and synced the folder only. Everything that is loaded counts as persisted (Replica::PersistedIndex).

Fix: open syncs the log file before it returns. One more fdatasync a start.

Ruled out: a vote that was written and not synced. A replica saves its vote again before it repeats it (handle VoteRequest calls saveHardState), so that a sync precedes the answer.

--- a/Source/Core/Storage/DataFolder.cpp
+++ b/Source/Core/Storage/DataFolder.cpp
@@ -159,6 +159,10 @@
   auto Log = AppendFile::create(logPath(Path));
   if (!Log.ok())
     return Log.status();
+  // A process that was killed may have left records that were not synced. The
+  // replica treats all that it loads as persisted.
+  if (absl::Status Synced = Log->sync(); !Synced.ok())
+    return Synced;
   DataFolder Folder(Path, std::move(*Log), *Lock, *LogBytes);
   Folder.Hard = Recovered.State.Hard;
   return Folder;
