Network: HttpExchange is open until its response is written

What callers saw: an answer that was still being sent when an entry daemon (or a state daemon's operator interface) stopped as planned was cut in the middle of its body.

Cause: HttpExchange::reply() and endStream() counted the exchange as ended before evhttp had written anything, so the stop, which waits for open exchanges, saw none and ended the process with the rest of the answer in its output buffer.

The exchange now counts as open until evhttp reports that the response was written, or its connection ends. isOpen() still says whether a handler may respond.

Ruled out: a caller that leaves its answer unread does not hold up the stop (exchangeEndsWhenItsCallerLeavesTheResponseUnread).

--- a/Source/Core/Network/HttpServer.cpp
+++ b/Source/Core/Network/HttpServer.cpp
@@ -6,6 +6,7 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <utility>
 
 namespace Network {
 
@@ -78,13 +79,25 @@
 
 void HttpExchange::handleDisconnect() {
   const auto Self = this->shared_from_this();
+  const bool Unanswered = this->isOpen();
   this->finish();
-  if (this->DisconnectHandler)
+  if (Unanswered && this->DisconnectHandler)
     this->DisconnectHandler();
 }
 
+evhttp_request *HttpExchange::takeRequest() {
+  this->PeerClosedEvent.cancel();
+  evhttp_request_set_on_complete_cb(
+      this->RawRequest,
+      [](evhttp_request *, void *Self) {
+        static_cast<HttpExchange *>(Self)->finish();
+      },
+      this);
+  return std::exchange(this->RawRequest, nullptr);
+}
+
 void HttpExchange::finish() {
-  if (!this->RawRequest)
+  if (!this->SelfWhileOpen)
     return;
   this->RawRequest = nullptr;
   this->PeerClosedEvent.cancel();
@@ -98,8 +111,7 @@
 void HttpExchange::reply(const HttpResponse &Response) {
   if (!this->RawRequest)
     return;
-  evhttp_request *RawRequest = this->RawRequest;
-  this->finish();
+  evhttp_request *RawRequest = this->takeRequest();
   addHeaders(RawRequest, Response.Headers);
   evbuffer *Body = evbuffer_new();
   evbuffer_add(Body, Response.Body.data(), Response.Body.size());
@@ -127,9 +139,7 @@
 void HttpExchange::endStream() {
   if (!this->RawRequest)
     return;
-  evhttp_request *RawRequest = this->RawRequest;
-  this->finish();
-  evhttp_send_reply_end(RawRequest);
+  evhttp_send_reply_end(this->takeRequest());
 }
 
 void HttpExchange::onCallerDisconnected(std::function<void()> Run) {
--- a/Source/Core/Network/HttpServer.h
+++ b/Source/Core/Network/HttpServer.h
@@ -21,7 +21,8 @@
   ~HttpExchange();
 
   const HttpRequest &request() const { return this->Request; }
-  /// False once the response is complete or the caller has disconnected.
+  /// False once the whole response has been passed on for sending or the
+  /// caller has disconnected.
   bool isOpen() const { return this->RawRequest != nullptr; }
   /// Whether startStream() was called.
   bool isStreaming() const { return this->Streaming; }
@@ -41,6 +42,9 @@
   HttpExchange() = default;
   void watchConnection();
   void handleDisconnect();
+  /// Ends the part in which handlers may respond. The exchange counts as open
+  /// until the response is written or its connection ends.
+  evhttp_request *takeRequest();
   void finish();
 
   EventLoop *Loop = nullptr;
@@ -73,7 +77,8 @@
 
   /// Stops accepting connections; open exchanges continue.
   void stopAccepting();
-  /// Number of exchanges whose response is not complete.
+  /// Number of exchanges whose response is not completely written to the
+  /// socket.
   std::size_t openExchanges() const { return *this->OpenCount; }
 
 private:
--- a/Source/Fakes/FakeService.cpp
+++ b/Source/Fakes/FakeService.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr const char *CrashMarker = "CLOSE-AFTER-RUN";
+constexpr const char *LargePath = "/large";
+constexpr std::size_t LargeBytes = 32u << 20;
 
 Network::HttpResponse jsonResponse(const nlohmann::json &Body) {
   return {200, {{"Content-Type", "application/json"}}, Body.dump()};
@@ -62,6 +64,11 @@
 
 void FakeService::run(const ExchangePtr &Exchange) {
   const Network::HttpRequest &Request = Exchange->request();
+  if (Request.Method == Network::HttpMethod::Get &&
+      Request.path() == LargePath) {
+    Exchange->reply({200, {}, std::string(LargeBytes, 'x')});
+    return;
+  }
   if (Request.Method == Network::HttpMethod::Get) {
     Exchange->reply(jsonResponse({{"stock", 42}, {"path", Request.path()}}));
     return;
--- a/Source/Fakes/FakeService.h
+++ b/Source/Fakes/FakeService.h
@@ -22,8 +22,9 @@
 
 /// A fake plain service with requests that must not be repeated. It counts the
 /// POST requests that it runs for each caller and idempotency key; GET /runs
-/// returns the counts. After running a request whose body contains
-/// CLOSE-AFTER-RUN it calls the crash handler instead of sending a response.
+/// returns the counts, and GET /large an answer of 32 MiB. After running a
+/// request whose body contains CLOSE-AFTER-RUN it calls the crash handler
+/// instead of sending a response.
 class FakeService {
 public:
   static absl::StatusOr<std::unique_ptr<FakeService>>
--- /dev/null
+++ b/Source/UnitTests/Network/HttpServerTest.cpp
@@ -0,0 +1,73 @@
+#include "Network/HttpServer.h"
+
+#include "Network/RawPeer.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace UnitTests {
+
+using namespace Network;
+
+namespace {
+
+std::unique_ptr<EventLoop> createLoop() {
+  auto Loop = EventLoop::create();
+  BOOST_REQUIRE(Loop.ok());
+  return std::move(*Loop);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(HttpServerTest)
+
+// A planned stop waits for open exchanges, so it must not cut an answer that is
+// still in the process's output buffer.
+BOOST_AUTO_TEST_CASE(exchangeIsOpenUntilItsResponseIsWritten) {
+  const auto Loop = createLoop();
+  const std::string LargeBody(16u << 20, 'x');
+  std::unique_ptr<HttpServer> Server;
+  std::size_t OpenAfterReply = 0;
+  const Address Listen = allocateAddress();
+  auto Created = HttpServer::create(
+      *Loop, Listen, {}, [&](const std::shared_ptr<HttpExchange> &Exchange) {
+        Exchange->reply({200, {}, LargeBody});
+        BOOST_TEST(!Exchange->isOpen());
+        OpenAfterReply = Server->openExchanges();
+      });
+  BOOST_REQUIRE(Created.ok());
+  Server = std::move(*Created);
+  RawCaller Caller(*Loop, Listen);
+  Caller.write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  BOOST_REQUIRE(runUntil(
+      *Loop, [&] { return Caller.received().size() > LargeBody.size(); }));
+  BOOST_TEST(OpenAfterReply == 1u);
+  BOOST_TEST(runUntil(*Loop, [&] { return Server->openExchanges() == 0; }));
+}
+
+// A caller that closes its connection instead of reading the answer must not
+// keep a planned stop waiting.
+BOOST_AUTO_TEST_CASE(exchangeEndsWhenItsCallerLeavesTheResponseUnread) {
+  const auto Loop = createLoop();
+  const std::string LargeBody(16u << 20, 'x');
+  std::size_t Disconnects = 0;
+  std::size_t Replies = 0;
+  const Address Listen = allocateAddress();
+  auto Server = HttpServer::create(
+      *Loop, Listen, {}, [&](const std::shared_ptr<HttpExchange> &Exchange) {
+        Exchange->onCallerDisconnected([&] { ++Disconnects; });
+        Exchange->reply({200, {}, LargeBody});
+        ++Replies;
+      });
+  BOOST_REQUIRE(Server.ok());
+  RawCaller Caller(*Loop, Listen);
+  Caller.write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  BOOST_REQUIRE(runUntil(*Loop, [&] { return Replies == 1; }));
+  Caller.close();
+  BOOST_TEST(runUntil(*Loop, [&] { return (*Server)->openExchanges() == 0; }));
+  // The response was complete from the handler's point of view.
+  BOOST_TEST(Disconnects == 0u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace UnitTests
