EntryDaemon: The response of one attempt is not judged by another's

What callers saw: a stream that had broken off halfway ended with its last chunk, as a complete success. With other answers of the second server, bytes that were no part of the stream were forwarded within it.

Cause: RoutedCall::Splitter was set by the first attempt's stream and not reset for the next attempt. Any complete response without a partial event (an error without a body, a 204, an unsigned or unmarked 200, a 200 that is no event stream) was therefore taken for the rest of the stream; the branch of finishBuffered for a resumed stream that gets another kind of response was never reached.

Change: the state of an attempt is one struct that is made for the attempt and discarded with it: server, call, head, body, splitter, output, pause and timers. A stream starts only with a response that has a body and names the request, as responses that are not streamed had to already.

Ruled out: the head of the second response does not replace the one sent (startStream of the exchange ignores it); a late response to another request is skipped by its id before it is looked at; no handler of an attempt runs after its end, since its call is done or cancelled.

--- a/Source/EntryDaemon/RoutedAttempt.cpp
+++ b/Source/EntryDaemon/RoutedAttempt.cpp
@@ -61,6 +61,16 @@
 /// Weight of the newest response in a route's moving average of output tokens.
 constexpr double MeanOutputWeight = 0.1;
 
+bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
+
+/// Whether a success with these headers is a response of the server to this
+/// request, and unaltered.
+bool isTrustworthy(const Network::Http1Head &Head,
+                   const Platform::ResponseHeaders &Decoded) {
+  return Decoded.HasSignatureHeader && !Decoded.RequestId.empty() &&
+         !Network::findHeader(Head.Headers, "Content-Encoding");
+}
+
 } // namespace
 
 void RoutedCall::dispatch() {
@@ -119,10 +129,7 @@
 }
 
 void RoutedCall::sendTo(const Routing::PlacementChoice &To) {
-  this->Server = To;
-  this->ResponseHead.reset();
-  this->ResponseBody.clear();
-  this->OutputStarted = false;
+  this->CurrentAttempt.emplace(To);
   Platform::ForwardedHeaders Forwarded;
   Forwarded.TimeLeft = this->timeLeft();
   Forwarded.Server = To.Id;
@@ -165,7 +172,7 @@
   this->Context.Servers.recordStart(
       To, this->CallerHeaders.Prompt ? &*this->CallerHeaders.Prompt : nullptr,
       this->Context.Loop.now());
-  this->Call =
+  this->CurrentAttempt->Call =
       this->Context.Client.start(std::move(Request), std::move(Handlers));
   this->checkServerSilence();
 }
@@ -174,32 +181,35 @@
 /// daemon, for any request, for too long. A server that answers other requests
 /// is assumed to have queued this one, so it is not abandoned.
 void RoutedCall::checkServerSilence() {
-  this->SilenceTimer.cancel();
-  if (!this->Server || !this->canRetry(AttemptResult::MayHaveExecuted))
+  if (!this->CurrentAttempt)
+    return;
+  Attempt &Current = *this->CurrentAttempt;
+  Current.SilenceTimer.cancel();
+  if (!this->canRetry(AttemptResult::MayHaveExecuted))
     return;
   Common::Duration Limit;
-  if (this->OutputStarted)
+  if (Current.OutputStarted)
     Limit = this->route().MaxEventGap * SilencePauseMultiple;
   else
     Limit = std::chrono::duration_cast<Common::Duration>(this->route().Target *
                                                          SilenceTargetShare);
   Limit = std::clamp(Limit, MinServerSilence, MaxServerSilence);
-  if (!this->OutputStarted)
-    Limit += 2 * this->Server->ExpectedWait;
+  if (!Current.OutputStarted)
+    Limit += 2 * Current.Server.ExpectedWait;
   const Common::TimePoint Now = this->Context.Loop.now();
   const Common::Duration SilentFor =
-      this->Context.Servers.silenceDuration(*this->Server, Now);
+      this->Context.Servers.silenceDuration(Current.Server, Now);
   // If no other server has sent anything either, the fault may be on this host.
   const bool OthersResponding =
       this->Context.Servers.lastActivity() > Now - SilentFor + Limit / 2;
   // The attempt may still be answered, so it is ended only if another server
   // would accept the request and the retry budget allows it.
-  if (SilentFor >= Limit && OthersResponding && !this->ReadingPaused &&
+  if (SilentFor >= Limit && OthersResponding && !Current.ReadingPaused &&
       this->reserveFailover()) {
     this->abandonSilentServer();
     return;
   }
-  this->SilenceTimer = this->Context.Loop.callAfter(
+  Current.SilenceTimer = this->Context.Loop.callAfter(
       std::max(MinServerSilence, Limit - SilentFor),
       [Self = this->shared_from_this()] { Self->checkServerSilence(); });
 }
@@ -207,7 +217,7 @@
 bool RoutedCall::reserveFailover() {
   const Common::TimePoint Now = this->Context.Loop.now();
   Routing::PlacementRequest Alternative = this->placement();
-  Alternative.Excluded.insert(this->Server->Id);
+  Alternative.Excluded.insert(this->CurrentAttempt->Server.Id);
   const auto Chosen = this->Context.Servers.choose(Alternative, Now);
   if (!Chosen || Chosen->QueuedPrefillTime > this->maxQueueingTime())
     return false;
@@ -228,14 +238,15 @@
 }
 
 void RoutedCall::abandonSilentServer() {
+  const Attempt &Current = *this->CurrentAttempt;
   Telemetry::log(Events::ServerSilent, this->CallerHeaders.RequestId,
-                 this->Server->Id.str(),
+                 Current.Server.Id.str(),
                  Common::toMilliseconds(this->Context.Servers.silenceDuration(
-                     *this->Server, this->Context.Loop.now())));
-  Network::Http1Client::cancel(this->Call);
+                     Current.Server, this->Context.Loop.now())));
+  Network::Http1Client::cancel(Current.Call);
   this->handleAttemptFailure(
-      this->OutputStarted ? AttemptResult::StreamInterrupted
-                          : AttemptResult::MayHaveExecuted,
+      Current.OutputStarted ? AttemptResult::StreamInterrupted
+                            : AttemptResult::MayHaveExecuted,
       CallFailure::ServerSilent, Routing::ServerOutcome::Unreachable);
 }
 
@@ -251,10 +262,9 @@
     return false;
   }
   this->noteServerActivity();
-  this->ResponseHead = Head;
-  const bool Success = Head.Status >= 200 && Head.Status < 300;
-  if (!Success || !Decoded.HasSignatureHeader ||
-      Network::findHeader(Head.Headers, "Content-Encoding"))
+  this->CurrentAttempt->ResponseHead = Head;
+  if (!isSuccess(Head.Status) || Network::hasNoBody(Head.Status) ||
+      !isTrustworthy(Head, Decoded))
     return true;
   const auto Type = Network::findHeader(Head.Headers, "Content-Type");
   if (this->route().Kind == Configuration::RouteKind::Streamed && Type &&
@@ -264,7 +274,7 @@
 }
 
 void RoutedCall::startStream(const Network::Http1Head &Head) {
-  this->Splitter.emplace();
+  this->CurrentAttempt->Splitter.emplace();
   if (this->Streaming)
     return;
   this->Streaming = true;
@@ -273,8 +283,8 @@
 }
 
 void RoutedCall::noteServerActivity() {
-  if (this->Server)
-    this->Context.Servers.recordActivity(*this->Server,
+  if (this->CurrentAttempt)
+    this->Context.Servers.recordActivity(this->CurrentAttempt->Server,
                                          this->Context.Loop.now());
 }
 
@@ -282,38 +292,40 @@
   if (this->Done)
     return;
   this->noteServerActivity();
-  if (!this->Splitter) {
-    this->ResponseBody += Bytes;
-    if (this->ResponseBody.size() > MaxBufferedResponseBytes) {
-      Network::Http1Client::cancel(this->Call);
+  Attempt &Current = *this->CurrentAttempt;
+  if (!Current.Splitter) {
+    Current.ResponseBody += Bytes;
+    if (Current.ResponseBody.size() > MaxBufferedResponseBytes) {
+      Network::Http1Client::cancel(Current.Call);
       this->handleAttemptFailure(AttemptResult::MayHaveExecuted,
                                  CallFailure::BadAnswer,
                                  Routing::ServerOutcome::Failed);
     }
     return;
   }
-  const std::string CompleteEvents = this->Splitter->feed(Bytes);
+  const std::string CompleteEvents = Current.Splitter->feed(Bytes);
   if (CompleteEvents.empty())
     return;
   this->RetryingLaterSince.reset();
-  if (!this->OutputStarted && !this->LastEventId)
-    this->Context.Servers.recordPrefillTime(*this->Server,
+  if (!Current.OutputStarted && !this->LastEventId)
+    this->Context.Servers.recordPrefillTime(Current.Server,
                                             this->Context.Loop.now());
   this->recordExecutionStarted();
-  if (this->Splitter->lastEventId())
-    this->LastEventId = this->Splitter->lastEventId();
+  if (Current.Splitter->lastEventId())
+    this->LastEventId = Current.Splitter->lastEventId();
   this->Exchange->sendChunk(CompleteEvents);
-  if (this->Exchange->unsentBytes() <= MaxUnsentBytes || this->ReadingPaused)
+  if (this->Exchange->unsentBytes() <= MaxUnsentBytes || Current.ReadingPaused)
     return;
-  this->ReadingPaused = true;
-  Network::Http1Client::pauseReading(this->Call, true);
-  this->BackpressureTimer = this->Context.Loop.callEvery(
+  Current.ReadingPaused = true;
+  Network::Http1Client::pauseReading(Current.Call, true);
+  Current.BackpressureTimer = this->Context.Loop.callEvery(
       BackpressureCheckPeriod, [Self = this->shared_from_this()] {
         if (Self->Done || Self->Exchange->unsentBytes() > MaxUnsentBytes / 2)
           return;
-        Self->ReadingPaused = false;
-        Network::Http1Client::pauseReading(Self->Call, false);
-        Self->BackpressureTimer.cancel();
+        Attempt &Paused = *Self->CurrentAttempt;
+        Paused.ReadingPaused = false;
+        Network::Http1Client::pauseReading(Paused.Call, false);
+        Paused.BackpressureTimer.cancel();
       });
 }
 
@@ -332,8 +344,9 @@
                                Routing::ServerOutcome::Unreachable);
     return;
   }
+  Attempt &Current = *this->CurrentAttempt;
   const Platform::ResponseHeaders Decoded = Platform::decodeResponseHeaders(
-      this->ResponseHead->Status, this->ResponseHead->Headers);
+      Current.ResponseHead->Status, Current.ResponseHead->Headers);
   if (Decoded.NotExecuted) {
     this->handleAttemptFailure(AttemptResult::NotExecuted,
                                CallFailure::ServerRejected,
@@ -341,11 +354,11 @@
     return;
   }
   const bool Complete = End == Network::Http1CallResult::Complete;
-  if (this->Splitter) {
-    if (Complete && !this->Splitter->hasPartialEvent()) {
-      this->endAttempt(Routing::ServerOutcome::Answered);
+  if (Current.Splitter) {
+    if (Complete && !Current.Splitter->hasPartialEvent()) {
       this->updateMeanOutput();
-      this->logServed(this->ResponseHead->Status);
+      this->logServed(Current.ResponseHead->Status);
+      this->endAttempt(Routing::ServerOutcome::Answered);
       this->Exchange->endStream();
       this->finish();
       return;
@@ -371,22 +384,23 @@
       this->Declaration->service(this->Service);
   if (!Entry || !Entry->Engine)
     return;
-  const double Tokens = static_cast<double>(this->Splitter->eventCount()) *
-                        Entry->Engine->TokensPerEvent;
+  const double Tokens =
+      static_cast<double>(this->CurrentAttempt->Splitter->eventCount()) *
+      Entry->Engine->TokensPerEvent;
   const auto [Mean, Inserted] =
       this->Context.MeanOutputTokens.try_emplace(this->route().Name, Tokens);
   Mean->second += MeanOutputWeight * (Tokens - Mean->second);
 }
 
 void RoutedCall::finishBuffered() {
-  const Network::Http1Head &Head = *this->ResponseHead;
+  // The attempt ends before its response is sent.
+  const Network::Http1Head Head =
+      std::move(*this->CurrentAttempt->ResponseHead);
+  const std::string Body = std::move(this->CurrentAttempt->ResponseBody);
   const Platform::ResponseHeaders Decoded =
       Platform::decodeResponseHeaders(Head.Status, Head.Headers);
-  const bool Success = Head.Status >= 200 && Head.Status < 300;
-  const bool Encoded =
-      Network::findHeader(Head.Headers, "Content-Encoding").has_value();
-  if (Success &&
-      (!Decoded.HasSignatureHeader || Decoded.RequestId.empty() || Encoded)) {
+  const bool Success = isSuccess(Head.Status);
+  if (Success && !isTrustworthy(Head, Decoded)) {
     this->handleAttemptFailure(AttemptResult::MayHaveExecuted,
                                CallFailure::BadAnswer,
                                Routing::ServerOutcome::Failed);
@@ -420,42 +434,40 @@
                            : Routing::ServerOutcome::Failed);
   this->logServed(Head.Status);
   this->Exchange->reply(Head.Status,
-                        Platform::encodeResponseHeaders(Head.Headers),
-                        this->ResponseBody);
+                        Platform::encodeResponseHeaders(Head.Headers), Body);
   this->finish();
 }
 
 void RoutedCall::endAttempt(Routing::ServerOutcome Outcome) {
-  if (!this->Server)
+  if (!this->CurrentAttempt)
     return;
-  this->SilenceTimer.cancel();
+  const Attempt &Current = *this->CurrentAttempt;
   if (Outcome == Routing::ServerOutcome::Answered)
     this->Context.CrashingContents.recordSuccess(this->contentHash());
-  if (!this->OutputStarted)
-    this->Context.Servers.recordFirstOutput(*this->Server);
-  this->Context.Servers.recordEnd(*this->Server, Outcome,
+  if (!Current.OutputStarted)
+    this->Context.Servers.recordFirstOutput(Current.Server);
+  this->Context.Servers.recordEnd(Current.Server, Outcome,
                                   this->Context.Loop.now());
-  this->TriedServers.insert(this->Server->Id);
-  this->Server.reset();
-  this->Call.reset();
+  this->TriedServers.insert(Current.Server.Id);
+  this->CurrentAttempt.reset();
 }
 
 /// The outcome to record if the caller disconnects or the deadline passes
 /// during an attempt: Unreachable if the server has been silent for longer than
 /// MaxServerSilence.
 Routing::ServerOutcome RoutedCall::outcomeIfAbandoned() const {
-  const bool Silent =
-      this->Context.Servers.silenceDuration(
-          *this->Server, this->Context.Loop.now()) > MaxServerSilence;
+  const bool Silent = this->Context.Servers.silenceDuration(
+                          this->CurrentAttempt->Server,
+                          this->Context.Loop.now()) > MaxServerSilence;
   return Silent ? Routing::ServerOutcome::Unreachable
                 : Routing::ServerOutcome::Abandoned;
 }
 
 void RoutedCall::reportCrash() {
-  if (this->Server)
+  if (this->CurrentAttempt)
     this->Context.CrashingContents.recordCrash(
-        this->contentHash(), this->Server->Id, this->Server->ServerStartedAt,
-        this->Context.Loop.now());
+        this->contentHash(), this->CurrentAttempt->Server.Id,
+        this->CurrentAttempt->Server.ServerStartedAt, this->Context.Loop.now());
 }
 
 bool RoutedCall::canRetry(AttemptResult Result) const {
@@ -498,7 +510,8 @@
 void RoutedCall::handleAttemptFailure(AttemptResult Result, CallFailure Failure,
                                       Routing::ServerOutcome Outcome) {
   const Common::TimePoint Now = this->Context.Loop.now();
-  const std::string ServerId = this->Server ? this->Server->Id.str() : "";
+  const std::string ServerId =
+      this->CurrentAttempt ? this->CurrentAttempt->Server.Id.str() : "";
   this->endAttempt(Outcome);
   const bool Retry = this->canRetry(Result) &&
                      (Result == AttemptResult::NotSent || this->RetryReserved ||
--- a/Source/EntryDaemon/RoutedCall.cpp
+++ b/Source/EntryDaemon/RoutedCall.cpp
@@ -230,9 +230,9 @@
 }
 
 void RoutedCall::recordExecutionStarted() {
-  if (!this->OutputStarted && this->Server) {
-    this->OutputStarted = true;
-    this->Context.Servers.recordFirstOutput(*this->Server);
+  if (this->CurrentAttempt && !this->CurrentAttempt->OutputStarted) {
+    this->CurrentAttempt->OutputStarted = true;
+    this->Context.Servers.recordFirstOutput(this->CurrentAttempt->Server);
   }
   if (this->ExecutionStartRecorded)
     return;
@@ -271,7 +271,7 @@
     this->finish();
     return;
   }
-  const bool Sent = this->Server.has_value() || this->MayHaveExecuted;
+  const bool Sent = this->CurrentAttempt.has_value() || this->MayHaveExecuted;
   this->fail(CallFailure::DeadlinePassed,
              Sent ? HttpStatus::GatewayTimeout : HttpStatus::Unavailable);
 }
@@ -321,15 +321,13 @@
   this->DeadlineTimer.cancel();
   this->stopAwaitingTokens();
   this->StartupWaitTimer.cancel();
-  this->BackpressureTimer.cancel();
-  this->SilenceTimer.cancel();
   this->RetryTimer.cancel();
-  const Network::Http1Client::CallPtr OpenCall = this->Call;
-  if (this->Server) {
+  if (this->CurrentAttempt) {
+    const Network::Http1Client::CallPtr OpenCall = this->CurrentAttempt->Call;
     this->MayHaveExecuted = true;
     this->endAttempt(this->outcomeIfAbandoned());
+    Network::Http1Client::cancel(OpenCall);
   }
-  Network::Http1Client::cancel(OpenCall);
   if (this->TokensCharged && !this->MayHaveExecuted &&
       !this->ExecutionStartRecorded) {
     this->Context.PendingTokens.Returned[this->Team->Name] += this->TokenCost;
--- a/Source/EntryDaemon/RoutedCall.h
+++ b/Source/EntryDaemon/RoutedCall.h
@@ -41,6 +41,24 @@
     StreamInterrupted
   };
 
+  /// The state of one attempt. It is discarded when the attempt ends, so that
+  /// the response of one attempt is never judged by that of another.
+  struct Attempt {
+    explicit Attempt(Routing::PlacementChoice To) : Server(std::move(To)) {}
+
+    Routing::PlacementChoice Server;
+    Network::Http1Client::CallPtr Call;
+    std::optional<Network::Http1Head> ResponseHead;
+    std::string ResponseBody;
+    /// Set if the response is a stream whose events are forwarded.
+    std::optional<Network::EventSplitter> Splitter;
+    /// Whether the attempt has produced output.
+    bool OutputStarted = false;
+    bool ReadingPaused = false;
+    Network::EventHandle BackpressureTimer;
+    Network::EventHandle SilenceTimer;
+  };
+
   /// Determines the route, team, deadline and service. If it fails, the caller
   /// has been sent an error response.
   bool resolve();
@@ -130,25 +148,16 @@
   /// When no server took the request over at once, after one may have executed
   /// it.
   std::optional<Common::TimePoint> RetryingLaterSince;
-  /// The server of the current attempt.
-  std::optional<Routing::PlacementChoice> Server;
-  Network::Http1Client::CallPtr Call;
-  std::optional<Network::Http1Head> ResponseHead;
-  std::string ResponseBody;
-  std::optional<Network::EventSplitter> Splitter;
+  /// Absent between attempts.
+  std::optional<Attempt> CurrentAttempt;
   /// Id of the last complete event sent to the caller, over all attempts.
   std::optional<std::string> LastEventId;
   bool Streaming = false;
-  /// Whether the current attempt has produced output.
-  bool OutputStarted = false;
   /// Whether the call was recorded in the latency metric and the team's usage.
   bool ExecutionStartRecorded = false;
-  bool ReadingPaused = false;
   Network::EventHandle DeadlineTimer;
   Network::EventHandle TokenWaitTimer;
   Network::EventHandle StartupWaitTimer;
-  Network::EventHandle BackpressureTimer;
-  Network::EventHandle SilenceTimer;
   Network::EventHandle RetryTimer;
 };
 
--- a/Source/FaultTests/RoutedServingTest.cpp
+++ b/Source/FaultTests/RoutedServingTest.cpp
@@ -11,6 +11,41 @@
 
 constexpr const char *ReadPath = "/sycamorereach/config/read";
 constexpr const char *ReplacePath = "/sycamorereach/config/replace";
+constexpr const char *FirstEvent = "id: 1\ndata: a\n\n";
+constexpr const char *SecondEvent = "id: 2\ndata: b\n\n";
+
+/// The headers of a server's signed stream of events.
+Network::HttpHeaders
+eventStreamHeaders(const Network::Http1Exchange &Exchange) {
+  return {{"Content-Type", "text/event-stream"},
+          {"X-Sycamorereach-Request-Id",
+           Exchange.header("X-Sycamorereach-Request-Id").value_or("")},
+          {"X-Sycamorereach-Replica-Signature", "signed"}};
+}
+
+/// Sends a stream to Fixture whose first server breaks off after FirstEvent;
+/// Resume responds on the server that is asked to resume it. Returns the
+/// caller's response.
+RoutedResponse
+breakAndResume(RoutedCluster &Fixture,
+               const std::function<void(Network::Http1Exchange &)> &Resume) {
+  bool Resumed = false;
+  Fixture.OnServerRequest =
+      [&](const std::shared_ptr<Network::Http1Exchange> &Exchange) {
+        if (Exchange->header("Last-Event-Id")) {
+          Resumed = true;
+          Resume(*Exchange);
+          return;
+        }
+        Exchange->startStream(200, eventStreamHeaders(*Exchange));
+        Exchange->sendChunk(FirstEvent);
+        Fixture.loop().defer([Exchange] { Exchange->abort(); });
+      };
+  RoutedResponse Response = Fixture.request("/a/flow/x");
+  BOOST_TEST(Response.Status == 200);
+  BOOST_TEST(Resumed);
+  return Response;
+}
 
 } // namespace
 
@@ -280,6 +315,51 @@
   BOOST_TEST((Response.Result == Network::Http1CallResult::Truncated));
 }
 
+// Guards against a broken stream that reaches the caller as complete because a
+// response that does not continue it was taken for its end.
+BOOST_AUTO_TEST_CASE(OnlyAStreamCompletesABrokenStream) {
+  RoutedCluster Fixture;
+  Fixture.startAll();
+  Fixture.announce("ready", 2);
+  struct Case {
+    const char *Description;
+    int Status;
+    /// A header of a valid stream that the response lacks.
+    const char *MissingHeader;
+    const char *ContentType;
+    const char *Body;
+  };
+  const std::vector<Case> Cases = {
+      {"error", 500, "", "application/json", ""},
+      {"no content", 204, "", "text/event-stream", ""},
+      {"other content", 200, "", "text/plain", "done\n\n"},
+      {"unsigned", 200, "X-Sycamorereach-Replica-Signature",
+       "text/event-stream", SecondEvent},
+      {"without request id", 200, "X-Sycamorereach-Request-Id",
+       "text/event-stream", SecondEvent},
+  };
+  for (const Case &Each : Cases)
+    BOOST_TEST_CONTEXT(Each.Description) {
+      const RoutedResponse Response =
+          breakAndResume(Fixture, [&](Network::Http1Exchange &Exchange) {
+            Network::HttpHeaders Headers = eventStreamHeaders(Exchange);
+            Headers.front().Value = Each.ContentType;
+            std::erase_if(Headers, [&](const Network::HttpHeader &Header) {
+              return Header.Name == Each.MissingHeader;
+            });
+            Exchange.reply(Each.Status, Headers, Each.Body);
+          });
+      BOOST_TEST(Response.Body == FirstEvent);
+      BOOST_TEST((Response.Result == Network::Http1CallResult::Truncated));
+    }
+  const RoutedResponse Response =
+      breakAndResume(Fixture, [](Network::Http1Exchange &Exchange) {
+        Exchange.reply(200, eventStreamHeaders(Exchange), SecondEvent);
+      });
+  BOOST_TEST(Response.Body == std::string(FirstEvent) + SecondEvent);
+  BOOST_TEST((Response.Result == Network::Http1CallResult::Complete));
+}
+
 BOOST_AUTO_TEST_CASE(ARefusalIsNotPromisedOnceAServerRanTheRequest) {
   RoutedCluster Fixture;
   Fixture.startAll();
