Network: A request that has arrived unread holds a planned stop

Cause: openExchanges counted connections by what the process had read. A stop between the arrival and the read closed the connection with unread input, which also discards what the kernel has not sent of the response before.

Evidence, on the code before: ExchangeIsOpenOnceItsRequestHasArrived check Server->openExchanges() == 1u has failed [0 != 1]

Change: if no exchange is open, connections with unread input are counted. The sockets are only looked at in this case, as each look is a system call.

Ruled out: a connection that lingers does not need to hold the stop, as its input is drained; if more has arrived, it counts as above. Connections that are not accepted at the stop are closed without having been read, and the load balancer sends none by then.

--- a/Source/Core/Network/Http1Server.cpp
+++ b/Source/Core/Network/Http1Server.cpp
@@ -81,6 +81,8 @@
     return this->CurrentExchange || this->Reader.isStarted() ||
            this->unsentBytes() != 0;
   }
+  /// Whether bytes of the caller have arrived that are not parsed.
+  bool hasUnreadInput() const;
   /// Whether the connection has been idle for longer than IdleTimeout, has not
   /// sent any of its output for longer than SendTimeout, or has lingered for
   /// longer than LingerTimeout.
@@ -94,7 +96,6 @@
   void parse();
   static void handleOutputChange(evbuffer *, const evbuffer_cb_info *Change,
                                  void *Self);
-  bool hasUnreadInput() const;
 
   Http1Server &Server;
   bufferevent *Socket = nullptr;
@@ -477,9 +478,19 @@
 }
 
 std::size_t Http1Server::openExchanges() const {
-  return static_cast<std::size_t>(
-      std::count_if(this->Connections.begin(), this->Connections.end(),
-                    [](const auto &Each) { return Each.first->isBusy(); }));
+  const auto Count = [this](auto Matches) {
+    return static_cast<std::size_t>(std::count_if(
+        this->Connections.begin(), this->Connections.end(),
+        [&Matches](const auto &Each) { return Matches(*Each.first); }));
+  };
+  const std::size_t Busy =
+      Count([](const auto &Connection) { return Connection.isBusy(); });
+  if (Busy != 0)
+    return Busy;
+  // Looking at a socket is a system call; it matters only if the server could
+  // stop otherwise.
+  return Count(
+      [](const auto &Connection) { return Connection.hasUnreadInput(); });
 }
 
 void Http1Server::accept(int Descriptor) {
--- a/Source/Core/Network/Http1Server.h
+++ b/Source/Core/Network/Http1Server.h
@@ -135,7 +135,8 @@
   /// IdleTimeout. A request that follows a response already begun is answered.
   void startShutdown(Common::Duration IdleTimeout);
   /// Number of exchanges whose request has begun to arrive and whose response
-  /// is not completely written to the socket.
+  /// is not completely written to the socket. Requests that are not read yet
+  /// are counted only if there is no other exchange.
   std::size_t openExchanges() const;
   std::size_t connections() const { return this->Connections.size(); }
   /// Closes all connections.
--- a/Source/UnitTests/Network/Http1ContractTest.cpp
+++ b/Source/UnitTests/Network/Http1ContractTest.cpp
@@ -328,6 +328,25 @@
   BOOST_TEST(runUntil(*Loop, [&] { return (*Server)->openExchanges() == 0; }));
 }
 
+// Guards against a planned stop that closes a connection whose request has
+// arrived in the socket and is not read.
+BOOST_AUTO_TEST_CASE(ExchangeIsOpenOnceItsRequestHasArrived) {
+  const auto Loop = createLoop();
+  Http1Server::Handlers Handlers;
+  Handlers.OnRequest = [&](const std::shared_ptr<Http1Exchange> &Exchange) {
+    Exchange->reply(200, {}, "ok");
+  };
+  const Address Listen = allocateAddress();
+  const auto Server = createServer(*Loop, Listen, std::move(Handlers));
+  RawCaller Caller(*Loop, Listen);
+  BOOST_REQUIRE(runUntil(*Loop, [&] { return Server->connections() == 1; }));
+  BOOST_TEST(Server->openExchanges() == 0u);
+  Caller.write(SimpleRequest);
+  BOOST_TEST(Server->openExchanges() == 1u);
+  BOOST_TEST(runUntil(*Loop, [&] { return Server->openExchanges() == 0; }));
+  BOOST_TEST(runUntil(*Loop, [&] { return !Caller.received().empty(); }));
+}
+
 BOOST_AUTO_TEST_CASE(AbortedStreamIsIncomplete) {
   const auto Loop = createLoop();
   Http1Server::Handlers Handlers;
