Network: New size limits apply to the next request of a connection

What callers saw: a 413 or 431 on a kept connection for a request that the declaration in force allows.

Cause: the reader of a connection took the limits when the connection was accepted and kept them for its life. A declaration that raises them reached new connections only; one that lowers them likewise.

Evidence, on the code before: NewLimitsApplyToTheNextRequestOfAConnection check Bodies.size() == 2u has failed [1 != 2]

Change: the limits are set when a request begins. A request keeps those it began with, so a declaration does not reject a request in progress.

The Http1Contract tests passed.

--- a/Source/Core/Network/Http1Reader.h
+++ b/Source/Core/Network/Http1Reader.h
@@ -57,6 +57,8 @@
   bool handleConnectionEnd();
   /// Prepares for the next message.
   void reset();
+  /// Call between two messages.
+  void setLimits(const Limits &NewLimits) { this->ReaderLimits = NewLimits; }
   /// Set for the response to a HEAD request, which has no body whatever its
   /// headers say.
   void expectNoBody(bool NoBody) { this->NoBodyExpected = NoBody; }
--- a/Source/Core/Network/Http1Server.cpp
+++ b/Source/Core/Network/Http1Server.cpp
@@ -51,6 +51,10 @@
   }
 }
 
+Http1Reader::Limits readerLimits(const Http1Server::Limits &Limits) {
+  return {Limits.MaxHeaderBytes, Limits.MaxBodyBytes};
+}
+
 } // namespace
 
 namespace detail {
@@ -122,8 +126,7 @@
 Http1ServerConnection::Http1ServerConnection(Http1Server &Server,
                                              int Descriptor)
     : Server(Server),
-      Reader(Http1Reader::Kind::Requests, {Server.ServerLimits.MaxHeaderBytes,
-                                           Server.ServerLimits.MaxBodyBytes}),
+      Reader(Http1Reader::Kind::Requests, readerLimits(Server.ServerLimits)),
       PhaseStart(Server.Loop.now()) {
   const int On = 1;
   setsockopt(Descriptor, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
@@ -177,8 +180,10 @@
          evbuffer_get_length(Input) != 0) {
     evbuffer_iovec Segment{};
     evbuffer_peek(Input, -1, nullptr, &Segment, 1);
-    if (!this->Reader.isStarted())
+    if (!this->Reader.isStarted()) {
       this->PhaseStart = this->Server.Loop.now();
+      this->Reader.setLimits(readerLimits(this->Server.ServerLimits));
+    }
     const std::size_t Consumed = this->Reader.feed(std::string_view(
         static_cast<const char *>(Segment.iov_base), Segment.iov_len));
     evbuffer_drain(Input, Consumed);
--- a/Source/Core/Network/Http1Server.h
+++ b/Source/Core/Network/Http1Server.h
@@ -128,6 +128,7 @@
             std::function<std::string()> Text);
   ~Http1Server();
 
+  /// A request that has begun to arrive keeps the size limits it began with.
   void setLimits(const Limits &ServerLimits) {
     this->ServerLimits = ServerLimits;
   }
--- a/Source/UnitTests/Network/Http1ContractTest.cpp
+++ b/Source/UnitTests/Network/Http1ContractTest.cpp
@@ -614,6 +614,50 @@
   BOOST_TEST(Caller.received().size() == 2 * FirstSize);
 }
 
+// Guards against a kept connection whose requests are held to limits that are
+// no longer in force.
+BOOST_AUTO_TEST_CASE(NewLimitsApplyToTheNextRequestOfAConnection) {
+  const auto Loop = createLoop();
+  std::vector<std::string> Bodies;
+  Http1Server::Handlers Handlers;
+  Handlers.OnRequest = [&](const std::shared_ptr<Http1Exchange> &Exchange) {
+    if (!Exchange->body().empty())
+      Bodies.push_back(Exchange->body());
+    Exchange->reply(200, {}, "ok");
+  };
+  const Address Listen = allocateAddress();
+  const auto Server = createServer(*Loop, Listen, std::move(Handlers));
+  Http1Server::Limits Limits;
+  Limits.MaxBodyBytes = 4;
+  Server->setLimits(Limits);
+  RawCaller Caller(*Loop, Listen);
+  const auto Request = [](const std::string &Body) {
+    return "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+           std::to_string(Body.size()) + "\r\n\r\n" + Body;
+  };
+  const auto Answered = [&](std::size_t Count) {
+    return runUntil(*Loop,
+                    [&] { return Bodies.size() == Count || Caller.ended(); }) &&
+           !Caller.ended();
+  };
+  Caller.write(Request("four"));
+  BOOST_REQUIRE(Answered(1));
+  Limits.MaxBodyBytes = 8;
+  Server->setLimits(Limits);
+  // A request keeps the limits with which it began.
+  const std::string Second = Request("new body");
+  Caller.write(Second.substr(0, Second.size() - 1));
+  BOOST_REQUIRE(awaitOtherAnswer(*Loop, Listen));
+  Limits.MaxBodyBytes = 4;
+  Server->setLimits(Limits);
+  Caller.write(Second.substr(Second.size() - 1));
+  BOOST_TEST(Answered(2));
+  Caller.write(Request("new body"));
+  BOOST_TEST(runUntil(*Loop, [&] { return Caller.ended(); }));
+  BOOST_TEST(Caller.received().find("HTTP/1.1 413") != std::string::npos);
+  BOOST_TEST(Bodies.size() == 2u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace UnitTests
