Network: Aborted exchanges are reported with their closed connection

What operators saw: connection_cut and connections_cut_total never had the reason "aborted", although docs/OPERATIONS.md lists it.

Cause: the server forgot the exchange when the output was written, or at once if there was none; a response that was aborted was reported as if it were complete.

Evidence, on the code before: ReportsAbortedExchangeAsUnfinished critical check Closed[0].Unfinished has failed

Change: an aborted exchange is kept until its connection is closed. The comment on HasUnreadInput says when a reset follows: only if bytes were still in the socket.

The Http1Contract tests passed.

--- a/Source/Core/Network/Http1Server.cpp
+++ b/Source/Core/Network/Http1Server.cpp
@@ -106,7 +106,8 @@
   Http1Reader Reader;
   std::string RequestBody;
   std::shared_ptr<Http1Exchange> CurrentExchange;
-  /// The last exchange, until its response is written.
+  /// The last exchange, until its response is written or, if it was aborted,
+  /// until the connection is closed.
   std::shared_ptr<Http1Exchange> UnwrittenExchange;
   Http1Server::Closure PlannedClosure = Http1Server::Closure::Complete;
   /// When the connection became idle, started to receive a request or started
@@ -297,7 +298,8 @@
   if (this->Lingering)
     return;
   const bool ResponseWritten = this->UnwrittenExchange != nullptr;
-  this->UnwrittenExchange.reset();
+  if (this->PlannedClosure != Http1Server::Closure::Aborted)
+    this->UnwrittenExchange.reset();
   if (!this->isBusy())
     this->PhaseStart = this->Server.Loop.now();
   if (!this->ClosingAfterFlush) {
@@ -344,7 +346,8 @@
   this->CurrentExchange.reset();
   Exchange->Connection = nullptr;
   Exchange->DisconnectHandler = nullptr;
-  if (this->unsentBytes() != 0)
+  if (this->unsentBytes() != 0 ||
+      this->PlannedClosure == Http1Server::Closure::Aborted)
     this->UnwrittenExchange = Exchange;
   this->PhaseStart = this->Server.Loop.now();
   if (!Reusable || this->CloseAnnounced) {
--- a/Source/Core/Network/Http1Server.h
+++ b/Source/Core/Network/Http1Server.h
@@ -103,13 +103,14 @@
   };
   struct ClosedConnection {
     Closure Reason;
-    /// The exchange whose response is not completely written; null if there is
-    /// none.
+    /// The exchange whose response is not completely written, or was aborted;
+    /// null if there is none.
     std::shared_ptr<const Http1Exchange> Unfinished;
     /// Bytes of responses that were not written to the socket.
     std::size_t UnsentBytes = 0;
-    /// Whether bytes of the caller were not read. The connection was then
-    /// reset, which may also discard a response that the caller has not read.
+    /// Whether bytes of the caller were not parsed. If any of them were still
+    /// in the socket, the connection was reset, which may also discard a
+    /// response that has not arrived at the caller.
     bool HasUnreadInput = false;
   };
   struct Handlers {
--- a/Source/UnitTests/Network/Http1ContractTest.cpp
+++ b/Source/UnitTests/Network/Http1ContractTest.cpp
@@ -658,6 +658,33 @@
   BOOST_TEST(Bodies.size() == 2u);
 }
 
+// Guards against aborted responses that the log and the counters leave out.
+BOOST_AUTO_TEST_CASE(ReportsAbortedExchangeAsUnfinished) {
+  for (const bool Streaming : {false, true}) {
+    const auto Loop = createLoop();
+    std::vector<Http1Server::ClosedConnection> Closed;
+    Http1Server::Handlers Handlers;
+    Handlers.OnRequest = [&](const std::shared_ptr<Http1Exchange> &Exchange) {
+      if (Streaming) {
+        Exchange->startStream(200, {});
+        Exchange->sendChunk("part");
+      }
+      Exchange->abort();
+    };
+    Handlers.OnClosed = [&](const Http1Server::ClosedConnection &Each) {
+      Closed.push_back(Each);
+    };
+    const Address Listen = allocateAddress();
+    const auto Server = createServer(*Loop, Listen, std::move(Handlers));
+    RawCaller Caller(*Loop, Listen);
+    Caller.write(SimpleRequest);
+    BOOST_REQUIRE(runUntil(*Loop, [&] { return !Closed.empty(); }));
+    BOOST_CHECK(Closed[0].Reason == Http1Server::Closure::Aborted);
+    BOOST_REQUIRE(Closed[0].Unfinished);
+    BOOST_TEST(Closed[0].Unfinished->isStreaming() == Streaming);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace UnitTests
