Network: Unit tests can run side by side on one machine

Seen: 4 failures in Http1Contract (bind() of a listener failed; a call to a port with no listener got an answer). Cause: every process used 127.0.0.1 and the same ports, so test programs that ran at the same time met each other's servers. Shown by two runs started at once: DistinguishesCallResults, ReportsNotSentWhenConnectionIsRefused and RejectsInvalidRequests failed in the same way ("critical check bind(...) == 0 has failed").

Change: each process has a loopback address of its own, derived from its process id. No check changed.

--- a/Source/UnitTests/Network/HttpClientTest.cpp
+++ b/Source/UnitTests/Network/HttpClientTest.cpp
@@ -1,6 +1,7 @@
 #include "Network/HttpClient.h"
 
 #include "Network/HttpServer.h"
+#include "Network/RawPeer.h"
 #include "Network/SocketAddress.h"
 
 #include <boost/test/unit_test.hpp>
@@ -15,7 +16,7 @@
 using namespace std::chrono_literals;
 using namespace Network;
 
-const Address ServerAddress{"127.0.0.1", 20'990};
+const Address ServerAddress = allocateAddress();
 
 /// How a faulty server treats a connection.
 enum class ServerFault {
--- a/Source/UnitTests/Network/RawPeer.cpp
+++ b/Source/UnitTests/Network/RawPeer.cpp
@@ -2,6 +2,7 @@
 
 #include "Network/SocketAddress.h"
 
+#include <absl/strings/str_cat.h>
 #include <boost/test/unit_test.hpp>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -29,7 +30,12 @@
 
 Network::Address allocateAddress() {
   static std::uint16_t NextPort = FirstPort;
-  return {"127.0.0.1", NextPort++};
+  // Process ids have up to 22 bits.
+  static const auto Process = static_cast<std::uint32_t>(getpid());
+  static const std::string Ip =
+      absl::StrCat("127.", 64 + (Process >> 16 & 63), ".", Process >> 8 & 255,
+                   ".", Process & 255);
+  return {Ip, NextPort++};
 }
 
 bool runUntil(Network::EventLoop &Loop, const std::function<bool()> &Done) {
--- a/Source/UnitTests/Network/RawPeer.h
+++ b/Source/UnitTests/Network/RawPeer.h
@@ -85,7 +85,8 @@
 /// Runs the loop until Done returns true; returns false after five seconds.
 bool runUntil(Network::EventLoop &Loop, const std::function<bool()> &Done);
 
-/// A loopback address with a port that this process has not used before.
+/// A loopback address that belongs to this process, so that test programs can
+/// run side by side, with a port that it has not used before.
 Network::Address allocateAddress();
 
 } // namespace UnitTests
