--- a/Source/UnitTests/Network/Http1ContractTest.cpp
+++ b/Source/UnitTests/Network/Http1ContractTest.cpp
@@ -272,25 +272,67 @@
   BOOST_TEST(Received[1] == "/next|");
 }
 
+// Guards against work for callers that have left. An end of file counts as
+// leaving, as a caller that has closed its socket can't be told from one that
+// only stops sending.
 BOOST_AUTO_TEST_CASE(DetectsDisconnectOfWaitingCaller) {
+  for (const bool HalfClose : {false, true}) {
+    const auto Loop = createLoop();
+    bool Disconnected = false;
+    std::shared_ptr<Http1Exchange> Pending;
+    Http1Server::Handlers Handlers;
+    Handlers.OnRequest = [&](const std::shared_ptr<Http1Exchange> &Exchange) {
+      Pending = Exchange;
+      Exchange->onCallerDisconnected([&] { Disconnected = true; });
+    };
+    const Address Listen = allocateAddress();
+    const auto Server = createServer(*Loop, Listen, std::move(Handlers));
+    RawCaller Caller(*Loop, Listen);
+    Caller.write(SimpleRequest);
+    BOOST_REQUIRE(runUntil(*Loop, [&] { return Pending != nullptr; }));
+    BOOST_TEST_CONTEXT((HalfClose ? "half-close" : "close")) {
+      if (HalfClose)
+        Caller.endWriting();
+      else
+        Caller.close();
+      BOOST_TEST(runUntil(*Loop, [&] { return Disconnected; }));
+      BOOST_TEST(!Pending->isOpen());
+      BOOST_TEST(Server->openExchanges() == 0u);
+    }
+  }
+}
+
+// Guards against a connection that stays unread after input beyond the limit
+// has been buffered behind a request in progress.
+BOOST_AUTO_TEST_CASE(ReadsLargeRequestBehindRequestInProgress) {
   const auto Loop = createLoop();
-  bool Disconnected = false;
-  std::shared_ptr<Http1Exchange> Pending;
+  std::vector<std::shared_ptr<Http1Exchange>> Exchanges;
   Http1Server::Handlers Handlers;
   Handlers.OnRequest = [&](const std::shared_ptr<Http1Exchange> &Exchange) {
-    Pending = Exchange;
-    Exchange->onCallerDisconnected([&] { Disconnected = true; });
+    Exchanges.push_back(Exchange);
   };
   const Address Listen = allocateAddress();
-  auto Server = Http1Server::create(*Loop, Listen, std::move(Handlers));
-  BOOST_REQUIRE(Server.ok());
+  const auto Server = createServer(*Loop, Listen, std::move(Handlers));
   RawCaller Caller(*Loop, Listen);
-  Caller.write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
-  BOOST_REQUIRE(runUntil(*Loop, [&] { return Pending != nullptr; }));
-  Caller.close();
-  BOOST_TEST(runUntil(*Loop, [&] { return Disconnected; }));
-  BOOST_TEST(!Pending->isOpen());
-  BOOST_TEST((*Server)->openExchanges() == 0u);
+  const std::string Body(300u << 10, 'x');
+  Caller.write(SimpleRequest);
+  BOOST_REQUIRE(runUntil(*Loop, [&] { return !Exchanges.empty(); }));
+  Caller.write("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+               std::to_string(Body.size()) + "\r\n\r\n" + Body);
+  // While other connections are served, the input arrives up to the limit.
+  std::vector<std::unique_ptr<RawCaller>> Others;
+  while (Others.size() < 40) {
+    Others.push_back(std::make_unique<RawCaller>(*Loop, Listen));
+    BOOST_REQUIRE(runUntil(
+        *Loop, [&] { return Server->connections() == 1 + Others.size(); }));
+  }
+  Exchanges[0]->reply(200, {}, "first");
+  BOOST_REQUIRE(runUntil(*Loop, [&] { return Exchanges.size() == 2; }));
+  BOOST_TEST(Exchanges[1]->body().size() == Body.size());
+  Exchanges[1]->reply(200, {}, "second");
+  BOOST_TEST(runUntil(*Loop, [&] {
+    return Caller.received().find("second") != std::string::npos;
+  }));
 }
 
 // A process that stops once no exchange is open must not cut off a response
--- a/Source/UnitTests/Network/RawPeer.cpp
+++ b/Source/UnitTests/Network/RawPeer.cpp
@@ -151,6 +151,8 @@
                      MSG_NOSIGNAL) == static_cast<ssize_t>(Bytes.size()));
 }
 
+void RawCaller::endWriting() { shutdown(this->Descriptor, SHUT_WR); }
+
 void RawCaller::close() {
   this->ReadEvent.cancel();
   if (this->Descriptor >= 0)
--- a/Source/UnitTests/Network/RawPeer.h
+++ b/Source/UnitTests/Network/RawPeer.h
@@ -66,6 +66,8 @@
   ~RawCaller();
 
   void write(const std::string &Bytes);
+  /// Sends an end of file and keeps reading.
+  void endWriting();
   /// Leaves bytes that arrive in the socket until resumeReading().
   void pauseReading() { this->ReadEvent.cancel(); }
   void resumeReading();
