--- a/Source/Core/Network/Http1Server.cpp
+++ b/Source/Core/Network/Http1Server.cpp
@@ -51,6 +51,10 @@
   }
 }
 
+Http1Reader::Limits readerLimits(const Http1Server::Limits &Limits) {
+  return {Limits.MaxHeaderBytes, Limits.MaxBodyBytes};
+}
+
 } // namespace
 
 namespace detail {
@@ -81,6 +85,8 @@
     return this->CurrentExchange || this->Reader.isStarted() ||
            this->unsentBytes() != 0;
   }
+  /// Whether bytes of the caller have arrived that are not parsed.
+  bool hasUnreadInput() const;
   /// Whether the connection has been idle for longer than IdleTimeout, has not
   /// sent any of its output for longer than SendTimeout, or has lingered for
   /// longer than LingerTimeout.
@@ -94,14 +100,14 @@
   void parse();
   static void handleOutputChange(evbuffer *, const evbuffer_cb_info *Change,
                                  void *Self);
-  bool hasUnreadInput() const;
 
   Http1Server &Server;
   bufferevent *Socket = nullptr;
   Http1Reader Reader;
   std::string RequestBody;
   std::shared_ptr<Http1Exchange> CurrentExchange;
-  /// The last exchange, until its response is written.
+  /// The last exchange, until its response is written or, if it was aborted,
+  /// until the connection is closed.
   std::shared_ptr<Http1Exchange> UnwrittenExchange;
   Http1Server::Closure PlannedClosure = Http1Server::Closure::Complete;
   /// When the connection became idle, started to receive a request or started
@@ -121,8 +127,7 @@
 Http1ServerConnection::Http1ServerConnection(Http1Server &Server,
                                              int Descriptor)
     : Server(Server),
-      Reader(Http1Reader::Kind::Requests, {Server.ServerLimits.MaxHeaderBytes,
-                                           Server.ServerLimits.MaxBodyBytes}),
+      Reader(Http1Reader::Kind::Requests, readerLimits(Server.ServerLimits)),
       PhaseStart(Server.Loop.now()) {
   const int On = 1;
   setsockopt(Descriptor, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
@@ -176,8 +181,10 @@
          evbuffer_get_length(Input) != 0) {
     evbuffer_iovec Segment{};
     evbuffer_peek(Input, -1, nullptr, &Segment, 1);
-    if (!this->Reader.isStarted())
+    if (!this->Reader.isStarted()) {
       this->PhaseStart = this->Server.Loop.now();
+      this->Reader.setLimits(readerLimits(this->Server.ServerLimits));
+    }
     const std::size_t Consumed = this->Reader.feed(std::string_view(
         static_cast<const char *>(Segment.iov_base), Segment.iov_len));
     evbuffer_drain(Input, Consumed);
@@ -291,7 +298,8 @@
   if (this->Lingering)
     return;
   const bool ResponseWritten = this->UnwrittenExchange != nullptr;
-  this->UnwrittenExchange.reset();
+  if (this->PlannedClosure != Http1Server::Closure::Aborted)
+    this->UnwrittenExchange.reset();
   if (!this->isBusy())
     this->PhaseStart = this->Server.Loop.now();
   if (!this->ClosingAfterFlush) {
@@ -338,7 +346,8 @@
   this->CurrentExchange.reset();
   Exchange->Connection = nullptr;
   Exchange->DisconnectHandler = nullptr;
-  if (this->unsentBytes() != 0)
+  if (this->unsentBytes() != 0 ||
+      this->PlannedClosure == Http1Server::Closure::Aborted)
     this->UnwrittenExchange = Exchange;
   this->PhaseStart = this->Server.Loop.now();
   if (!Reusable || this->CloseAnnounced) {
@@ -477,9 +486,19 @@
 }
 
 std::size_t Http1Server::openExchanges() const {
-  return static_cast<std::size_t>(
-      std::count_if(this->Connections.begin(), this->Connections.end(),
-                    [](const auto &Each) { return Each.first->isBusy(); }));
+  const auto Count = [this](auto Matches) {
+    return static_cast<std::size_t>(std::count_if(
+        this->Connections.begin(), this->Connections.end(),
+        [&Matches](const auto &Each) { return Matches(*Each.first); }));
+  };
+  const std::size_t Busy =
+      Count([](const auto &Connection) { return Connection.isBusy(); });
+  if (Busy != 0)
+    return Busy;
+  // Looking at a socket is a system call; it matters only if the server could
+  // stop otherwise.
+  return Count(
+      [](const auto &Connection) { return Connection.hasUnreadInput(); });
 }
 
 void Http1Server::accept(int Descriptor) {
--- a/Source/Core/Network/Http1Server.h
+++ b/Source/Core/Network/Http1Server.h
@@ -103,13 +103,14 @@
   };
   struct ClosedConnection {
     Closure Reason;
-    /// The exchange whose response is not completely written; null if there is
-    /// none.
+    /// The exchange whose response is not completely written, or was aborted;
+    /// null if there is none.
     std::shared_ptr<const Http1Exchange> Unfinished;
     /// Bytes of responses that were not written to the socket.
     std::size_t UnsentBytes = 0;
-    /// Whether bytes of the caller were not read. The connection was then
-    /// reset, which may also discard a response that the caller has not read.
+    /// Whether bytes of the caller were not parsed. If any of them were still
+    /// in the socket, the connection was reset, which may also discard a
+    /// response that has not arrived at the caller.
     bool HasUnreadInput = false;
   };
   struct Handlers {
@@ -128,6 +129,7 @@
             std::function<std::string()> Text);
   ~Http1Server();
 
+  /// A request that has begun to arrive keeps the size limits it began with.
   void setLimits(const Limits &ServerLimits) {
     this->ServerLimits = ServerLimits;
   }
@@ -135,7 +137,8 @@
   /// IdleTimeout. A request that follows a response already begun is answered.
   void startShutdown(Common::Duration IdleTimeout);
   /// Number of exchanges whose request has begun to arrive and whose response
-  /// is not completely written to the socket.
+  /// is not completely written to the socket. Requests that are not read yet
+  /// are counted only if there is no other exchange.
   std::size_t openExchanges() const;
   std::size_t connections() const { return this->Connections.size(); }
   /// Closes all connections.
--- a/Source/UnitTests/Network/Http1ContractTest.cpp
+++ b/Source/UnitTests/Network/Http1ContractTest.cpp
@@ -112,6 +112,14 @@
   return runUntil(Loop, [&] { return Idle.ended(); });
 }
 
+/// Waits until a request on another connection is answered; the server has then
+/// read what had arrived before.
+bool awaitOtherAnswer(EventLoop &Loop, const Address &Server) {
+  RawCaller Other(Loop, Server);
+  Other.write(SimpleRequest);
+  return runUntil(Loop, [&] { return !Other.received().empty(); });
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Http1Contract)
@@ -264,25 +272,67 @@
   BOOST_TEST(Received[1] == "/next|");
 }
 
+// Guards against work for callers that have left. An end of file counts as
+// leaving, as a caller that has closed its socket can't be told from one that
+// only stops sending.
 BOOST_AUTO_TEST_CASE(DetectsDisconnectOfWaitingCaller) {
+  for (const bool HalfClose : {false, true}) {
+    const auto Loop = createLoop();
+    bool Disconnected = false;
+    std::shared_ptr<Http1Exchange> Pending;
+    Http1Server::Handlers Handlers;
+    Handlers.OnRequest = [&](const std::shared_ptr<Http1Exchange> &Exchange) {
+      Pending = Exchange;
+      Exchange->onCallerDisconnected([&] { Disconnected = true; });
+    };
+    const Address Listen = allocateAddress();
+    const auto Server = createServer(*Loop, Listen, std::move(Handlers));
+    RawCaller Caller(*Loop, Listen);
+    Caller.write(SimpleRequest);
+    BOOST_REQUIRE(runUntil(*Loop, [&] { return Pending != nullptr; }));
+    BOOST_TEST_CONTEXT((HalfClose ? "half-close" : "close")) {
+      if (HalfClose)
+        Caller.endWriting();
+      else
+        Caller.close();
+      BOOST_TEST(runUntil(*Loop, [&] { return Disconnected; }));
+      BOOST_TEST(!Pending->isOpen());
+      BOOST_TEST(Server->openExchanges() == 0u);
+    }
+  }
+}
+
+// Guards against a connection that stays unread after input beyond the limit
+// has been buffered behind a request in progress.
+BOOST_AUTO_TEST_CASE(ReadsLargeRequestBehindRequestInProgress) {
   const auto Loop = createLoop();
-  bool Disconnected = false;
-  std::shared_ptr<Http1Exchange> Pending;
+  std::vector<std::shared_ptr<Http1Exchange>> Exchanges;
   Http1Server::Handlers Handlers;
   Handlers.OnRequest = [&](const std::shared_ptr<Http1Exchange> &Exchange) {
-    Pending = Exchange;
-    Exchange->onCallerDisconnected([&] { Disconnected = true; });
+    Exchanges.push_back(Exchange);
   };
   const Address Listen = allocateAddress();
-  auto Server = Http1Server::create(*Loop, Listen, std::move(Handlers));
-  BOOST_REQUIRE(Server.ok());
+  const auto Server = createServer(*Loop, Listen, std::move(Handlers));
   RawCaller Caller(*Loop, Listen);
-  Caller.write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
-  BOOST_REQUIRE(runUntil(*Loop, [&] { return Pending != nullptr; }));
-  Caller.close();
-  BOOST_TEST(runUntil(*Loop, [&] { return Disconnected; }));
-  BOOST_TEST(!Pending->isOpen());
-  BOOST_TEST((*Server)->openExchanges() == 0u);
+  const std::string Body(300u << 10, 'x');
+  Caller.write(SimpleRequest);
+  BOOST_REQUIRE(runUntil(*Loop, [&] { return !Exchanges.empty(); }));
+  Caller.write("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+               std::to_string(Body.size()) + "\r\n\r\n" + Body);
+  // While other connections are served, the input arrives up to the limit.
+  std::vector<std::unique_ptr<RawCaller>> Others;
+  while (Others.size() < 40) {
+    Others.push_back(std::make_unique<RawCaller>(*Loop, Listen));
+    BOOST_REQUIRE(runUntil(
+        *Loop, [&] { return Server->connections() == 1 + Others.size(); }));
+  }
+  Exchanges[0]->reply(200, {}, "first");
+  BOOST_REQUIRE(runUntil(*Loop, [&] { return Exchanges.size() == 2; }));
+  BOOST_TEST(Exchanges[1]->body().size() == Body.size());
+  Exchanges[1]->reply(200, {}, "second");
+  BOOST_TEST(runUntil(*Loop, [&] {
+    return Caller.received().find("second") != std::string::npos;
+  }));
 }
 
 // A process that stops once no exchange is open must not cut off a response
@@ -322,12 +372,32 @@
   BOOST_REQUIRE(Server.ok());
   RawCaller Caller(*Loop, Listen);
   Caller.write("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nab");
-  BOOST_TEST(runUntil(*Loop, [&] { return (*Server)->openExchanges() == 1; }));
+  BOOST_TEST(awaitOtherAnswer(*Loop, Listen));
+  BOOST_TEST((*Server)->openExchanges() == 1u);
   Caller.write("cd");
   BOOST_TEST(runUntil(*Loop, [&] { return !Caller.received().empty(); }));
   BOOST_TEST(runUntil(*Loop, [&] { return (*Server)->openExchanges() == 0; }));
 }
 
+// Guards against a planned stop that closes a connection whose request has
+// arrived in the socket and is not read.
+BOOST_AUTO_TEST_CASE(ExchangeIsOpenOnceItsRequestHasArrived) {
+  const auto Loop = createLoop();
+  Http1Server::Handlers Handlers;
+  Handlers.OnRequest = [&](const std::shared_ptr<Http1Exchange> &Exchange) {
+    Exchange->reply(200, {}, "ok");
+  };
+  const Address Listen = allocateAddress();
+  const auto Server = createServer(*Loop, Listen, std::move(Handlers));
+  RawCaller Caller(*Loop, Listen);
+  BOOST_REQUIRE(runUntil(*Loop, [&] { return Server->connections() == 1; }));
+  BOOST_TEST(Server->openExchanges() == 0u);
+  Caller.write(SimpleRequest);
+  BOOST_TEST(Server->openExchanges() == 1u);
+  BOOST_TEST(runUntil(*Loop, [&] { return Server->openExchanges() == 0; }));
+  BOOST_TEST(runUntil(*Loop, [&] { return !Caller.received().empty(); }));
+}
+
 BOOST_AUTO_TEST_CASE(AbortedStreamIsIncomplete) {
   const auto Loop = createLoop();
   Http1Server::Handlers Handlers;
@@ -586,6 +656,77 @@
   BOOST_TEST(Caller.received().size() == 2 * FirstSize);
 }
 
+// Guards against a kept connection whose requests are held to limits that are
+// no longer in force.
+BOOST_AUTO_TEST_CASE(NewLimitsApplyToTheNextRequestOfAConnection) {
+  const auto Loop = createLoop();
+  std::vector<std::string> Bodies;
+  Http1Server::Handlers Handlers;
+  Handlers.OnRequest = [&](const std::shared_ptr<Http1Exchange> &Exchange) {
+    if (!Exchange->body().empty())
+      Bodies.push_back(Exchange->body());
+    Exchange->reply(200, {}, "ok");
+  };
+  const Address Listen = allocateAddress();
+  const auto Server = createServer(*Loop, Listen, std::move(Handlers));
+  Http1Server::Limits Limits;
+  Limits.MaxBodyBytes = 4;
+  Server->setLimits(Limits);
+  RawCaller Caller(*Loop, Listen);
+  const auto Request = [](const std::string &Body) {
+    return "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+           std::to_string(Body.size()) + "\r\n\r\n" + Body;
+  };
+  const auto Answered = [&](std::size_t Count) {
+    return runUntil(*Loop,
+                    [&] { return Bodies.size() == Count || Caller.ended(); }) &&
+           !Caller.ended();
+  };
+  Caller.write(Request("four"));
+  BOOST_REQUIRE(Answered(1));
+  Limits.MaxBodyBytes = 8;
+  Server->setLimits(Limits);
+  // A request keeps the limits with which it began.
+  const std::string Second = Request("new body");
+  Caller.write(Second.substr(0, Second.size() - 1));
+  BOOST_REQUIRE(awaitOtherAnswer(*Loop, Listen));
+  Limits.MaxBodyBytes = 4;
+  Server->setLimits(Limits);
+  Caller.write(Second.substr(Second.size() - 1));
+  BOOST_TEST(Answered(2));
+  Caller.write(Request("new body"));
+  BOOST_TEST(runUntil(*Loop, [&] { return Caller.ended(); }));
+  BOOST_TEST(Caller.received().find("HTTP/1.1 413") != std::string::npos);
+  BOOST_TEST(Bodies.size() == 2u);
+}
+
+// Guards against aborted responses that the log and the counters leave out.
+BOOST_AUTO_TEST_CASE(ReportsAbortedExchangeAsUnfinished) {
+  for (const bool Streaming : {false, true}) {
+    const auto Loop = createLoop();
+    std::vector<Http1Server::ClosedConnection> Closed;
+    Http1Server::Handlers Handlers;
+    Handlers.OnRequest = [&](const std::shared_ptr<Http1Exchange> &Exchange) {
+      if (Streaming) {
+        Exchange->startStream(200, {});
+        Exchange->sendChunk("part");
+      }
+      Exchange->abort();
+    };
+    Handlers.OnClosed = [&](const Http1Server::ClosedConnection &Each) {
+      Closed.push_back(Each);
+    };
+    const Address Listen = allocateAddress();
+    const auto Server = createServer(*Loop, Listen, std::move(Handlers));
+    RawCaller Caller(*Loop, Listen);
+    Caller.write(SimpleRequest);
+    BOOST_REQUIRE(runUntil(*Loop, [&] { return !Closed.empty(); }));
+    BOOST_CHECK(Closed[0].Reason == Http1Server::Closure::Aborted);
+    BOOST_REQUIRE(Closed[0].Unfinished);
+    BOOST_TEST(Closed[0].Unfinished->isStreaming() == Streaming);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace UnitTests
