Storage: One checksum covers all records of a save

What callers could see: no daemon answers for the declaration after a power loss, as too few replicas open their folder ("corrupted record with valid records after it", tried again every half second).

Cause: a save of several records is one write, but each record has its own checksum. Of a write that was not synced a power loss may keep the end and lose the beginning. The reader then finds valid records after a broken one and takes that for damage to synced data. A replica that does so counts as a lost disk beyond the tolerated ones.

Evidence: PowerLossTest/tornWriteOfSeveralRecordsIsTruncated loses the first bytes of a write of three records.

Fix: save encodes its records as one batch with one checksum. A torn batch is an incomplete last record and is cut off; nothing of it was acknowledged. Logs of the earlier format are still read.

DataFolderTest wrote all entries in one save, and corruptionBeforeLastRecordIs- DataLoss asked for damage to be found inside that save.

Ruled out: two writes that were not synced, the first lost. The log is synced before the next write and when it is opened, and a failed write closes the folder.

--- a/Source/Core/Storage/DataFolder.cpp
+++ b/Source/Core/Storage/DataFolder.cpp
@@ -14,7 +14,18 @@
 
 namespace {
 
-using LogRecord = std::variant<Consensus::HardState, Consensus::LogEntry>;
+using LogItem = std::variant<Consensus::HardState, Consensus::LogEntry>;
+
+/// The items of one save. They share a record, so that one checksum covers the
+/// write: a power loss may keep the end of a write and lose its beginning.
+struct LogBatch {
+  std::vector<LogItem> Items;
+
+  template <class Archive> void serialize(Archive &Ar) { Ar(this->Items); }
+};
+
+using LogRecord =
+    std::variant<Consensus::HardState, Consensus::LogEntry, LogBatch>;
 
 std::string identityPath(const std::string &Folder) {
   return Folder + "/identity";
@@ -65,6 +76,27 @@
   return absl::OkStatus();
 }
 
+/// Applies one item of the log to State.
+absl::Status replayItem(Consensus::PersistentState &State, LogItem Item) {
+  if (auto *Hard = std::get_if<Consensus::HardState>(&Item)) {
+    State.Hard = std::move(*Hard);
+    return absl::OkStatus();
+  }
+  return replayEntry(State, std::move(std::get<Consensus::LogEntry>(Item)));
+}
+
+/// The items of Record in order.
+std::vector<LogItem> itemsOf(LogRecord Record) {
+  if (auto *Batch = std::get_if<LogBatch>(&Record))
+    return std::move(Batch->Items);
+  std::vector<LogItem> Result;
+  if (auto *Hard = std::get_if<Consensus::HardState>(&Record))
+    Result.emplace_back(std::move(*Hard));
+  else
+    Result.emplace_back(std::move(std::get<Consensus::LogEntry>(Record)));
+  return Result;
+}
+
 absl::StatusOr<std::size_t> loadLog(const std::string &Folder,
                                     RecoveredState &Recovered) {
   const auto Bytes = readFile(logPath(Folder));
@@ -79,14 +111,10 @@
     auto Record = Network::decode<LogRecord>(Payload);
     if (!Record.ok())
       return absl::DataLossError(Record.status().message());
-    if (auto *Hard = std::get_if<Consensus::HardState>(&*Record)) {
-      Recovered.State.Hard = std::move(*Hard);
-      continue;
-    }
-    auto &Entry = std::get<Consensus::LogEntry>(*Record);
-    if (absl::Status Replayed = replayEntry(Recovered.State, std::move(Entry));
-        !Replayed.ok())
-      return Replayed;
+    for (LogItem &Item : itemsOf(std::move(*Record)))
+      if (absl::Status Replayed = replayItem(Recovered.State, std::move(Item));
+          !Replayed.ok())
+        return Replayed;
   }
   Recovered.TruncatedBytes = Bytes->size() - Parsed->ValidBytes;
   if (Recovered.TruncatedBytes != 0) {
@@ -192,13 +220,15 @@
     if (!Replaced.ok())
       return Replaced;
   }
-  std::string Bytes;
+  LogBatch Batch;
   if (Pending.SaveHardState && !Pending.InstallSnapshot)
-    appendRecord(Bytes, this->Hard);
+    Batch.Items.emplace_back(this->Hard);
   for (const Consensus::LogEntry &Entry : Pending.SaveEntries)
-    appendRecord(Bytes, Entry);
-  if (Bytes.empty())
+    Batch.Items.emplace_back(Entry);
+  if (Batch.Items.empty())
     return absl::OkStatus();
+  std::string Bytes;
+  appendRecord(Bytes, std::move(Batch));
   if (absl::Status Written = this->Log.append(Bytes); !Written.ok())
     return Written;
   this->LogBytes += Bytes.size();
--- a/Source/UnitTests/Storage/DataFolderTest.cpp
+++ b/Source/UnitTests/Storage/DataFolderTest.cpp
@@ -49,13 +49,16 @@
   return Recovered;
 }
 
+/// Saves a hard state and each entry by itself.
 void write(const std::string &Path, std::uint64_t Count) {
   Storage::RecoveredState Recovered;
   auto Folder = Storage::DataFolder::open(Path, Recovered);
   BOOST_REQUIRE(Folder.ok());
-  Actions Pending = entries(1, Count);
+  Actions Pending;
   Pending.SaveHardState = HardState{Term{7}, ReplicaId("b")};
   BOOST_REQUIRE(Folder->save(Pending).ok());
+  for (std::uint64_t I = 1; I <= Count; ++I)
+    BOOST_REQUIRE(Folder->save(entries(I, I)).ok());
 }
 
 } // namespace
@@ -139,7 +142,7 @@
   BOOST_REQUIRE(Storage::DataFolder::format(Folder.Path, "s1").ok());
   write(Folder.Path, 3);
   const auto Original = *Storage::readFile(Folder.Path + "/log");
-  // A corrupted last record cannot be told from an incomplete one.
+  // A corrupted last save cannot be told from an incomplete one.
   const std::size_t LastRecord =
       Storage::encodeRecord(std::string(200, 'x')).size();
   for (std::size_t At = 0; At + LastRecord < Original.size(); ++At) {
--- a/Source/UnitTests/Storage/PowerLossDisk.cpp
+++ b/Source/UnitTests/Storage/PowerLossDisk.cpp
@@ -47,7 +47,7 @@
 template <typename Sync> int sync(int Descriptor, Sync RealSync) {
   PowerLossDisk *Disk = diskOf(Descriptor);
   if (Disk)
-    Disk->beforeOperation();
+    Disk->beforeOperation(true);
   const int Result = RealSync(Descriptor);
   if (Disk && Result == 0)
     Disk->recordSync(Descriptor);
@@ -71,9 +71,9 @@
   return Path == this->Folder || Path.starts_with(this->Folder + "/");
 }
 
-void PowerLossDisk::beforeOperation() const {
+void PowerLossDisk::beforeOperation(bool CanBeKilled) const {
   if (this->BeforeOperation)
-    this->BeforeOperation();
+    this->BeforeOperation(CanBeKilled);
 }
 
 void PowerLossDisk::recordWrite(int Descriptor, std::string Bytes) {
@@ -186,7 +186,7 @@
 ssize_t wrappedWrite(int Descriptor, const void *Bytes, std::size_t Size) {
   UnitTests::PowerLossDisk *Disk = UnitTests::diskOf(Descriptor);
   if (Disk)
-    Disk->beforeOperation();
+    Disk->beforeOperation(true);
   const ssize_t Written = realWrite(Descriptor, Bytes, Size);
   if (Disk && Written > 0)
     Disk->recordWrite(Descriptor,
@@ -206,7 +206,7 @@
 int wrappedFtruncate(int Descriptor, off_t Size) {
   UnitTests::PowerLossDisk *Disk = UnitTests::diskOf(Descriptor);
   if (Disk)
-    Disk->beforeOperation();
+    Disk->beforeOperation(false);
   const int Result = realFtruncate(Descriptor, Size);
   if (Disk && Result == 0)
     Disk->recordTruncation(Descriptor, static_cast<std::size_t>(Size));
@@ -215,6 +215,6 @@
 
 int wrappedRename(const char *From, const char *To) {
   if (UnitTests::PowerLossDisk *Disk = UnitTests::PowerLossDisk::active())
-    Disk->beforeOperation();
+    Disk->beforeOperation(false);
   return realRename(From, To);
 }
--- a/Source/UnitTests/Storage/PowerLossDisk.h
+++ b/Source/UnitTests/Storage/PowerLossDisk.h
@@ -38,13 +38,14 @@
   static void write(const Image &Content, const std::string &Folder);
 
   /// Called before each write, sync, truncation and rename in the folder. It
-  /// may throw ProcessKilled.
-  std::function<void()> BeforeOperation;
+  /// may throw ProcessKilled if CanBeKilled is set: truncations and renames are
+  /// declared not to throw.
+  std::function<void(bool CanBeKilled)> BeforeOperation;
 
   // Called by the redirected file operations.
   static PowerLossDisk *active() { return Active; }
   bool watches(int Descriptor) const;
-  void beforeOperation() const;
+  void beforeOperation(bool CanBeKilled) const;
   void recordWrite(int Descriptor, std::string Bytes);
   void recordTruncation(int Descriptor, std::size_t Size);
   void recordSync(int Descriptor);
--- a/Source/UnitTests/Storage/PowerLossTest.cpp
+++ b/Source/UnitTests/Storage/PowerLossTest.cpp
@@ -4,7 +4,6 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <filesystem>
-#include <optional>
 #include <unistd.h>
 
 namespace UnitTests {
@@ -66,7 +65,7 @@
     auto Folder = Storage::DataFolder::open(Folders.Data, Recovered);
     BOOST_REQUIRE(Folder->save(entries(1, 2)).ok());
     int Operations = 0;
-    Disk.BeforeOperation = [&Operations] {
+    Disk.BeforeOperation = [&Operations](bool) {
       constexpr int Sync = 2;
       if (++Operations == Sync)
         throw PowerLossDisk::ProcessKilled();
@@ -84,6 +83,30 @@
   BOOST_TEST(Left->State.Entries.size() == 3u);
 }
 
+// Guards against a folder that is taken for corrupted after a power loss: of a
+// write that was not synced, the beginning may be lost and the end present.
+BOOST_AUTO_TEST_CASE(tornWriteOfSeveralRecordsIsTruncated) {
+  const TemporaryFolders Folders;
+  PowerLossDisk Disk(Folders.Data, 2);
+  BOOST_REQUIRE(Storage::DataFolder::format(Folders.Data, "s1").ok());
+  Storage::RecoveredState Recovered;
+  auto Folder = Storage::DataFolder::open(Folders.Data, Recovered);
+  BOOST_REQUIRE(Folder->save(entries(1, 2)).ok());
+  PowerLossDisk::Image Left = Disk.syncedOnly();
+  const std::size_t Synced = Left["log"].size();
+  BOOST_REQUIRE(Folder->save(entries(3, 5)).ok());
+  const std::string Whole = Disk.syncedOnly()["log"];
+  for (std::size_t Lost = 1; Synced + Lost < Whole.size(); ++Lost) {
+    Left["log"] = Whole;
+    std::fill_n(Left["log"].begin() + static_cast<std::ptrdiff_t>(Synced), Lost,
+                '\0');
+    const auto Survivor = recover(Left, Folders.Survivor);
+    BOOST_REQUIRE_MESSAGE(Survivor.ok(),
+                          Lost << " bytes lost: " << Survivor.status());
+    BOOST_REQUIRE(Survivor->State.Entries.size() == 2u);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace UnitTests
