--- a/Source/Core/Storage/DataFolder.cpp
+++ b/Source/Core/Storage/DataFolder.cpp
@@ -237,6 +237,7 @@
 
 absl::Status DataFolder::compact(const Consensus::HardState &Hard,
                                  const Consensus::ReplicatedLog &Log) {
+  this->Hard = Hard;
   const std::string Record = encodeRecord(Network::encode(Log.snapshot()));
   if (absl::Status Written = replaceFile(snapshotPath(this->Path), Record);
       !Written.ok())
