--- a/Source/Core/Consensus/Replica.cpp
+++ b/Source/Core/Consensus/Replica.cpp
@@ -178,6 +178,10 @@
     this->SnapshotBuffer.clear();
     this->SnapshotBufferIndex = Chunk.Index;
   }
+  // The log may have the snapshot's last entry already, and acknowledged
+  // entries after it.
+  if (this->Log.matches(Chunk.Index, Chunk.SnapshotTerm))
+    this->advanceCommitIndex(Chunk.Index);
   if (Chunk.Index <= this->CommitIndex) {
     Reply.Installed = true;
   } else if (Chunk.Offset == this->SnapshotBuffer.size()) {
--- a/Source/UnitTests/Consensus/ReplicaRulesTest.cpp
+++ b/Source/UnitTests/Consensus/ReplicaRulesTest.cpp
@@ -1,4 +1,5 @@
 #include "Consensus/Replica.h"
+#include "Network/Codec.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -233,6 +234,39 @@
   BOOST_TEST(Follower.log().lastIndex().Value == 2u);
 }
 
+// Guards against the loss of entries that a follower has acknowledged: a leader
+// may send a snapshot that it found necessary before it got the reply.
+BOOST_AUTO_TEST_CASE(snapshotKeepsLaterEntries) {
+  Replica Follower = replicaOf(stateOf(4, {}));
+  const Common::TimePoint Now = Start + 1s;
+  AppendRequest Request;
+  Request.Entries = {entryOf(1, 4), entryOf(2, 4), entryOf(3, 4)};
+  Follower.step(Now, messageFrom("b", 4, Request));
+  const Actions First = Follower.takeActions(Now);
+  BOOST_REQUIRE(First.SaveEntries.size() == 3u);
+  Follower.markPersisted(Now);
+  Snapshot Earlier;
+  Earlier.Index = LogIndex{2};
+  Earlier.Term = Term{4};
+  Earlier.Membership = Follower.membership();
+  SnapshotChunk Chunk;
+  Chunk.Index = Earlier.Index;
+  Chunk.SnapshotTerm = Earlier.Term;
+  Chunk.Bytes = Network::encode(Earlier);
+  Chunk.Last = true;
+  Follower.step(Now, messageFrom("b", 4, Chunk));
+  const Actions Pending = Follower.takeActions(Now);
+  BOOST_TEST(Follower.log().lastIndex().Value == 3u);
+  BOOST_TEST(!Pending.InstallSnapshot.has_value());
+  // The entries that the snapshot covers are known to be committed.
+  BOOST_TEST(Pending.Apply.size() == 2u);
+  BOOST_REQUIRE(Pending.SendAfterSync.size() == 1u);
+  const auto *Reply =
+      std::get_if<SnapshotReply>(&Pending.SendAfterSync[0].Body);
+  BOOST_REQUIRE(Reply);
+  BOOST_TEST(Reply->Installed);
+}
+
 BOOST_AUTO_TEST_CASE(onlyOneMembershipChangeAtATime) {
   Replica Elected = replicaOf(stateOf(3, {}));
   const Common::TimePoint Now = Start + 1s;
