Consensus, StateDaemon: A lost host's vote moves within the catch-up time

What callers could see: no daemon answers for the declaration any more, after two losses that are each tolerated. A host of the group is gone for good and an empty one has started in its place; once that one has had its catch-up time (4 s on the sites), the next disk may be lost while all others lose power. The silent voter still counted then, so that the remaining voters had no quorum, for good.

Cause: a silent voter counted as lost after 6 s, plus the time to elect a leader if it was the leader. The catch-up time was not known to the state daemons.

Evidence: ReplicaTest/lossesAreToleratedAgainAfterCatchUpTime replaces hosts in the simulated group, lets the catch-up time pass and then takes as many disks as are tolerated and the power of all others.

What remains is for an election and the changes of members. observeHealth moves from the controller to VoterPlan, so that the simulation uses what the daemon uses.

Ruled out: a majority without the acknowledged entry, in any order of changes. A disk that is lost has a new identity and does not vote, so each quorum meets the one that committed in a replica that still has the entry. What can be lost is the quorum itself.

--- a/Source/Core/Consensus/VoterPlan.cpp
+++ b/Source/Core/Consensus/VoterPlan.cpp
@@ -1,7 +1,38 @@
 #include "Consensus/VoterPlan.h"
 
+#include <algorithm>
+
 namespace Consensus {
 
+std::map<ReplicaId, MemberHealth> observeHealth(const Replica &Leader,
+                                                Common::TimePoint LeadingSince,
+                                                const LatestReplicas &Latest,
+                                                Common::TimePoint Now) {
+  std::map<ReplicaId, MemberHealth> Result;
+  for (const Member &Each : Leader.membership().members()) {
+    const auto Peer = Leader.peerProgress(Each.Id);
+    if (!Peer)
+      continue;
+    MemberHealth Health;
+    Health.SinceLastContact = Now - std::max(Peer->LastContact, LeadingSince);
+    Health.CaughtUp = Peer->MatchIndex >= Leader.commitIndex();
+    const auto LatestReplica = Latest.find(Each.Address);
+    Health.IdentityLost =
+        LatestReplica != Latest.end() && LatestReplica->second != Each.Id;
+    Result[Each.Id] = Health;
+  }
+  return Result;
+}
+
+VoterPlanOptions VoterPlanOptions::create(std::size_t ToleratedHosts,
+                                          Common::Duration CatchUpTime) {
+  VoterPlanOptions Result;
+  Result.TargetVoters = 2 * ToleratedHosts + 1;
+  // The rest is left for an election and for the membership changes.
+  Result.VoterTimeout = CatchUpTime / 2;
+  return Result;
+}
+
 std::optional<VoterChange>
 planVoterChange(const Membership &Members, const ReplicaId &Leader,
                 const std::map<ReplicaId, MemberHealth> &Health,
--- a/Source/Core/Consensus/VoterPlan.h
+++ b/Source/Core/Consensus/VoterPlan.h
@@ -2,7 +2,7 @@
 #define SYCAMOREREACH_CONSENSUS_VOTERPLAN_H
 
 #include "Common/Time.h"
-#include "Consensus/Membership.h"
+#include "Consensus/Replica.h"
 
 #include <map>
 #include <optional>
@@ -20,6 +20,16 @@
   bool IdentityLost = false;
 };
 
+/// The replica that last asked to join from each address.
+using LatestReplicas = std::map<Network::Address, ReplicaId>;
+
+/// The health of the other members, as observed by Leader, which leads since
+/// LeadingSince.
+std::map<ReplicaId, MemberHealth> observeHealth(const Replica &Leader,
+                                                Common::TimePoint LeadingSince,
+                                                const LatestReplicas &Latest,
+                                                Common::TimePoint Now);
+
 struct VoterPlanOptions {
   /// Number of voters to maintain: 2f+1 to tolerate the loss of f.
   std::size_t TargetVoters = 3;
@@ -29,6 +39,11 @@
   Common::Duration LearnerTimeout = std::chrono::seconds(30);
   /// A learner is promoted only if its last message is more recent than this.
   Common::Duration MaxPromotionContactAge = std::chrono::milliseconds(1500);
+
+  /// Options for a group that tolerates the loss of ToleratedHosts. After
+  /// CatchUpTime a host that replaces a lost one counts as its equal.
+  static VoterPlanOptions create(std::size_t ToleratedHosts,
+                                 Common::Duration CatchUpTime);
 };
 
 struct VoterChange {
--- a/Source/StateDaemon/Controller.h
+++ b/Source/StateDaemon/Controller.h
@@ -129,8 +129,7 @@
   std::unique_ptr<Network::Http1Client> Client;
   std::map<Network::Address, std::unique_ptr<Network::FrameClient>> Links;
   std::map<Common::DaemonId, Network::ConnectionId> Entries;
-  /// The replica that last asked to join from each address.
-  std::map<Network::Address, Consensus::ReplicaId> JoinRequesters;
+  Consensus::LatestReplicas JoinRequesters;
   /// Exists only while this daemon leads.
   std::unique_ptr<EntryDaemonTracker> Tracker;
   /// Exists only while this daemon leads and an address for duty calls is set.
--- a/Source/StateDaemon/ControllerGroup.cpp
+++ b/Source/StateDaemon/ControllerGroup.cpp
@@ -189,33 +189,18 @@
 
 std::map<Consensus::ReplicaId, Consensus::MemberHealth>
 Controller::memberHealth() const {
-  std::map<Consensus::ReplicaId, Consensus::MemberHealth> Result;
-  const Consensus::Replica &Replica = *this->Driver->replica();
-  const Common::TimePoint Now = this->Loop.now();
-  for (const Consensus::Member &Each : Replica.membership().members()) {
-    const auto Peer = Replica.peerProgress(Each.Id);
-    if (!Peer)
-      continue;
-    Consensus::MemberHealth Health;
-    Health.SinceLastContact =
-        Now - std::max(Peer->LastContact, this->LeadingSince);
-    Health.CaughtUp = Peer->MatchIndex >= Replica.commitIndex();
-    const auto LatestRequester = this->JoinRequesters.find(Each.Address);
-    Health.IdentityLost = LatestRequester != this->JoinRequesters.end() &&
-                          LatestRequester->second != Each.Id;
-    Result[Each.Id] = Health;
-  }
-  return Result;
+  return Consensus::observeHealth(*this->Driver->replica(), this->LeadingSince,
+                                  this->JoinRequesters, this->Loop.now());
 }
 
 void Controller::adjustMembership() {
   if (!this->Driver->holdsLeadership())
     return;
   const Consensus::Replica &Replica = *this->Driver->replica();
-  Consensus::VoterPlanOptions Options;
-  Options.TargetVoters = 2 * this->Settings.ToleratedHosts + 1;
   const auto Change = Consensus::planVoterChange(
-      Replica.membership(), Replica.self(), this->memberHealth(), Options);
+      Replica.membership(), Replica.self(), this->memberHealth(),
+      Consensus::VoterPlanOptions::create(this->Settings.ToleratedHosts,
+                                          this->Settings.CatchUpTime));
   if (!Change)
     return;
   const bool Promotes =
--- a/Source/StateDaemon/ControllerSettings.cpp
+++ b/Source/StateDaemon/ControllerSettings.cpp
@@ -13,6 +13,8 @@
   Result.FirstStart = Reader.text("--first-start", "false") == "true";
   Result.ToleratedHosts = static_cast<std::uint32_t>(
       Reader.number("--tolerated-hosts", 1, 0, MaxToleratedHosts));
+  Result.CatchUpTime = Reader.duration("--catch-up-time", Result.CatchUpTime,
+                                       std::chrono::seconds(1));
   if (!Reader.text("--duty-address", "").empty())
     Result.DutyAddress = Reader.address("--duty-address");
   Result.DutyRate = Reader.decimal("--duty-rate", Result.DutyRate);
--- a/Source/StateDaemon/ControllerSettings.h
+++ b/Source/StateDaemon/ControllerSettings.h
@@ -16,6 +16,9 @@
   /// Number of state daemons, each on its own host, that may fail at the same
   /// time; the group aims at 2 * N + 1 voters.
   std::uint32_t ToleratedHosts = 1;
+  /// How long after its start a daemon that replaces a lost one may take to
+  /// hold what was lost; then ToleratedHosts others may fail.
+  Common::Duration CatchUpTime = std::chrono::seconds(4);
   /// How far use may exceed the teams' limits.
   Admission::AllowanceTolerance Tolerance;
   /// Where duty calls are sent; no duty calls are made if empty.
--- a/Source/StateDaemon/StateSettings.cpp
+++ b/Source/StateDaemon/StateSettings.cpp
@@ -30,6 +30,8 @@
   --seeds=LIST             HTTP addresses of some state daemons.
   --first-start=BOOL       true if the system starts for the first time.
   --tolerated-hosts=N      State daemons (one per host) that may fail at once.
+  --catch-up-time=S        Time after the start of a daemon that replaces a lost
+                           one in which it takes over its vote.
   --allowance-slack=N      Tokens allowed above a team's limits per window.
   --allowance-over=N       Use allowed above the limits, as a fraction of them.
   --allowance-window=S     Window over which a team's use is counted.
--- a/Source/UnitTests/Consensus/ReplicaTest.cpp
+++ b/Source/UnitTests/Consensus/ReplicaTest.cpp
@@ -1,5 +1,6 @@
 #include "UnitTests/Consensus/SimulatedGroup.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 namespace UnitTests {
@@ -23,6 +24,68 @@
   Group.run(200ms);
 }
 
+/// The running replicas, with the leader at Position if there is one.
+std::vector<std::size_t> runningWithLeaderAt(SimulatedGroup &Group,
+                                             std::size_t Position) {
+  std::vector<std::size_t> Result;
+  for (std::size_t I = 0; I < Group.size(); ++I)
+    if (Group.running(I))
+      Result.push_back(I);
+  const auto Leading = Group.leader();
+  if (Leading && Position < Result.size())
+    std::swap(*std::find(Result.begin(), Result.end(), *Leading),
+              Result[Position]);
+  return Result;
+}
+
+/// Replaces Tolerated hosts by empty ones. CatchUpTime after their start, as
+/// many disks are lost right after an acknowledgement, and all others lose
+/// power. Then the group must recover what was acknowledged.
+void replaceHostsThenLoseDisks(std::uint64_t Seed, std::size_t Tolerated) {
+  constexpr Common::Duration CatchUpTime = 4s;
+  constexpr Common::Duration RecoveryTime = 12s;
+  const std::string Label = "seed " + std::to_string(Seed) + ", " +
+                            std::to_string(Tolerated) + " tolerated: ";
+  Common::Random Randomness(Seed);
+  SimulatedGroup Group(3, Seed);
+  Group.keepVoters(Consensus::VoterPlanOptions::create(Tolerated, CatchUpTime));
+  for (int I = 3; I < (Tolerated == 1 ? 4 : 5); ++I)
+    Group.addHost();
+  Group.run(10s);
+  BOOST_REQUIRE_MESSAGE(Group.leader().has_value(), Label << "no leader");
+  proposeMany(Group, 5, "before");
+  const auto Lost = runningWithLeaderAt(Group, Randomness.below(2 * Tolerated));
+  for (std::size_t I = 0; I < Tolerated; ++I)
+    Group.remove(Lost[I]);
+  Group.run(Randomness.between(0ms, 1s));
+  for (std::size_t I = 0; I < Tolerated; ++I)
+    Group.addHost();
+  Group.run(CatchUpTime);
+  for (int I = 0; I < 40 && Group.acknowledged().count("last") == 0; ++I) {
+    Group.propose("last");
+    Group.run(5ms);
+  }
+  BOOST_REQUIRE_MESSAGE(Group.acknowledged().count("last") == 1,
+                        Label << "nothing acknowledged after the catch-up");
+  const auto Running =
+      runningWithLeaderAt(Group, Randomness.below(2 * Tolerated));
+  for (const std::size_t Each : Running)
+    Group.crash(Each);
+  Group.run(1s);
+  for (std::size_t I = 0; I < Running.size(); ++I) {
+    if (I < Tolerated)
+      Group.replaceDisk(Running[I]);
+    else
+      Group.restart(Running[I]);
+  }
+  Group.run(RecoveryTime);
+  BOOST_REQUIRE_MESSAGE(Group.violation().empty(), Label << Group.violation());
+  BOOST_REQUIRE_MESSAGE(Group.leader().has_value(),
+                        Label << "no leader after the final loss");
+  BOOST_REQUIRE_MESSAGE(Group.converged(),
+                        Label << "an acknowledged entry is lost");
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(ReplicaTest)
@@ -176,6 +239,15 @@
   BOOST_TEST(Group.violation() == "");
 }
 
+// Guards against acknowledged entries that no group can serve any more: hosts
+// are lost for good, and once their successors have had their time as many
+// disks are lost again, while all others lose power.
+BOOST_AUTO_TEST_CASE(lossesAreToleratedAgainAfterCatchUpTime) {
+  constexpr std::uint64_t Seeds = 40;
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed)
+    replaceHostsThenLoseDisks(Seed, 1 + Seed % 2);
+}
+
 BOOST_AUTO_TEST_CASE(noDataCentreMayHoldAMajority) {
   const auto Read = [](const char *Text) {
     return *Consensus::Member::create(Text);
--- a/Source/UnitTests/Consensus/SimulatedGroup.cpp
+++ b/Source/UnitTests/Consensus/SimulatedGroup.cpp
@@ -15,6 +15,9 @@
 constexpr Common::Duration TickInterval = std::chrono::milliseconds(5);
 constexpr Common::Duration MinDelay = std::chrono::milliseconds(1);
 constexpr Common::Duration MaxDelay = std::chrono::milliseconds(20);
+/// As in the state daemons.
+constexpr Common::Duration GroupCheckPeriod = std::chrono::milliseconds(300);
+constexpr Common::Duration JoinDelay = std::chrono::milliseconds(1000);
 constexpr double LossProbability = 0.02;
 constexpr double DuplicateProbability = 0.02;
 
@@ -33,6 +36,7 @@
   this->Nodes.resize(Voters);
   for (std::size_t I = 0; I < Voters; ++I) {
     this->Nodes[I].Id = Consensus::ReplicaId("r" + std::to_string(I));
+    this->Nodes[I].Host = I;
     Members.push_back(this->member(I));
   }
   const auto Initial = Consensus::Membership::create(Members);
@@ -45,6 +49,7 @@
 Consensus::Member SimulatedGroup::member(std::size_t Index) const {
   Consensus::Member Result;
   Result.Id = this->Nodes[Index].Id;
+  Result.Address = {"10.0.0." + std::to_string(this->Nodes[Index].Host), 1};
   Result.DataCentre = Common::DataCentreId("dc" + std::to_string(Index));
   return Result;
 }
@@ -61,6 +66,7 @@
   Options.Seed = this->Randomness.next();
   Each.AppliedPayloads = decodeState(Each.Disk.BaseSnapshot.Data);
   Each.Running = *Replica::create(Options, Each.Disk, this->Now);
+  Each.LeaderLastKnownAt = this->Now;
 }
 
 void SimulatedGroup::crash(std::size_t Index) {
@@ -73,15 +79,31 @@
 }
 
 void SimulatedGroup::restart(std::size_t Index) {
-  if (!this->running(Index))
+  if (!this->running(Index) && !this->Nodes[Index].Removed)
     this->start(Index);
 }
 
-std::size_t SimulatedGroup::replaceDisk(std::size_t Index) {
+void SimulatedGroup::remove(std::size_t Index) {
   this->crash(Index);
-  Node NewNode;
-  NewNode.Id = Consensus::ReplicaId("r" + std::to_string(this->Nodes.size()));
-  this->Nodes.push_back(std::move(NewNode));
+  this->Nodes[Index].Removed = true;
+}
+
+std::size_t SimulatedGroup::addHost() {
+  this->Nodes.emplace_back();
+  this->Nodes.back().Host = this->Nodes.size() - 1;
+  return this->startEmpty();
+}
+
+std::size_t SimulatedGroup::replaceDisk(std::size_t Index) {
+  this->remove(Index);
+  this->Nodes.emplace_back();
+  this->Nodes.back().Host = this->Nodes[Index].Host;
+  return this->startEmpty();
+}
+
+std::size_t SimulatedGroup::startEmpty() {
+  this->Nodes.back().Id =
+      Consensus::ReplicaId("r" + std::to_string(this->Nodes.size() - 1));
   this->start(this->Nodes.size() - 1);
   return this->Nodes.size() - 1;
 }
@@ -245,10 +267,63 @@
       Each.Running->tick(this->Now);
       this->performActions(I);
     }
+    this->keepMembers();
     this->checkLeaderSafety();
   }
 }
 
+void SimulatedGroup::keepMembers() {
+  if (!this->VoterOptions)
+    return;
+  const bool Due = this->Now >= this->NextGroupCheck;
+  if (Due)
+    this->NextGroupCheck = this->Now + GroupCheckPeriod;
+  for (std::size_t I = 0; I < this->Nodes.size(); ++I) {
+    Node &Each = this->Nodes[I];
+    if (!Each.Running || Each.PausedUntil > this->Now)
+      continue;
+    if (Each.Running->state() != Replica::State::Leader)
+      Each.LeadingSince = this->Now;
+    if (!Each.Running->leader().empty())
+      Each.LeaderLastKnownAt = this->Now;
+    if (!Due)
+      continue;
+    this->requestJoin(I);
+    this->changeVoters(I);
+  }
+}
+
+void SimulatedGroup::requestJoin(std::size_t Index) {
+  const Node &Requester = this->Nodes[Index];
+  if (this->Now - Requester.LeaderLastKnownAt < JoinDelay)
+    return;
+  const auto Leading = this->leader();
+  if (!Leading || this->BlockedLinks.count({Index, *Leading}) != 0)
+    return;
+  const Consensus::Member Joining = this->member(Index);
+  this->JoinRequesters[Joining.Address] = Joining.Id;
+  Replica &Leader = this->replica(*Leading);
+  if (!Leader.membership().find(Joining.Id))
+    (void)Leader.addLearner(this->Now, Joining);
+}
+
+void SimulatedGroup::changeVoters(std::size_t Index) {
+  Replica &Leader = this->replica(Index);
+  if (!Leader.canServe(this->Now))
+    return;
+  const auto Change = Consensus::planVoterChange(
+      Leader.membership(), Leader.self(),
+      Consensus::observeHealth(Leader, this->Nodes[Index].LeadingSince,
+                               this->JoinRequesters, this->Now),
+      *this->VoterOptions);
+  if (!Change)
+    return;
+  if (Change->Kind == Consensus::VoterChange::ChangeKind::Promote)
+    (void)Leader.promote(this->Now, Change->Id);
+  else
+    (void)Leader.remove(this->Now, Change->Id);
+}
+
 std::optional<std::size_t> SimulatedGroup::leader() const {
   for (std::size_t I = 0; I < this->Nodes.size(); ++I)
     if (this->Nodes[I].Running && this->Nodes[I].Running->canServe(this->Now))
--- a/Source/UnitTests/Consensus/SimulatedGroup.h
+++ b/Source/UnitTests/Consensus/SimulatedGroup.h
@@ -2,7 +2,7 @@
 #define SYCAMOREREACH_UNITTESTS_CONSENSUS_SIMULATEDGROUP_H
 
 #include "Common/Random.h"
-#include "Consensus/Replica.h"
+#include "Consensus/VoterPlan.h"
 
 #include <map>
 #include <optional>
@@ -50,6 +50,15 @@
   /// Replaces a replica that lost its disk with an empty one under a new
   /// identity, whose index is returned.
   std::size_t replaceDisk(std::size_t Node);
+  /// Starts an empty replica on a new host and returns its index.
+  std::size_t addHost();
+  /// Stops a replica for good.
+  void remove(std::size_t Node);
+  /// From now on replicas without a leader ask to join, and the leader changes
+  /// the members as the state daemons do.
+  void keepVoters(const Consensus::VoterPlanOptions &Options) {
+    this->VoterOptions = Options;
+  }
   void pause(std::size_t Node, Common::Duration For);
   /// Drops all messages in this direction.
   void blockLink(std::size_t From, std::size_t To) {
@@ -78,6 +87,10 @@
     std::vector<std::string> AppliedPayloads;
     Common::TimePoint PausedUntil;
     std::optional<CrashPoint> PendingCrash;
+    std::size_t Host = 0;
+    bool Removed = false;
+    Common::TimePoint LeaderLastKnownAt;
+    Common::TimePoint LeadingSince;
   };
   struct InFlightMessage {
     Common::TimePoint DeliverAt;
@@ -87,12 +100,16 @@
   };
 
   void start(std::size_t Index);
+  std::size_t startEmpty();
   void performActions(std::size_t Index);
   void save(Node &Each, const Consensus::Actions &Pending);
   void send(std::size_t From, const std::vector<Consensus::Message> &Messages);
   void apply(std::size_t Index, const Consensus::LogEntry &Entry);
   void deliver();
   void checkLeaderSafety();
+  void keepMembers();
+  void requestJoin(std::size_t Index);
+  void changeVoters(std::size_t Index);
   void recordViolation(const std::string &Description);
 
   Common::Random Randomness;
@@ -105,6 +122,9 @@
   std::map<std::pair<std::size_t, std::uint64_t>, std::string> PendingProposals;
   std::set<std::string> Acknowledged;
   std::string Violation;
+  std::optional<Consensus::VoterPlanOptions> VoterOptions;
+  Common::TimePoint NextGroupCheck;
+  Consensus::LatestReplicas JoinRequesters;
 };
 
 } // namespace UnitTests
