StateDaemon: The next change of voters follows the last one at once

Cause: the replacement of two voters takes six changes of the members. The leader looked for the next one each 300 ms, so that it was half done when the catch-up time was over.

Fix: the leader looks for the next change when one is applied.

--- a/Source/StateDaemon/ControllerGroup.cpp
+++ b/Source/StateDaemon/ControllerGroup.cpp
@@ -75,6 +75,9 @@
     this->Tracker.reset();
   }
   this->broadcastToEntries(this->stateEndpoints());
+  // A replacement takes several changes, and between them the group tolerates
+  // fewer losses.
+  this->adjustMembership();
 }
 
 void Controller::syncLinks() {
--- a/Source/UnitTests/Consensus/ReplicaTest.cpp
+++ b/Source/UnitTests/Consensus/ReplicaTest.cpp
@@ -248,6 +248,14 @@
     replaceHostsThenLoseDisks(Seed, 1 + Seed % 2);
 }
 
+// Guards against a replacement of several voters that is half done when the
+// next losses come.
+BOOST_AUTO_TEST_CASE(severalVotersAreReplacedInTime) {
+  for (const std::uint64_t Seed :
+       {649, 807, 1125, 1255, 1265, 1463, 2209, 2779})
+    replaceHostsThenLoseDisks(Seed, 2);
+}
+
 BOOST_AUTO_TEST_CASE(noDataCentreMayHoldAMajority) {
   const auto Read = [](const char *Text) {
     return *Consensus::Member::create(Text);
--- a/Source/UnitTests/Consensus/SimulatedGroup.cpp
+++ b/Source/UnitTests/Consensus/SimulatedGroup.cpp
@@ -204,6 +204,7 @@
     this->recordViolation("two replicas applied different entries at index " +
                           std::to_string(Entry.Index.Value));
   Node &Each = this->Nodes[Index];
+  Each.MembersChanged |= Entry.Kind == Consensus::EntryKind::MembershipChange;
   if (!Payload.empty())
     Each.AppliedPayloads.push_back(Payload);
   const auto OwnProposal =
@@ -286,10 +287,10 @@
       Each.LeadingSince = this->Now;
     if (!Each.Running->leader().empty())
       Each.LeaderLastKnownAt = this->Now;
-    if (!Due)
-      continue;
-    this->requestJoin(I);
-    this->changeVoters(I);
+    if (Due)
+      this->requestJoin(I);
+    if (std::exchange(Each.MembersChanged, false) || Due)
+      this->changeVoters(I);
   }
 }
 
--- a/Source/UnitTests/Consensus/SimulatedGroup.h
+++ b/Source/UnitTests/Consensus/SimulatedGroup.h
@@ -91,6 +91,7 @@
     bool Removed = false;
     Common::TimePoint LeaderLastKnownAt;
     Common::TimePoint LeadingSince;
+    bool MembersChanged = false;
   };
   struct InFlightMessage {
     Common::TimePoint DeliverAt;
