EntryDaemon: A shutdown answers what cannot end before its limit

What callers saw: an entry daemon without `gateway` that got SIGTERM went on until its last request had ended, for a request that waits for a server without end. The service manager then killed it, and every open request ended without an answer, also those that had never been sent to a server.

Cause: EntryDaemon::shutDown() had no limit, and nothing could answer an open exchange from outside the call that owns it.

--shutdown-time, which only the gateway read, now limits the shutdown (590 s by default, below TimeoutStopSec=600). One second before it HttpServer runs the interrupt handlers of its open exchanges: a model or plain call that was never sent gets shutting_down (503, not_run, Retry-After), one that may have run gets interrupted (502, unknown; in a stream as an event, without [DONE]), a call with a key acceptance_unknown, or its answer if that is known, and an operator's statement no_leader (unknown). An exchange without a handler is closed. A call that is refused as not run leaves the dispatcher first. The process ends when these answers are written.

The listener closes one check before the daemon can end, so that what has arrived on an accepted connection is read.

Failed before: ServingFaultTest/shutdownAnswersWhatCannotEnd ("check Fixture.waitUntil([&] { return Fixture.process("e1").hasExited(); }) has failed", "Reservation->has_value() has failed"; the waiting calls had no answer after 25 s). HttpServerTest/interruptedExchangesAreAnsweredOrClosed tests the new function. Afterwards both passed, and ServingFaultTest/shutdown* and JournalFaultTest/accepted* too.

Ruled out: a stopped daemon's accepted requests being left alone because it announced that it leaves. PeerTable::takeNewlyDead does not look at Leaving, and the test shows that the other daemon runs the request once.

--- a/Source/Core/Common/Refusal.cpp
+++ b/Source/Core/Common/Refusal.cpp
@@ -92,6 +92,10 @@
      seconds(0),
      "ask GET /v1/requests/KEY later, then the service itself; it is not "
      "sent again"},
+    {RefusalReason::Interrupted, "interrupted", 502, Outcome::Unknown,
+     seconds(1),
+     "retry if the call may be repeated; the daemon stopped before the answer "
+     "was complete"},
     {RefusalReason::CallerDisconnected, "caller_disconnected", 499,
      Outcome::Unknown, seconds(0), "keep the connection open for the answer"},
     {RefusalReason::BadAnnouncement, "bad_announcement", 400,
--- a/Source/Core/Common/Refusal.h
+++ b/Source/Core/Common/Refusal.h
@@ -43,6 +43,7 @@
   RetriesExhausted,
   BackendServerFailed,
   AnswerLost,
+  Interrupted,
   CallerDisconnected,
   BadAnnouncement,
   StaleAnnouncement,
--- a/Source/Core/Network/HttpServer.cpp
+++ b/Source/Core/Network/HttpServer.cpp
@@ -7,6 +7,7 @@
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 #include <utility>
+#include <vector>
 
 namespace Network {
 
@@ -49,12 +50,6 @@
   return Request;
 }
 
-void addHeaders(evhttp_request *RawRequest, const HttpHeaders &Headers) {
-  evkeyvalq *Output = evhttp_request_get_output_headers(RawRequest);
-  for (const HttpHeader &Header : Headers)
-    evhttp_add_header(Output, Header.Name.c_str(), Header.Value.c_str());
-}
-
 } // namespace
 
 HttpExchange::~HttpExchange() = default;
@@ -102,17 +97,23 @@
   this->RawRequest = nullptr;
   this->PeerClosedEvent.cancel();
   evhttp_connection_set_closecb(this->Connection, nullptr, nullptr);
-  --*this->OpenCount;
+  this->Server->OpenExchanges.erase(this);
   // Deferred, since this may be the last reference and a method of this object
   // is still running.
   this->Loop->defer([Retained = std::move(this->SelfWhileOpen)] {});
 }
 
+void HttpExchange::addResponseHeaders(const HttpHeaders &Headers) {
+  evkeyvalq *Output = evhttp_request_get_output_headers(this->RawRequest);
+  for (const HttpHeader &Header : Headers)
+    evhttp_add_header(Output, Header.Name.c_str(), Header.Value.c_str());
+}
+
 void HttpExchange::reply(const HttpResponse &Response) {
   if (!this->RawRequest)
     return;
+  this->addResponseHeaders(Response.Headers);
   evhttp_request *RawRequest = this->takeRequest();
-  addHeaders(RawRequest, Response.Headers);
   evbuffer *Body = evbuffer_new();
   evbuffer_add(Body, Response.Body.data(), Response.Body.size());
   evhttp_send_reply(RawRequest, Response.Status, nullptr, Body);
@@ -123,7 +124,7 @@
   if (!this->RawRequest || this->Streaming)
     return;
   this->Streaming = true;
-  addHeaders(this->RawRequest, Headers);
+  this->addResponseHeaders(Headers);
   evhttp_send_reply_start(this->RawRequest, Status, nullptr);
 }
 
@@ -146,6 +147,10 @@
   this->DisconnectHandler = std::move(Run);
 }
 
+void HttpExchange::onInterrupted(std::function<void()> Run) {
+  this->InterruptHandler = std::move(Run);
+}
+
 HttpServer::HttpServer(EventLoop &Loop, Handler OnRequest)
     : Loop(Loop), OnRequest(std::move(OnRequest)) {}
 
@@ -180,6 +185,21 @@
     evhttp_free(this->Server);
 }
 
+void HttpServer::interruptExchanges() {
+  std::vector<std::shared_ptr<HttpExchange>> Incomplete;
+  for (HttpExchange *Each : this->State->OpenExchanges)
+    if (Each->isOpen())
+      Incomplete.push_back(Each->shared_from_this());
+  for (const auto &Each : Incomplete) {
+    if (!Each->isOpen())
+      continue;
+    if (Each->InterruptHandler)
+      Each->InterruptHandler();
+    else
+      evhttp_connection_free(Each->Connection);
+  }
+}
+
 void HttpServer::stopAccepting() {
   if (this->Listener)
     evhttp_del_accept_socket(this->Server,
@@ -191,10 +211,10 @@
   std::shared_ptr<HttpExchange> Exchange(new HttpExchange());
   Exchange->Loop = &this->Loop;
   Exchange->RawRequest = RawRequest;
-  Exchange->OpenCount = this->OpenCount;
+  Exchange->Server = this->State;
   Exchange->Request = readRequest(RawRequest);
   Exchange->SelfWhileOpen = Exchange;
-  ++*this->OpenCount;
+  this->State->OpenExchanges.insert(Exchange.get());
   Exchange->watchConnection();
   this->OnRequest(Exchange);
 }
--- a/Source/Core/Network/HttpServer.h
+++ b/Source/Core/Network/HttpServer.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 
 struct evhttp;
 struct evhttp_connection;
@@ -36,9 +37,16 @@
   /// Sets the handler that runs if the caller disconnects before the response
   /// is complete.
   void onCallerDisconnected(std::function<void()> Run);
+  /// Sets the handler that runs if the daemon must stop before the response is
+  /// complete. It has to complete the response.
+  void onInterrupted(std::function<void()> Run);
 
 private:
   friend class HttpServer;
+  /// What the exchanges of a server share; it outlives the server.
+  struct ServerState {
+    std::set<HttpExchange *> OpenExchanges;
+  };
   HttpExchange() = default;
   void watchConnection();
   void handleDisconnect();
@@ -46,15 +54,16 @@
   /// until the response is written or its connection ends.
   evhttp_request *takeRequest();
   void finish();
+  void addResponseHeaders(const HttpHeaders &Headers);
 
   EventLoop *Loop = nullptr;
   evhttp_request *RawRequest = nullptr;
   evhttp_connection *Connection = nullptr;
-  /// Number of open exchanges, shared with the server.
-  std::shared_ptr<std::size_t> OpenCount;
+  std::shared_ptr<ServerState> Server;
   HttpRequest Request;
   bool Streaming = false;
   std::function<void()> DisconnectHandler;
+  std::function<void()> InterruptHandler;
   EventHandle PeerClosedEvent;
   /// Keeps this exchange alive until it is no longer open.
   std::shared_ptr<HttpExchange> SelfWhileOpen;
@@ -77,9 +86,14 @@
 
   /// Stops accepting connections; open exchanges continue.
   void stopAccepting();
+  /// Runs the interrupt handlers of all exchanges that are not complete, and
+  /// closes the connections of those without one.
+  void interruptExchanges();
   /// Number of exchanges whose response is not completely written to the
   /// socket.
-  std::size_t openExchanges() const { return *this->OpenCount; }
+  std::size_t openExchanges() const {
+    return this->State->OpenExchanges.size();
+  }
 
 private:
   HttpServer(EventLoop &Loop, Handler OnRequest);
@@ -89,7 +103,8 @@
   Handler OnRequest;
   evhttp *Server = nullptr;
   void *Listener = nullptr;
-  std::shared_ptr<std::size_t> OpenCount = std::make_shared<std::size_t>(0);
+  std::shared_ptr<HttpExchange::ServerState> State =
+      std::make_shared<HttpExchange::ServerState>();
 };
 
 } // namespace Network
--- a/Source/Core/Operator/OperatorEndpoint.cpp
+++ b/Source/Core/Operator/OperatorEndpoint.cpp
@@ -58,6 +58,10 @@
 }
 
 void OperatorEndpoint::handle(const ExchangePtr &Exchange) {
+  // A statement that was sent on to the leader may have been executed.
+  Exchange->onInterrupted([this, Raw = Exchange.get()] {
+    this->refuse(Raw->shared_from_this(), RefusalReason::NoLeader, "");
+  });
   if (Exchange->request().Method != Network::HttpMethod::Post) {
     this->refuse(Exchange, RefusalReason::MethodNotAllowed,
                  "/v1/operator takes POST");
--- a/Source/EntryDaemon/EntryDaemon.cpp
+++ b/Source/EntryDaemon/EntryDaemon.cpp
@@ -21,6 +21,9 @@
 using Network::HttpMethod;
 namespace Events = Telemetry::Events;
 
+/// Time before the end of the shutdown in which the callers whose requests
+/// cannot end are told so.
+constexpr Common::Duration InterruptedReplyTime = std::chrono::seconds(1);
 constexpr Common::Duration RefreshPeriod = std::chrono::milliseconds(100);
 constexpr Common::Duration TakeOverTimeout = std::chrono::seconds(5);
 constexpr Common::Duration TakeOverRetryDelay = std::chrono::milliseconds(500);
@@ -392,6 +395,9 @@
       Exchange->request().path().substr(RequestsPrefix.size());
   const Journal::RequestKey RequestKey{std::get<CallerContext>(Caller).Caller,
                                        Common::IdempotencyKey(Key)};
+  Exchange->onInterrupted([this, Raw = Exchange.get()] {
+    this->refuse(Raw->shared_from_this(), RefusalReason::NoLeader);
+  });
   this->StateClient->sendToLeader(
       State::FindJournaledRequest{RequestKey}, FindRequestTimeout,
       [this, Exchange](const State::RequestResult &Result) {
@@ -476,17 +482,37 @@
   if (this->ShuttingDown)
     return;
   this->ShuttingDown = true;
+  this->ShutdownStartedAt = this->Loop.now();
   this->PeerGossip->startLeaving();
   Telemetry::log(Events::ShuttingDown);
+  constexpr Common::Duration CheckPeriod = std::chrono::milliseconds(20);
+  this->ShutdownTimer =
+      this->Loop.callEvery(CheckPeriod, [this] { this->checkShutdown(); });
+}
+
+void EntryDaemon::checkShutdown() {
+  const Common::Duration Elapsed = std::chrono::duration_cast<Common::Duration>(
+      this->Loop.now() - this->ShutdownStartedAt);
   // The load balancer must see /readyz fail before the listener closes.
-  this->GraceTimer = this->Loop.callAfter(this->Settings.DrainGrace, [this] {
+  if (!this->ListenerClosed && Elapsed >= this->Settings.DrainGrace) {
+    this->ListenerClosed = true;
     this->Server->stopAccepting();
-    constexpr Common::Duration Poll = std::chrono::milliseconds(20);
-    this->StopTimer = this->Loop.callEvery(Poll, [this] {
-      if (this->drained())
-        this->Loop.stop();
-    });
-  });
+    // What has arrived by now is read before the next check.
+    return;
+  }
+  if (!this->Interrupted &&
+      Elapsed >= this->Settings.ShutdownTime - InterruptedReplyTime) {
+    this->Interrupted = true;
+    this->Server->interruptExchanges();
+  }
+  // The journal keeps the calls that are still open after an interruption.
+  const bool Idle = this->ListenerClosed && this->drained();
+  const bool Answered = this->Interrupted && this->Server->openExchanges() == 0;
+  if (!Idle && !Answered && Elapsed < this->Settings.ShutdownTime)
+    return;
+  Telemetry::log(Events::Stopped, this->Server->openExchanges(),
+                 Idle ? "idle" : "timed_out", Common::toMilliseconds(Elapsed));
+  this->Loop.stop();
 }
 
 } // namespace EntryDaemon
--- a/Source/EntryDaemon/EntryDaemon.h
+++ b/Source/EntryDaemon/EntryDaemon.h
@@ -71,6 +71,7 @@
   /// Runs a request that was taken over.
   void resume(const Journal::TakenOverRequest &TakenOver);
   void shutDown();
+  void checkShutdown();
   /// Whether all HTTP exchanges and journaled calls have ended.
   bool drained() const;
 
@@ -89,14 +90,18 @@
   /// Number of JournaledCall objects of this daemon that have not finished.
   std::size_t OpenJournaledCalls = 0;
   bool ShuttingDown = false;
+  Common::TimePoint ShutdownStartedAt;
+  /// Whether the listener has closed, after which no request is taken.
+  bool ListenerClosed = false;
+  /// Whether the requests that cannot end in time have been answered.
+  bool Interrupted = false;
   /// Timers that retry a failed take-over, by the daemon whose requests are
   /// taken over.
   std::map<Common::DaemonId, Network::EventHandle> FailedTakeOverTimers;
   /// Timers of the later take-overs that takeOverRepeatedly() schedules.
   std::vector<Network::EventHandle> ScheduledTakeOverTimers;
   std::vector<Network::EventHandle> EventHandles;
-  Network::EventHandle StopTimer;
-  Network::EventHandle GraceTimer;
+  Network::EventHandle ShutdownTimer;
 };
 
 } // namespace EntryDaemon
--- a/Source/EntryDaemon/EntrySettings.cpp
+++ b/Source/EntryDaemon/EntrySettings.cpp
@@ -20,11 +20,15 @@
   --state=LIST        Addresses of all state daemons, separated by commas.
   --drain-grace=MS    How long connections are still accepted after SIGTERM,
                       while /readyz reports not ready; 500 by default.
+  --shutdown-time=S   Time for requests in progress to end after SIGTERM; then
+                      they are answered as refused or interrupted. 590 by
+                      default, 8 for the gateway.
   --log-level=LEVEL   debug, info, warning or error; info by default.
   -h --help           Show this text.
   --version           Show the version.
 
-Gateway options: (name, datacentre, http and log-level are as above)
+Gateway options: (name, datacentre, http, shutdown-time and log-level are
+                  as above)
   --settings-file=FILE     File of NAME=value lines, named like the environment
                            variables, which take precedence over it.
   --ready=IP:PORT          Address of the load balancer's readiness check.
@@ -32,7 +36,6 @@
   --metrics-port=PORT      Port of /metrics; 0 disables it.
   --seeds=LIST             HTTP addresses of one or more state daemons.
   --revoke-time=MS         Time after which a revoked key must be refused.
-  --shutdown-time=S        Time for requests in progress to end after SIGTERM.
   --retry-ratio=N          Retries allowed per request to a service.
   --retry-extra=N          Additional retries allowed for all daemons together.
   --retry-window=S         Window over which retries are counted.
@@ -66,6 +69,11 @@
   if (!ListsItself)
     Result.Peers.push_back({Result.Name, Result.DataCentre, Result.Peer});
   Result.BackendToken = Reader.secret("SYCAMORE_BACKEND_TOKEN", MinSecretBytes);
+  // Ends before the service manager does it, see TimeoutStopSec in
+  // Scripts/systemd.
+  constexpr Common::Duration DefaultShutdownTime = std::chrono::seconds(590);
+  Result.ShutdownTime = Reader.duration("--shutdown-time", DefaultShutdownTime,
+                                        std::chrono::seconds(1));
   Result.DrainGrace = std::chrono::milliseconds(
       Reader.number("--drain-grace", DefaultDrainGraceMs, 0, MaxDrainGraceMs));
   return Result;
--- a/Source/EntryDaemon/EntrySettings.h
+++ b/Source/EntryDaemon/EntrySettings.h
@@ -20,6 +20,8 @@
   std::string BackendToken;
   /// How long connections are still accepted after SIGTERM.
   Common::Duration DrainGrace{};
+  /// How long after SIGTERM requests in progress may go on.
+  Common::Duration ShutdownTime{};
 
   /// Reads and validates the settings; errors are recorded in Reader.
   static EntrySettings create(Settings::SettingsReader &Reader);
--- a/Source/EntryDaemon/JournaledCall.cpp
+++ b/Source/EntryDaemon/JournaledCall.cpp
@@ -75,6 +75,9 @@
   std::shared_ptr<JournaledCall> Call(
       new JournaledCall(Context, Dispatchers, std::move(NotifyEnd)));
   Call->Exchange = Exchange;
+  Call->replyIfInterrupted([](JournaledCall &Interrupted) {
+    Interrupted.replyRefusal(RefusalReason::AcceptanceUnknown);
+  });
   Call->Key = Journal::RequestKey{Request.Work.Caller, Key};
   Call->Request = std::move(Request);
   Call->Request.Work.Id = Context.newRequestId();
@@ -319,6 +322,9 @@
   // The answer is known, so slow state daemons must not hold it back for long.
   this->ReplyTimer = this->Context.Loop.callAfter(
       MaxReplyDelay, [Self, Answer] { Self->replyAnswer(Answer); });
+  this->replyIfInterrupted([Answer](JournaledCall &Interrupted) {
+    Interrupted.replyAnswer(Answer);
+  });
   this->submitCommand(
       Journal::CompleteCommand{this->Key, this->Attempt, Answer},
       [Self, Answer](const Journal::JournalResult &) {
@@ -330,6 +336,9 @@
 }
 
 void JournaledCall::markUnknown() {
+  this->replyIfInterrupted([](JournaledCall &Interrupted) {
+    Interrupted.replyRefusal(RefusalReason::AnswerLost);
+  });
   const auto Self = this->shared_from_this();
   this->submitCommand(Journal::MarkUnknownCommand{this->Key, this->Attempt},
                       [Self](const Journal::JournalResult &) {
@@ -385,6 +394,17 @@
   this->finish();
 }
 
+void JournaledCall::replyIfInterrupted(
+    std::function<void(JournaledCall &)> Reply) {
+  if (!this->Exchange)
+    return;
+  this->Exchange->onInterrupted(
+      [Weak = this->weak_from_this(), Reply = std::move(Reply)] {
+        if (const auto Call = Weak.lock())
+          Reply(*Call);
+      });
+}
+
 void JournaledCall::replyRefusal(RefusalReason Reason,
                                  const std::string &Detail) {
   this->Context.Metrics.recordRefusal(Reason);
--- a/Source/EntryDaemon/JournaledCall.h
+++ b/Source/EntryDaemon/JournaledCall.h
@@ -64,6 +64,9 @@
   void submitCommand(
       const State::CommandBody &Body,
       const std::function<void(const Journal::JournalResult &)> &Done);
+  /// Sets what the caller is told if the daemon stops first. The journal holds
+  /// the request, so that another daemon continues it.
+  void replyIfInterrupted(std::function<void(JournaledCall &)> Reply);
   void replyRefusal(Common::RefusalReason Reason,
                     const std::string &Detail = "");
   void replyAnswer(const Network::HttpResponse &Answer);
--- a/Source/EntryDaemon/ModelCall.cpp
+++ b/Source/EntryDaemon/ModelCall.cpp
@@ -43,6 +43,7 @@
   Handlers.OnPreempt = [Self] {
     Self->Attempt->cancel();
     Self->Attempt.reset();
+    Self->MayHaveRun = true;
   };
   Handlers.OnRefuse = [Self](RefusalReason Reason) {
     Self->refuse(Reason, "");
@@ -60,6 +61,10 @@
       Call->stop();
     }
   });
+  this->Exchange->onInterrupted([Weak] {
+    if (const auto Call = Weak.lock())
+      Call->interrupt();
+  });
 }
 
 void ModelCall::send(const Common::BackendServerId &Chosen) {
@@ -151,6 +156,7 @@
                                Routing::Failure::ConnectFailed);
     return;
   }
+  this->MayHaveRun = true;
   const bool Busy = Result == Network::HttpCallResult::Complete &&
                     (Answer.Status == StatusTooManyRequests ||
                      Answer.Status == StatusUnavailable);
@@ -217,10 +223,21 @@
   this->Exchange->endStream();
 }
 
+void ModelCall::interrupt() {
+  const bool Unknown = this->MayHaveRun || this->Attempt;
+  this->withdraw();
+  this->refuse(
+      Unknown ? RefusalReason::Interrupted : RefusalReason::ShuttingDown, "");
+}
+
 void ModelCall::stop() {
   if (this->Finished)
     return;
   this->Finished = true;
+  this->withdraw();
+}
+
+void ModelCall::withdraw() {
   if (this->Attempt)
     this->Attempt->cancel();
   this->Attempt.reset();
--- a/Source/EntryDaemon/ModelCall.h
+++ b/Source/EntryDaemon/ModelCall.h
@@ -35,7 +35,11 @@
   void forwardEvent(const std::string &Event);
   void complete();
   void refuse(Common::RefusalReason Reason, const std::string &Detail);
+  /// Answers the request at once, as the daemon stops.
+  void interrupt();
   void stop();
+  /// Cancels the attempt and leaves the dispatcher.
+  void withdraw();
 
   EntryContext &Context;
   ServiceDispatchers &Dispatchers;
@@ -49,6 +53,8 @@
   /// HTTP status of the current attempt; 0 until the answer starts.
   int Status = 0;
   std::string ErrorBody;
+  /// Whether an attempt that ended may have run the request.
+  bool MayHaveRun = false;
   bool Resumed = false;
   bool Finished = false;
 };
--- a/Source/EntryDaemon/PlainCall.cpp
+++ b/Source/EntryDaemon/PlainCall.cpp
@@ -103,6 +103,10 @@
       Call->stop();
     }
   });
+  this->Exchange->onInterrupted([Weak] {
+    if (const auto Call = Weak.lock())
+      Call->interrupt();
+  });
 }
 
 void PlainCall::send(const Common::BackendServerId &Chosen) {
@@ -138,6 +142,7 @@
                                Routing::Failure::ConnectFailed);
     return;
   }
+  this->MayHaveRun = true;
   if (Result == Network::HttpCallResult::Incomplete) {
     this->Dispatchers.onFailed(Service, Id, this->Server,
                                Routing::Failure::ConnectionLost);
@@ -167,10 +172,21 @@
   this->Exchange->reply(Network::problemResponse({Reason, ""}));
 }
 
+void PlainCall::interrupt() {
+  const bool Unknown = this->MayHaveRun || this->Attempt;
+  this->withdraw();
+  this->refuse(Unknown ? RefusalReason::Interrupted
+                       : RefusalReason::ShuttingDown);
+}
+
 void PlainCall::stop() {
   if (this->Finished)
     return;
   this->Finished = true;
+  this->withdraw();
+}
+
+void PlainCall::withdraw() {
   if (this->Attempt)
     this->Attempt->cancel();
   this->Attempt.reset();
--- a/Source/EntryDaemon/PlainCall.h
+++ b/Source/EntryDaemon/PlainCall.h
@@ -47,7 +47,11 @@
   void attemptEnded(Network::HttpCallResult Result,
                     Network::HttpResponse Answer);
   void refuse(Common::RefusalReason Reason);
+  /// Answers the call at once, as the daemon stops.
+  void interrupt();
   void stop();
+  /// Cancels the attempt and leaves the dispatcher.
+  void withdraw();
 
   EntryContext &Context;
   ServiceDispatchers &Dispatchers;
@@ -56,6 +60,8 @@
   Common::TimePoint ArrivedAt;
   std::optional<Network::HttpAttempt> Attempt;
   Common::BackendServerId Server;
+  /// Whether an attempt that ended may have run the call.
+  bool MayHaveRun = false;
   bool Finished = false;
 };
 
--- a/Source/FaultTests/Cluster.cpp
+++ b/Source/FaultTests/Cluster.cpp
@@ -141,15 +141,18 @@
                       "--founders=" + this->founders(Number)});
 }
 
-void Cluster::startEntryDaemon(int Number) {
+void Cluster::startEntryDaemon(int Number,
+                               const std::vector<std::string> &MoreOptions) {
   const std::string Name = "e" + std::to_string(Number);
-  this->startProcess(Name, "sycamore-entry",
-                     {"--name=" + Name,
-                      std::string("--datacentre=") + DataCentres[Number],
-                      "--http=" + loopbackText(this->entryHttp(Number)),
-                      "--peer=" + loopbackText(this->entryPeer(Number)),
-                      "--peers=" + this->peerAddresses(Number),
-                      "--state=" + this->stateAddresses(Number)});
+  std::vector<std::string> Options = {
+      "--name=" + Name,
+      std::string("--datacentre=") + DataCentres[Number],
+      "--http=" + loopbackText(this->entryHttp(Number)),
+      "--peer=" + loopbackText(this->entryPeer(Number)),
+      "--peers=" + this->peerAddresses(Number),
+      "--state=" + this->stateAddresses(Number)};
+  Options.insert(Options.end(), MoreOptions.begin(), MoreOptions.end());
+  this->startProcess(Name, "sycamore-entry", Options);
 }
 
 void Cluster::startEngine(const std::string &Name, int Number, int DelayMs,
--- a/Source/FaultTests/Cluster.h
+++ b/Source/FaultTests/Cluster.h
@@ -51,7 +51,8 @@
   /// callers: configuration version 6.
   void startAll();
   void startStateDaemon(int Number);
-  void startEntryDaemon(int Number);
+  void startEntryDaemon(int Number,
+                        const std::vector<std::string> &MoreOptions = {});
   void startEngine(const std::string &Name, int Number, int DelayMs = 5,
                    int Slots = 8);
   void startService(const std::string &Name, int Number, int DelayMs = 0);
--- a/Source/FaultTests/ServingFaultTest.cpp
+++ b/Source/FaultTests/ServingFaultTest.cpp
@@ -57,6 +57,29 @@
   return Fixture.call(Port, Network::HttpMethod::Get, "/healthz").Status != 0;
 }
 
+const Network::HttpHeaders CallerHeaders = {
+    {"Authorization", std::string("Bearer ") + Cluster::CallerKey}};
+
+std::shared_ptr<std::optional<CallResponse>>
+startStream(Cluster &Fixture, int Entry, int Tokens) {
+  const std::string Body =
+      R"({"model":"m","stream":true,"messages":[{"role":"user","content":"s"}],)"
+      R"("max_tokens":)" +
+      std::to_string(Tokens) + "}";
+  return Fixture.startCall(Fixture.entryHttp(Entry), Network::HttpMethod::Post,
+                           "/v1/chat/completions", Body, CallerHeaders);
+}
+
+/// Starts all daemons, e1 with an option that limits the time of its shutdown.
+void startWithShutdownTime(Cluster &Fixture, const std::string &Seconds) {
+  Fixture.startAll();
+  Fixture.crash("e1");
+  Fixture.startEntryDaemon(1, {"--shutdown-time=" + Seconds});
+  BOOST_REQUIRE(Fixture.waitUntil([&] {
+    return Fixture.metric(Fixture.entryHttp(1), "configuration_version") >= 6;
+  }));
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(ServingFaultTest)
@@ -241,6 +264,60 @@
   BOOST_TEST(Fixture.process("e1").exitCode() == 0);
 }
 
+// Requests that cannot end before the shutdown limit must be answered before
+// the process ends, and truthfully.
+BOOST_AUTO_TEST_CASE(shutdownAnswersWhatCannotEnd) {
+  Cluster Fixture;
+  startWithShutdownTime(Fixture, "2");
+  Fixture.startEngine("engine1", 1, 20, 1);
+  BOOST_REQUIRE(
+      Fixture.waitUntil([&] { return Fixture.servingBackendCount(1) == 1; }));
+  const auto Stream = startStream(Fixture, 1, 100'000);
+  BOOST_REQUIRE(
+      Fixture.waitUntil([&] { return engineRequestCount(Fixture, 1) == 1; }));
+  // The engine has one slot and there is no server of the other service, so the
+  // next three wait.
+  const auto Queued = Fixture.startChat(1, "queued", 2);
+  const auto Plain =
+      Fixture.startCall(Fixture.entryHttp(1), Network::HttpMethod::Get,
+                        "/services/orders/stock", "", CallerHeaders);
+  Network::HttpHeaders Keyed = CallerHeaders;
+  Keyed.push_back({"Idempotency-Key", "planned"});
+  const auto Reservation =
+      Fixture.startCall(Fixture.entryHttp(1), Network::HttpMethod::Post,
+                        "/services/orders/reservations", "{}", Keyed);
+  BOOST_REQUIRE(Fixture.waitUntil([&] {
+    return Fixture.metric(Fixture.stateHttp(Fixture.stateLeader()),
+                          "journal_unfinished") == 1;
+  }));
+  Fixture.process("e1").signal(SIGTERM);
+  BOOST_TEST(
+      Fixture.waitUntil([&] { return Fixture.process("e1").hasExited(); }));
+  BOOST_TEST(Fixture.process("e1").exitCode() == 0);
+  for (const auto &Waiting : {Queued, Plain}) {
+    BOOST_REQUIRE(Waiting->has_value());
+    BOOST_TEST((*Waiting)->Status == 503);
+    BOOST_TEST((*Waiting)->outcome() == "not_run");
+    BOOST_TEST(
+        Network::findHeader((*Waiting)->Headers, "Retry-After").has_value());
+  }
+  BOOST_REQUIRE(Reservation->has_value());
+  BOOST_TEST((*Reservation)->title() == "acceptance_unknown");
+  BOOST_REQUIRE(Stream->has_value());
+  BOOST_TEST((*Stream)->Body.find("\"interrupted\"") != std::string::npos);
+  BOOST_TEST((*Stream)->Body.find("[DONE]") == std::string::npos);
+  // The accepted request was not lost: the other daemon runs it.
+  Fixture.startService("orders2", 2);
+  BOOST_TEST(Fixture.waitUntil([&] {
+    return Fixture
+               .call(Fixture.entryHttp(2), Network::HttpMethod::Get,
+                     "/v1/requests/planned", "", CallerHeaders)
+               .json()
+               .value("state", "") == "completed";
+  }));
+  BOOST_TEST(Fixture.runCounts()["yard/planned"] == 1);
+}
+
 BOOST_AUTO_TEST_CASE(crashingRequestCostsAtMostTwoServers) {
   Cluster Fixture;
   Fixture.startAll();
--- a/Source/UnitTests/Network/HttpServerTest.cpp
+++ b/Source/UnitTests/Network/HttpServerTest.cpp
@@ -68,6 +68,39 @@
   BOOST_TEST(Disconnects == 0u);
 }
 
+// At the end of a planned stop every open exchange is answered or its
+// connection is closed, and a stream does not end as if it were complete.
+BOOST_AUTO_TEST_CASE(interruptedExchangesAreAnsweredOrClosed) {
+  const auto Loop = createLoop();
+  std::vector<std::shared_ptr<HttpExchange>> Exchanges;
+  const Address Listen = allocateAddress();
+  auto Server = HttpServer::create(
+      *Loop, Listen, {}, [&](const std::shared_ptr<HttpExchange> &Exchange) {
+        Exchanges.push_back(Exchange);
+        if (Exchange->request().Target == "/stream") {
+          Exchange->startStream(200, {});
+          Exchange->sendChunk("part");
+        } else {
+          Exchange->onInterrupted([Raw = Exchange.get()] {
+            Raw->reply({503, {}, "stopping"});
+          });
+        }
+      });
+  BOOST_REQUIRE(Server.ok());
+  RawCaller Waiting(*Loop, Listen);
+  Waiting.write("GET /wait HTTP/1.1\r\nHost: x\r\n\r\n");
+  RawCaller Streaming(*Loop, Listen);
+  Streaming.write("GET /stream HTTP/1.1\r\nHost: x\r\n\r\n");
+  BOOST_REQUIRE(runUntil(*Loop, [&] { return Exchanges.size() == 2; }));
+  (*Server)->interruptExchanges();
+  BOOST_TEST(runUntil(*Loop, [&] { return Streaming.ended(); }));
+  BOOST_TEST(runUntil(
+      *Loop, [&] { return Waiting.received().ends_with("stopping"); }));
+  BOOST_TEST(Waiting.received().starts_with("HTTP/1.1 503"));
+  BOOST_TEST(Streaming.received().find("0\r\n\r\n") == std::string::npos);
+  BOOST_TEST((*Server)->openExchanges() == 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace UnitTests
