EntryDaemon: Requests that arrive after the listener closed are refused

What callers saw: a request on a connection that was opened earlier was taken at any time of a shutdown, and could be cut by the end of the process soon after it was sent to a server.

Cause: the stop closed the listener only; kept connections went on, and no response told their callers to leave them.

From SIGTERM on each response now announces the close of its connection, so callers move to another daemon within the grace. What arrives after the listener has closed is refused with shutting_down (503, not_run, Retry-After); /healthz, /readyz and /metrics are still answered.

Failed before (this test with the refusal taken out): ServingFaultTest/shutdownRefusesWhatArrivesTooLate, "check Received.find("HTTP/1.1 503") != std::string::npos has failed". Afterwards ServingFaultTest/shutdown* passed.

--- a/Source/Core/Network/HttpServer.cpp
+++ b/Source/Core/Network/HttpServer.cpp
@@ -107,6 +107,8 @@
   evkeyvalq *Output = evhttp_request_get_output_headers(this->RawRequest);
   for (const HttpHeader &Header : Headers)
     evhttp_add_header(Output, Header.Name.c_str(), Header.Value.c_str());
+  if (this->Server->ShuttingDown)
+    evhttp_add_header(Output, "Connection", "close");
 }
 
 void HttpExchange::reply(const HttpResponse &Response) {
@@ -185,6 +187,8 @@
     evhttp_free(this->Server);
 }
 
+void HttpServer::startShutdown() { this->State->ShuttingDown = true; }
+
 void HttpServer::interruptExchanges() {
   std::vector<std::shared_ptr<HttpExchange>> Incomplete;
   for (HttpExchange *Each : this->State->OpenExchanges)
--- a/Source/Core/Network/HttpServer.h
+++ b/Source/Core/Network/HttpServer.h
@@ -46,6 +46,7 @@
   /// What the exchanges of a server share; it outlives the server.
   struct ServerState {
     std::set<HttpExchange *> OpenExchanges;
+    bool ShuttingDown = false;
   };
   HttpExchange() = default;
   void watchConnection();
@@ -84,6 +85,8 @@
          Handler OnRequest);
   ~HttpServer();
 
+  /// Announces the close of the connection in each further response.
+  void startShutdown();
   /// Stops accepting connections; open exchanges continue.
   void stopAccepting();
   /// Runs the interrupt handlers of all exchanges that are not complete, and
--- a/Source/EntryDaemon/EntryDaemon.cpp
+++ b/Source/EntryDaemon/EntryDaemon.cpp
@@ -168,6 +168,13 @@
                  &EntryDaemon::handleCompletions},
   };
   const std::string Path = Exchange->request().path();
+  const bool IsProbe =
+      Path == "/healthz" || Path == "/readyz" || Path == "/metrics";
+  if (this->ListenerClosed && !IsProbe) {
+    // It came on a connection that was opened before, too late to end in time.
+    this->refuse(Exchange, RefusalReason::ShuttingDown);
+    return;
+  }
   for (const FixedRoute &Each : Routes) {
     if (Path != Each.Path)
       continue;
@@ -484,6 +491,7 @@
   this->ShuttingDown = true;
   this->ShutdownStartedAt = this->Loop.now();
   this->PeerGossip->startLeaving();
+  this->Server->startShutdown();
   Telemetry::log(Events::ShuttingDown);
   constexpr Common::Duration CheckPeriod = std::chrono::milliseconds(20);
   this->ShutdownTimer =
--- a/Source/FaultTests/ServingFaultTest.cpp
+++ b/Source/FaultTests/ServingFaultTest.cpp
@@ -318,6 +318,35 @@
   BOOST_TEST(Fixture.runCounts()["yard/planned"] == 1);
 }
 
+// A request that arrives on a kept connection after the listener has closed
+// could be cut by the end of the shutdown, so it must be refused.
+BOOST_AUTO_TEST_CASE(shutdownRefusesWhatArrivesTooLate) {
+  Cluster Fixture;
+  startWithShutdownTime(Fixture, "3");
+  Fixture.startEngine("engine1", 1, 20);
+  BOOST_REQUIRE(
+      Fixture.waitUntil([&] { return Fixture.servingBackendCount(1) == 1; }));
+  const auto Stream = startStream(Fixture, 1, 100'000);
+  const int Caller = sendRequest(Fixture.entryHttp(1),
+                                 "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+  BOOST_REQUIRE(
+      Fixture.waitUntil([&] { return engineRequestCount(Fixture, 1) == 1; }));
+  Fixture.process("e1").signal(SIGTERM);
+  BOOST_REQUIRE(Fixture.waitUntil(
+      [&] { return !isListening(Fixture, Fixture.entryHttp(1)); }));
+  const std::string Late = "GET /v1/models HTTP/1.1\r\nHost: x\r\n"
+                           "Authorization: Bearer yard-key\r\n\r\n";
+  BOOST_REQUIRE(send(Caller, Late.data(), Late.size(), MSG_NOSIGNAL) ==
+                static_cast<ssize_t>(Late.size()));
+  const std::string Received = readToEnd(Caller);
+  BOOST_TEST(Received.find("HTTP/1.1 200") != std::string::npos);
+  BOOST_TEST(Received.find("HTTP/1.1 503") != std::string::npos);
+  BOOST_TEST(Received.find("\"shutting_down\"") != std::string::npos);
+  BOOST_TEST(Received.find("Connection: close") != std::string::npos);
+  BOOST_TEST(
+      Fixture.waitUntil([&] { return Fixture.process("e1").hasExited(); }));
+}
+
 BOOST_AUTO_TEST_CASE(crashingRequestCostsAtMostTwoServers) {
   Cluster Fixture;
   Fixture.startAll();
