Network: HttpServer accepts the waiting connections before it stops listening

What callers saw: a request sent on a connection that the kernel had accepted and the daemon not yet was reset when the listener closed in a planned stop.

Cause: the close of a listening socket resets the connections in its accept queue. stopAccepting() now lets the loop accept them first and closes the listener when none waits.

Failed before: HttpServerTest/connectionsInTheAcceptQueueAreServed, for each of its three callers ("check runUntil(...) has failed").

Ruled out: a response lost because the server closes its connection with input unread. While evhttp writes a response it goes on reading the socket, so that a pipelined request is in the process and the close resets nothing (closeWithUnreadInputKeepsTheResponse, which passed without any change). A request that arrives between the last read and the close remains a window.

--- a/Source/Core/Network/HttpServer.cpp
+++ b/Source/Core/Network/HttpServer.cpp
@@ -6,6 +6,7 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <poll.h>
 #include <utility>
 #include <vector>
 
@@ -204,10 +205,21 @@
   }
 }
 
+bool HttpServer::hasWaitingConnections() const {
+  pollfd Listening{evhttp_bound_socket_get_fd(this->Listener), POLLIN, 0};
+  return poll(&Listening, 1, 0) > 0;
+}
+
 void HttpServer::stopAccepting() {
-  if (this->Listener)
-    evhttp_del_accept_socket(this->Server,
-                             static_cast<evhttp_bound_socket *>(Listener));
+  if (!this->Listener)
+    return;
+  if (this->hasWaitingConnections()) {
+    // The close of the listener would reset them, so they are accepted first.
+    this->StopAcceptingTimer = this->Loop.callAfter(
+        Common::Duration::zero(), [this] { this->stopAccepting(); });
+    return;
+  }
+  evhttp_del_accept_socket(this->Server, this->Listener);
   this->Listener = nullptr;
 }
 
--- a/Source/Core/Network/HttpServer.h
+++ b/Source/Core/Network/HttpServer.h
@@ -10,6 +10,7 @@
 #include <set>
 
 struct evhttp;
+struct evhttp_bound_socket;
 struct evhttp_connection;
 struct evhttp_request;
 
@@ -87,7 +88,8 @@
 
   /// Announces the close of the connection in each further response.
   void startShutdown();
-  /// Stops accepting connections; open exchanges continue.
+  /// Accepts the connections that already wait and stops listening. Open
+  /// connections and exchanges continue.
   void stopAccepting();
   /// Runs the interrupt handlers of all exchanges that are not complete, and
   /// closes the connections of those without one.
@@ -101,11 +103,13 @@
 private:
   HttpServer(EventLoop &Loop, Handler OnRequest);
   void handleRequest(evhttp_request *RawRequest);
+  bool hasWaitingConnections() const;
 
   EventLoop &Loop;
   Handler OnRequest;
   evhttp *Server = nullptr;
-  void *Listener = nullptr;
+  evhttp_bound_socket *Listener = nullptr;
+  EventHandle StopAcceptingTimer;
   std::shared_ptr<HttpExchange::ServerState> State =
       std::make_shared<HttpExchange::ServerState>();
 };
--- a/Source/UnitTests/Network/HttpServerTest.cpp
+++ b/Source/UnitTests/Network/HttpServerTest.cpp
@@ -101,6 +101,51 @@
   BOOST_TEST((*Server)->openExchanges() == 0u);
 }
 
+// Connections that wait in the accept queue when the listener closes would be
+// reset, together with the requests that were already sent on them.
+BOOST_AUTO_TEST_CASE(connectionsInTheAcceptQueueAreServed) {
+  const auto Loop = createLoop();
+  const Address Listen = allocateAddress();
+  auto Server = HttpServer::create(
+      *Loop, Listen, {}, [&](const std::shared_ptr<HttpExchange> &Exchange) {
+        Exchange->reply({200, {}, "served"});
+      });
+  BOOST_REQUIRE(Server.ok());
+  // The loop does not run meanwhile, so nothing is accepted yet.
+  std::vector<std::unique_ptr<RawCaller>> Callers;
+  for (int I = 0; I < 3; ++I) {
+    Callers.push_back(std::make_unique<RawCaller>(*Loop, Listen));
+    Callers.back()->write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  }
+  (*Server)->stopAccepting();
+  for (const auto &Caller : Callers)
+    BOOST_TEST(runUntil(
+        *Loop, [&] { return Caller->received().ends_with("served"); }));
+}
+
+// An answer must reach a caller that sent more than the server reads before it
+// closes the connection: a close with unread input resets the connection.
+BOOST_AUTO_TEST_CASE(closeWithUnreadInputKeepsTheResponse) {
+  const auto Loop = createLoop();
+  const std::string LargeBody(16u << 20, 'x');
+  const Address Listen = allocateAddress();
+  std::size_t Requests = 0;
+  auto Server = HttpServer::create(
+      *Loop, Listen, {}, [&](const std::shared_ptr<HttpExchange> &Exchange) {
+        ++Requests;
+        Exchange->reply({200, {}, LargeBody});
+      });
+  BOOST_REQUIRE(Server.ok());
+  (*Server)->startShutdown();
+  RawCaller Caller(*Loop, Listen);
+  Caller.write("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+  BOOST_REQUIRE(runUntil(*Loop, [&] { return Requests == 1; }));
+  Caller.write("GET /2 HTTP/1.1\r\nHost: x\r\n\r\n");
+  BOOST_TEST(runUntil(*Loop, [&] { return Caller.ended(); }));
+  BOOST_TEST(Caller.received().size() > LargeBody.size());
+  BOOST_TEST(Requests == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace UnitTests
