StateDaemon: A stop answers the operators whose statements are open

What callers saw: a statement that a state daemon had taken ended without an answer if the daemon stopped as planned while the leader was missing.

Cause: a statement waits up to 4 s for the leader, shutDown() ended the process after 2 s with its exchange open.

At the limit the open exchanges are now interrupted: the operator gets no_leader (503, outcome unknown, Retry-After). The process ends when that is written, 1 s later at most. From SIGTERM on responses announce the close of their connection.

Ruled out: proposals of other daemons that are open at the limit and get no frame. StateClient takes the lost connection for "may have run" (onLinkDown, handleMissingResponse) and asks the next daemon; every command is safe to repeat (ConfigurationFaultTest/acceptedChangesSurviveTheLeader, JournalFaultTest/faultsNeverDoubleOrLoseReservations end leaders with SIGKILL).

--- a/Source/StateDaemon/StateDaemon.cpp
+++ b/Source/StateDaemon/StateDaemon.cpp
@@ -17,6 +17,8 @@
 constexpr Common::Duration TickPeriod = std::chrono::milliseconds(10);
 constexpr Common::Duration ClockCommandPeriod = std::chrono::seconds(10);
 constexpr Common::Duration ShutdownLimit = std::chrono::seconds(2);
+/// Time after the limit in which the answers to operators are written.
+constexpr Common::Duration InterruptedReplyTime = std::chrono::seconds(1);
 /// Log size above which the log is replaced by a snapshot.
 constexpr std::size_t CompactAtLogBytes = 32u << 20;
 /// Number of applied entries from which on the log is replaced by a snapshot.
@@ -515,15 +517,25 @@
   Telemetry::log(Events::ShuttingDown);
   this->Replica.transferLeadership(this->Loop.now());
   this->flush();
-  const Common::TimePoint EndsAt = this->Loop.now() + ShutdownLimit;
+  this->Http->startShutdown();
+  this->ShutdownStartedAt = this->Loop.now();
   constexpr Common::Duration CheckPeriod = std::chrono::milliseconds(20);
-  this->ShutdownTimer = this->Loop.callEvery(CheckPeriod, [this, EndsAt] {
-    const bool Leads =
-        this->Replica.state() == Consensus::Replica::State::Leader;
-    const bool Idle = this->Http->openExchanges() == 0;
-    if ((!Leads && Idle) || this->Loop.now() >= EndsAt)
-      this->Loop.stop();
-  });
+  this->ShutdownTimer =
+      this->Loop.callEvery(CheckPeriod, [this] { this->checkShutdown(); });
+}
+
+void StateDaemon::checkShutdown() {
+  const Common::TimePoint EndsAt = this->ShutdownStartedAt + ShutdownLimit;
+  const bool TimedOut = this->Loop.now() >= EndsAt;
+  // The leader that is waited for may not come; the operators are told that
+  // the outcome of their statements is unknown.
+  if (TimedOut)
+    this->Http->interruptExchanges();
+  const bool Leads = this->Replica.state() == Consensus::Replica::State::Leader;
+  const bool Idle = this->Http->openExchanges() == 0;
+  if ((Idle && (!Leads || TimedOut)) ||
+      this->Loop.now() >= EndsAt + InterruptedReplyTime)
+    this->Loop.stop();
 }
 
 } // namespace StateDaemon
--- a/Source/StateDaemon/StateDaemon.h
+++ b/Source/StateDaemon/StateDaemon.h
@@ -75,6 +75,7 @@
   std::optional<Operator::Table> tableFor(Operator::View View) const;
   void updateGauges();
   void shutDown();
+  void checkShutdown();
 
   Network::EventLoop &Loop;
   StateSettings Settings;
@@ -96,6 +97,7 @@
   Consensus::Term LeaderTerm;
   bool FlushScheduled = false;
   bool ShuttingDown = false;
+  Common::TimePoint ShutdownStartedAt;
   int ExitCode = 0;
   std::vector<Network::EventHandle> EventHandles;
   Network::EventHandle ShutdownTimer;
