--- a/Source/Core/Network/HttpServer.h
+++ b/Source/Core/Network/HttpServer.h
@@ -7,8 +7,10 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 
 struct evhttp;
+struct evhttp_bound_socket;
 struct evhttp_connection;
 struct evhttp_request;
 
@@ -36,9 +38,17 @@
   /// Sets the handler that runs if the caller disconnects before the response
   /// is complete.
   void onCallerDisconnected(std::function<void()> Run);
+  /// Sets the handler that runs if the daemon must stop before the response is
+  /// complete. It has to complete the response.
+  void onInterrupted(std::function<void()> Run);
 
 private:
   friend class HttpServer;
+  /// What the exchanges of a server share; it outlives the server.
+  struct ServerState {
+    std::set<HttpExchange *> OpenExchanges;
+    bool ShuttingDown = false;
+  };
   HttpExchange() = default;
   void watchConnection();
   void handleDisconnect();
@@ -46,15 +56,16 @@
   /// until the response is written or its connection ends.
   evhttp_request *takeRequest();
   void finish();
+  void addResponseHeaders(const HttpHeaders &Headers);
 
   EventLoop *Loop = nullptr;
   evhttp_request *RawRequest = nullptr;
   evhttp_connection *Connection = nullptr;
-  /// Number of open exchanges, shared with the server.
-  std::shared_ptr<std::size_t> OpenCount;
+  std::shared_ptr<ServerState> Server;
   HttpRequest Request;
   bool Streaming = false;
   std::function<void()> DisconnectHandler;
+  std::function<void()> InterruptHandler;
   EventHandle PeerClosedEvent;
   /// Keeps this exchange alive until it is no longer open.
   std::shared_ptr<HttpExchange> SelfWhileOpen;
@@ -75,21 +86,32 @@
          Handler OnRequest);
   ~HttpServer();
 
-  /// Stops accepting connections; open exchanges continue.
+  /// Announces the close of the connection in each further response.
+  void startShutdown();
+  /// Accepts the connections that already wait and stops listening. Open
+  /// connections and exchanges continue.
   void stopAccepting();
+  /// Runs the interrupt handlers of all exchanges that are not complete, and
+  /// closes the connections of those without one.
+  void interruptExchanges();
   /// Number of exchanges whose response is not completely written to the
   /// socket.
-  std::size_t openExchanges() const { return *this->OpenCount; }
+  std::size_t openExchanges() const {
+    return this->State->OpenExchanges.size();
+  }
 
 private:
   HttpServer(EventLoop &Loop, Handler OnRequest);
   void handleRequest(evhttp_request *RawRequest);
+  bool hasWaitingConnections() const;
 
   EventLoop &Loop;
   Handler OnRequest;
   evhttp *Server = nullptr;
-  void *Listener = nullptr;
-  std::shared_ptr<std::size_t> OpenCount = std::make_shared<std::size_t>(0);
+  evhttp_bound_socket *Listener = nullptr;
+  EventHandle StopAcceptingTimer;
+  std::shared_ptr<HttpExchange::ServerState> State =
+      std::make_shared<HttpExchange::ServerState>();
 };
 
 } // namespace Network
