EntryDaemon: A server that starts a stream anew does not resume it

What callers saw: events a second time, in a stream that then ended as complete, if a server that was asked to go on after an event began the stream from its start.

Cause: the ids of a resumed stream were not compared with the last id sent.

Change: if the first id of a resumed stream does not come after that event, the attempt has failed as a bad answer, before anything of it is sent. Ids that are not numbers only have to differ. A gap cannot be seen: ids increase, but not by one.

Evidence: AStreamThatStartsAnewDoesNotResumeABrokenOne on the code before:

error: in "RoutedServing/AStreamThatStartsAnewDoesNotResumeABrokenOne": check Response.Body == FirstEvent has failed [id: 1 ... id: 1 ... id: 2

--- a/Source/Core/Network/EventSplitter.cpp
+++ b/Source/Core/Network/EventSplitter.cpp
@@ -41,6 +41,8 @@
     if (!Line.empty() && Line.front() == ' ')
       Line.remove_prefix(1);
     this->LastEventId = std::string(Line);
+    if (!this->FirstEventId)
+      this->FirstEventId = this->LastEventId;
   }
   if (HasContent)
     ++this->EventCount;
--- a/Source/Core/Network/EventSplitter.h
+++ b/Source/Core/Network/EventSplitter.h
@@ -23,6 +23,10 @@
   bool isOversized() const { return this->Buffer.size() > MaxEventBytes; }
   /// Complete events so far; events that hold only comments do not count.
   std::uint64_t eventCount() const { return this->EventCount; }
+  /// The id of the first complete event that had one.
+  const std::optional<std::string> &firstEventId() const {
+    return this->FirstEventId;
+  }
   /// The id of the last complete event that had one.
   const std::optional<std::string> &lastEventId() const {
     return this->LastEventId;
@@ -33,6 +37,7 @@
 
   std::string Buffer;
   std::uint64_t EventCount = 0;
+  std::optional<std::string> FirstEventId;
   std::optional<std::string> LastEventId;
 };
 
--- a/Source/EntryDaemon/RoutedAttempt.cpp
+++ b/Source/EntryDaemon/RoutedAttempt.cpp
@@ -4,6 +4,7 @@
 #include "Telemetry/LogEvents.h"
 
 #include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
 
 // The attempts of a routed call: server selection, forwarding, and how the end
 // of an attempt is handled.
@@ -61,6 +62,16 @@
 /// Weight of the newest response in a route's moving average of output tokens.
 constexpr double MeanOutputWeight = 0.1;
 
+/// Whether an event may follow another one in a stream, whose ids increase.
+bool canFollow(const std::string &EventId, const std::string &PreviousId) {
+  std::uint64_t Number = 0;
+  std::uint64_t PreviousNumber = 0;
+  if (absl::SimpleAtoi(EventId, &Number) &&
+      absl::SimpleAtoi(PreviousId, &PreviousNumber))
+    return Number > PreviousNumber;
+  return EventId != PreviousId;
+}
+
 bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
 
 /// Whether a success with these headers is a response of the server to this
@@ -130,6 +141,7 @@
 
 void RoutedCall::sendTo(const Routing::PlacementChoice &To) {
   this->CurrentAttempt.emplace(To);
+  this->CurrentAttempt->ResumedAfter = this->LastEventId;
   Platform::ForwardedHeaders Forwarded;
   Forwarded.TimeLeft = this->timeLeft();
   Forwarded.Server = To.Id;
@@ -306,6 +318,15 @@
   const std::string CompleteEvents = Current.Splitter->feed(Bytes);
   if (CompleteEvents.empty())
     return;
+  const auto &FirstId = Current.Splitter->firstEventId();
+  if (FirstId && Current.ResumedAfter &&
+      !canFollow(*FirstId, *Current.ResumedAfter)) {
+    Network::Http1Client::cancel(Current.Call);
+    this->handleAttemptFailure(AttemptResult::StreamInterrupted,
+                               CallFailure::BadAnswer,
+                               Routing::ServerOutcome::Failed);
+    return;
+  }
   this->RetryingLaterSince.reset();
   if (!Current.OutputStarted && !this->LastEventId)
     this->Context.Servers.recordPrefillTime(Current.Server,
--- a/Source/EntryDaemon/RoutedCall.h
+++ b/Source/EntryDaemon/RoutedCall.h
@@ -52,6 +52,8 @@
     std::string ResponseBody;
     /// Set if the response is a stream whose events are forwarded.
     std::optional<Network::EventSplitter> Splitter;
+    /// The event after which the server was asked to resume the stream.
+    std::optional<std::string> ResumedAfter;
     /// Whether the attempt has produced output.
     bool OutputStarted = false;
     bool ReadingPaused = false;
--- a/Source/FaultTests/RoutedServingTest.cpp
+++ b/Source/FaultTests/RoutedServingTest.cpp
@@ -360,6 +360,21 @@
   BOOST_TEST((Response.Result == Network::Http1CallResult::Complete));
 }
 
+// Guards against events that reach the caller twice because the server that was
+// asked to resume the stream started it anew.
+BOOST_AUTO_TEST_CASE(AStreamThatStartsAnewDoesNotResumeABrokenOne) {
+  RoutedCluster Fixture;
+  Fixture.startAll();
+  Fixture.announce("ready", 2);
+  const RoutedResponse Response =
+      breakAndResume(Fixture, [](Network::Http1Exchange &Exchange) {
+        Exchange.reply(200, eventStreamHeaders(Exchange),
+                       std::string(FirstEvent) + SecondEvent);
+      });
+  BOOST_TEST(Response.Body == FirstEvent);
+  BOOST_TEST((Response.Result == Network::Http1CallResult::Truncated));
+}
+
 BOOST_AUTO_TEST_CASE(ARefusalIsNotPromisedOnceAServerRanTheRequest) {
   RoutedCluster Fixture;
   Fixture.startAll();
--- a/Source/UnitTests/Network/EventSplitterTest.cpp
+++ b/Source/UnitTests/Network/EventSplitterTest.cpp
@@ -16,6 +16,7 @@
     for (std::size_t Offset = 0; Offset < Stream.size(); Offset += Step)
       Received += Splitter.feed(std::string_view(Stream).substr(Offset, Step));
     BOOST_TEST(Received == Complete);
+    BOOST_TEST(*Splitter.firstEventId() == "1");
     BOOST_TEST(*Splitter.lastEventId() == "2");
     BOOST_TEST(Splitter.eventCount() == 2u);
     BOOST_TEST(Splitter.hasPartialEvent());
