EntryDaemon: A stream ends when one of its events exceeds the limit

What callers saw: nothing of an event that did not end, until their deadline. The daemon kept all of it in memory.

Cause: EventSplitter::isOversized() was only used by its unit test.

Evidence: AnEventThatDoesNotEndIsCutOff on the code before:

error: in "RoutedServing/AnEventThatDoesNotEndIsCutOff": check (Response.Result == Network::Http1CallResult::Complete) has failed

--- a/Source/EntryDaemon/RoutedAttempt.cpp
+++ b/Source/EntryDaemon/RoutedAttempt.cpp
@@ -307,24 +307,21 @@
   Attempt &Current = *this->CurrentAttempt;
   if (!Current.Splitter) {
     Current.ResponseBody += Bytes;
-    if (Current.ResponseBody.size() > MaxBufferedResponseBytes) {
-      Network::Http1Client::cancel(Current.Call);
-      this->handleAttemptFailure(AttemptResult::MayHaveExecuted,
-                                 CallFailure::BadAnswer,
-                                 Routing::ServerOutcome::Failed);
-    }
+    if (Current.ResponseBody.size() > MaxBufferedResponseBytes)
+      this->rejectResponse(AttemptResult::MayHaveExecuted);
     return;
   }
   const std::string CompleteEvents = Current.Splitter->feed(Bytes);
+  if (Current.Splitter->isOversized()) {
+    this->rejectResponse(AttemptResult::StreamInterrupted);
+    return;
+  }
   if (CompleteEvents.empty())
     return;
   const auto &FirstId = Current.Splitter->firstEventId();
   if (FirstId && Current.ResumedAfter &&
       !canFollow(*FirstId, *Current.ResumedAfter)) {
-    Network::Http1Client::cancel(Current.Call);
-    this->handleAttemptFailure(AttemptResult::StreamInterrupted,
-                               CallFailure::BadAnswer,
-                               Routing::ServerOutcome::Failed);
+    this->rejectResponse(AttemptResult::StreamInterrupted);
     return;
   }
   this->RetryingLaterSince.reset();
@@ -350,6 +347,12 @@
       });
 }
 
+void RoutedCall::rejectResponse(AttemptResult Result) {
+  Network::Http1Client::cancel(this->CurrentAttempt->Call);
+  this->handleAttemptFailure(Result, CallFailure::BadAnswer,
+                             Routing::ServerOutcome::Failed);
+}
+
 void RoutedCall::handleAttemptEnd(Network::Http1CallResult End) {
   if (this->Done)
     return;
--- a/Source/EntryDaemon/RoutedCall.h
+++ b/Source/EntryDaemon/RoutedCall.h
@@ -75,6 +75,8 @@
   /// Returns false to skip a response that belongs to another request.
   bool handleHead(const Network::Http1Head &Head);
   void handleBody(const std::string &Bytes);
+  /// Ends the current attempt because its response cannot be used.
+  void rejectResponse(AttemptResult Result);
   void handleAttemptEnd(Network::Http1CallResult End);
   void noteServerActivity();
   void checkServerSilence();
--- a/Source/FaultTests/RoutedServingTest.cpp
+++ b/Source/FaultTests/RoutedServingTest.cpp
@@ -375,6 +375,38 @@
   BOOST_TEST((Response.Result == Network::Http1CallResult::Truncated));
 }
 
+// Guards against memory that grows without bound while a server sends an event
+// that does not end.
+BOOST_AUTO_TEST_CASE(AnEventThatDoesNotEndIsCutOff) {
+  RoutedCluster Fixture;
+  Fixture.startAll();
+  Fixture.announce("ready", 2);
+  bool CutOff = false;
+  std::shared_ptr<Network::Http1Exchange> Endless;
+  Fixture.OnServerRequest =
+      [&](const std::shared_ptr<Network::Http1Exchange> &Exchange) {
+        if (Exchange->header("Last-Event-Id")) {
+          Exchange->reply(200, eventStreamHeaders(*Exchange), SecondEvent);
+          return;
+        }
+        Endless = Exchange;
+        Exchange->onCallerDisconnected([&CutOff] { CutOff = true; });
+        Exchange->startStream(200, eventStreamHeaders(*Exchange));
+        Exchange->sendChunk(FirstEvent);
+      };
+  // More than an event may have, and never its end.
+  const std::string Part(64u << 10, 'a');
+  const auto PartTimer =
+      Fixture.loop().callEvery(std::chrono::milliseconds(5), [&] {
+        if (Endless && Endless->unsentBytes() == 0)
+          Endless->sendChunk(Part);
+      });
+  const RoutedResponse Response = Fixture.request("/a/flow/x");
+  BOOST_TEST(Response.Body == std::string(FirstEvent) + SecondEvent);
+  BOOST_TEST((Response.Result == Network::Http1CallResult::Complete));
+  BOOST_TEST(Fixture.waitUntil([&CutOff] { return CutOff; }));
+}
+
 BOOST_AUTO_TEST_CASE(ARefusalIsNotPromisedOnceAServerRanTheRequest) {
   RoutedCluster Fixture;
   Fixture.startAll();
