--- a/Source/UnitTests/Network/HttpClientTest.cpp
+++ b/Source/UnitTests/Network/HttpClientTest.cpp
@@ -1,6 +1,7 @@
 #include "Network/HttpClient.h"
 
 #include "Network/HttpServer.h"
+#include "Network/RawPeer.h"
 #include "Network/SocketAddress.h"
 
 #include <boost/test/unit_test.hpp>
@@ -96,10 +97,10 @@
   std::vector<EventHandle> ReadEvents;
 };
 
-HttpCallResult post(EventLoop &Loop, HttpClient &Http,
-                    ConnectionPolicy Policy) {
+HttpCallResult post(EventLoop &Loop, HttpClient &Http, ConnectionPolicy Policy,
+                    const Address &To = ServerAddress) {
   HttpCall Call;
-  Call.To = ServerAddress;
+  Call.To = To;
   Call.Timeout = 5s;
   Call.Policy = Policy;
   Call.Request.Method = HttpMethod::Post;
@@ -140,6 +141,26 @@
   }
 }
 
+/// A response that broke off must not be passed on as complete.
+BOOST_AUTO_TEST_CASE(brokenResponsesAreIncomplete) {
+  const std::vector<RawServer::Step> Steps = {
+      // Without a length, then reset.
+      {"HTTP/1.1 200 OK\r\n\r\nok", false, true},
+      // Closed before the last chunk, and within a chunk.
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+       true},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nok", true}};
+  for (std::size_t I = 0; I < Steps.size(); ++I) {
+    const auto Loop = *EventLoop::create();
+    RawServer Server(*Loop, {Steps[I]});
+    HttpClient Http(*Loop);
+    const HttpCallResult Result =
+        post(*Loop, Http, ConnectionPolicy::Dedicated, Server.address());
+    BOOST_TEST((Result == HttpCallResult::Incomplete), "step " << I);
+    BOOST_TEST(Server.requests().size() == 1u);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(callOnClosedKeepAliveConnectionIsNotRetried) {
   const auto Loop = *EventLoop::create();
   FaultyServer Server(*Loop, ServerFault::CloseOnSecondRequest);
