EntryDaemon: A refused resume ends a model stream with its error

What callers saw: a second response, status line and headers included, within the chunked body of the stream that they were reading, if the server that was asked to resume it answered 4xx. The stream did not look complete (the client reports it as incomplete), but gave no reason either.

Cause: ModelCall::attemptEnded passed the status of the last attempt on with reply(), whether or not the response had begun; evhttp writes it into the open stream.

Change: the stream ends with an error event and without [DONE], like every other stream of this interface that cannot go on.

Evidence: refusedResumeEndsTheStreamWithAnError on the code before:

error: in "ServingFaultTest/refusedResumeEndsTheStreamWithAnError": check Response.Result == Network::HttpCallResult::Complete has failed ... check Response.Body.find("data: {\"error\":") != std::string::npos has failed

Ruled out in this path: a stream without [DONE] is never ended as complete (ModelCall::complete needs Received.Complete; 200 without it is a broken stream, and the status, reader and error body are reset for each attempt); plain and journaled calls send nothing until HttpClient reports the response as complete, see HttpClientTest/brokenResponsesAreIncomplete.

--- a/Source/EntryDaemon/ModelCall.cpp
+++ b/Source/EntryDaemon/ModelCall.cpp
@@ -170,6 +170,12 @@
   if (Result == Network::HttpCallResult::Complete &&
       Answer.Status != StatusOk) {
     this->Dispatchers.onFinished(Service, Id);
+    if (this->Exchange->isStreaming()) {
+      // The server refused to resume a stream whose head has been sent.
+      this->refuse(RefusalReason::BackendServerFailed,
+                   "the backend server refused to resume the stream");
+      return;
+    }
     this->Finished = true;
     this->Exchange->reply({Answer.Status,
                            {{"Content-Type", "application/json"}},
--- a/Source/Fakes/FakeEngine.cpp
+++ b/Source/Fakes/FakeEngine.cpp
@@ -15,6 +15,7 @@
 constexpr std::uint64_t DefaultMaxTokens = 16;
 constexpr std::size_t EventsPerAnnouncement = 512;
 constexpr const char *CrashMarker = "CRASH-THE-ENGINE";
+constexpr const char *RefuseResumeMarker = "REFUSE-TO-RESUME";
 
 std::string extractPrompt(const Json &Body, bool Chat) {
   if (!Chat)
@@ -129,6 +130,11 @@
                 std::to_string(this->Requests);
   Request->EndToken = Body.value("max_tokens", DefaultMaxTokens);
   if (Body.contains("resume")) {
+    if (Request->Prompt.find(RefuseResumeMarker) != std::string::npos) {
+      Exchange->reply(
+          Network::problemResponse({Common::RefusalReason::BadField, ""}));
+      return;
+    }
     Request->NextToken = Body["resume"].value("tokens", std::uint64_t(0));
     ++this->ResumedRequests;
   }
--- a/Source/FaultTests/ServingFaultTest.cpp
+++ b/Source/FaultTests/ServingFaultTest.cpp
@@ -49,6 +49,38 @@
   BOOST_TEST(Stats.json().value("resumed", 0) == 1);
 }
 
+// Guards against a second response inside a stream that has begun: the server
+// that is asked to resume it refuses the request.
+BOOST_AUTO_TEST_CASE(refusedResumeEndsTheStreamWithAnError) {
+  Cluster Fixture;
+  Fixture.startAll();
+  Fixture.startEngine("engine1", 1, 10);
+  BOOST_REQUIRE(
+      Fixture.waitUntil([&] { return Fixture.servingBackendCount(1) == 1; }));
+  const nlohmann::json Body = {
+      {"model", "m"},
+      {"max_tokens", 1000},
+      {"stream", true},
+      {"messages", {{{"role", "user"}, {"content", "REFUSE-TO-RESUME"}}}}};
+  const auto Call = Fixture.startCall(
+      Fixture.entryHttp(1), Network::HttpMethod::Post, "/v1/chat/completions",
+      Body.dump(),
+      {{"Authorization", std::string("Bearer ") + Cluster::CallerKey}});
+  BOOST_REQUIRE(Fixture.waitUntil([&] {
+    const CallResponse Metrics = Fixture.call(
+        Fixture.entryHttp(1), Network::HttpMethod::Get, "/metrics");
+    return Metrics.Body.find("first_token_seconds_") != std::string::npos;
+  }));
+  Fixture.crash("engine1");
+  Fixture.startEngine("engine3", 3, 10);
+  BOOST_REQUIRE(Fixture.waitUntil([&] { return Call->has_value(); }));
+  const CallResponse &Response = **Call;
+  BOOST_CHECK(Response.Result == Network::HttpCallResult::Complete);
+  BOOST_TEST(Response.Body.find("HTTP/1.1") == std::string::npos);
+  BOOST_TEST(Response.Body.find("data: {\"error\":") != std::string::npos);
+  BOOST_TEST(Response.Body.find("[DONE]") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(manyCallersGetTheirOwnAnswers) {
   Cluster Fixture;
   Fixture.startAll();
