EntryDaemon: A broken stream is retried until its caller abandons it

What callers saw: a stream that may be resumed was broken off 1.5 s after no server took it over, although its caller would have waited longer and time was left.

Cause: retryLater ended after MaxLaterRetryTime, counted from the first failed try. By the callers' interface a stream is abandoned after a gap of two seconds, four times the objective or eight times the pause of the route, whichever is longest. Besides, each try took a retry from the budget before it was known whether there is a server: waiting alone used the budget up, and the stream was then not resumed when a server appeared.

Change: a stream that has begun is tried again until that gap since its last event has passed, but at least for 1.5 s, and not when less than 250 ms are left. A retry is taken from the budget only if a server would accept the request. After 1.5 s the tries are 400 ms apart, as servers that reject them use the budget. Requests that have not begun their response are unchanged (1.5 s).

Evidence: ABrokenStreamIsResumedWhileItsCallerWaits on the code before:

error: in "RoutedServing/ABrokenStreamIsResumedWhileItsCallerWaits": check !Response->Done has failed

Ruled out: the budget itself is not loosened; each attempt after the first still takes one retry, and MaxAttempts is unchanged.

--- a/Source/EntryDaemon/RoutedAttempt.cpp
+++ b/Source/EntryDaemon/RoutedAttempt.cpp
@@ -23,15 +23,20 @@
 /// Delay before a request that a server may have executed is tried again,
 /// because no server took it over at once.
 constexpr Common::Duration LaterRetryDelay = std::chrono::milliseconds(120);
-/// Callers give up a stream that pauses longer.
+/// For how long such a request is tried again. A stream that has begun is tried
+/// for longer, until its caller abandons it, but less often, since each attempt
+/// that is rejected takes a retry from the budget.
 constexpr Common::Duration MaxLaterRetryTime = std::chrono::milliseconds(1500);
+constexpr Common::Duration ReducedLaterRetryDelay =
+    std::chrono::milliseconds(400);
 /// With less time left, it is not tried again.
 constexpr Common::Duration MinRetryTime = std::chrono::milliseconds(250);
-/// Callers wait this long for the first event of a stream, as documented in the
-/// callers' interface, so a request is not sent to a server with a longer
-/// queue: this multiple of the route's target time, but at least the minimum.
-constexpr int MaxQueueingTargetMultiple = 4;
-constexpr Common::Duration MinMaxQueueingTime = std::chrono::seconds(2);
+/// Callers abandon a stream after a longer pause, also before its first event,
+/// as documented in the callers' interface: the longest of this multiple of the
+/// route's target time, this multiple of its MaxEventGap, and the minimum.
+constexpr int AbandonTargetMultiple = 4;
+constexpr int AbandonPauseMultiple = 8;
+constexpr Common::Duration MinAbandonPause = std::chrono::seconds(2);
 /// Responses that are not streamed are buffered up to this size.
 constexpr std::size_t MaxBufferedResponseBytes = 16u << 20;
 /// Reading from the server pauses while more than this is unsent to the caller.
@@ -134,11 +139,18 @@
   // Engines admit requests of the most urgent priority ahead of their queue.
   if (this->priority() == 0)
     return this->timeLeft();
-  const Common::Duration MaxQueueing = std::max(
-      MinMaxQueueingTime, this->route().Target * MaxQueueingTargetMultiple);
+  // A request is not sent to a server with a longer queue than callers wait.
+  const Common::Duration MaxQueueing =
+      std::max(MinAbandonPause, this->route().Target * AbandonTargetMultiple);
   return std::min(MaxQueueing, this->timeLeft());
 }
 
+Common::Duration RoutedCall::abandonPause() const {
+  return std::max({MinAbandonPause,
+                   this->route().Target * AbandonTargetMultiple,
+                   this->route().MaxEventGap * AbandonPauseMultiple});
+}
+
 void RoutedCall::sendTo(const Routing::PlacementChoice &To) {
   this->CurrentAttempt.emplace(To);
   this->CurrentAttempt->ResumedAfter = this->LastEventId;
@@ -217,7 +229,8 @@
   // The attempt may still be answered, so it is ended only if another server
   // would accept the request and the retry budget allows it.
   if (SilentFor >= Limit && OthersResponding && !Current.ReadingPaused &&
-      this->reserveFailover()) {
+      this->reserveRetry()) {
+    this->RetryReserved = true;
     this->abandonSilentServer();
     return;
   }
@@ -226,15 +239,19 @@
       [Self = this->shared_from_this()] { Self->checkServerSilence(); });
 }
 
-bool RoutedCall::reserveFailover() {
+bool RoutedCall::reserveRetry() {
   const Common::TimePoint Now = this->Context.Loop.now();
   Routing::PlacementRequest Alternative = this->placement();
-  Alternative.Excluded.insert(this->CurrentAttempt->Server.Id);
+  if (this->CurrentAttempt)
+    Alternative.Excluded.insert(this->CurrentAttempt->Server.Id);
   const auto Chosen = this->Context.Servers.choose(Alternative, Now);
-  if (!Chosen || Chosen->QueuedPrefillTime > this->maxQueueingTime())
+  if (!Chosen)
     return false;
-  this->RetryReserved = this->Context.Retries.tryConsume(this->Service, Now);
-  return this->RetryReserved;
+  // A stream without a server goes to any that accepts it.
+  const bool MayQueue = this->Streaming && !this->CurrentAttempt;
+  if (!MayQueue && Chosen->QueuedPrefillTime > this->maxQueueingTime())
+    return false;
+  return this->Context.Retries.tryConsume(this->Service, Now);
 }
 
 Routing::PlacementRequest RoutedCall::placement() const {
@@ -331,6 +348,7 @@
   this->recordExecutionStarted();
   if (Current.Splitter->lastEventId())
     this->LastEventId = Current.Splitter->lastEventId();
+  this->LastEventAt = this->Context.Loop.now();
   this->Exchange->sendChunk(CompleteEvents);
   if (this->Exchange->unsentBytes() <= MaxUnsentBytes || Current.ReadingPaused)
     return;
@@ -513,17 +531,22 @@
   const Common::TimePoint Now = this->Context.Loop.now();
   if (!this->RetryingLaterSince)
     this->RetryingLaterSince = Now;
-  if (Now - *this->RetryingLaterSince > MaxLaterRetryTime)
+  const Common::TimePoint ReducedFrom =
+      *this->RetryingLaterSince + MaxLaterRetryTime;
+  Common::TimePoint End = ReducedFrom;
+  if (this->Streaming)
+    End = std::max(End, this->LastEventAt + this->abandonPause());
+  if (Now > End)
     return false;
   this->RetryTimer = this->Context.Loop.callAfter(
-      LaterRetryDelay, [Self = this->shared_from_this()] {
+      Now < ReducedFrom ? LaterRetryDelay : ReducedLaterRetryDelay,
+      [Self = this->shared_from_this()] {
         if (Self->Done)
           return;
         // By now, the servers that rejected the request may accept it.
         Self->TriedServers.clear();
         Self->Rejections = 0;
-        if (Self->Context.Retries.tryConsume(Self->Service,
-                                             Self->Context.Loop.now()))
+        if (Self->reserveRetry())
           Self->dispatch();
         else if (!Self->retryLater())
           Self->fail(CallFailure::ServerLost, HttpStatus::BadGateway);
--- a/Source/EntryDaemon/RoutedCall.cpp
+++ b/Source/EntryDaemon/RoutedCall.cpp
@@ -40,7 +40,7 @@
 RoutedCall::RoutedCall(GatewayContext &Context,
                        std::shared_ptr<Network::Http1Exchange> Exchange)
     : Context(Context), Exchange(std::move(Exchange)),
-      ArrivedAt(Context.Loop.now()) {}
+      ArrivedAt(Context.Loop.now()), LastEventAt(ArrivedAt) {}
 
 void RoutedCall::start() {
   this->Exchange->onCallerDisconnected(
--- a/Source/EntryDaemon/RoutedCall.h
+++ b/Source/EntryDaemon/RoutedCall.h
@@ -71,6 +71,8 @@
   /// Longest queued prefill time at which the request is still sent to a
   /// server.
   Common::Duration maxQueueingTime() const;
+  /// Pause after which callers abandon a stream.
+  Common::Duration abandonPause() const;
   void sendTo(const Routing::PlacementChoice &To);
   /// Returns false to skip a response that belongs to another request.
   bool handleHead(const Network::Http1Head &Head);
@@ -81,9 +83,9 @@
   void noteServerActivity();
   void checkServerSilence();
   void abandonSilentServer();
-  /// Whether another server would accept the request now; if so, a retry is
-  /// taken from the retry budget for it.
-  bool reserveFailover();
+  /// Takes a retry from the retry budget if another server would accept the
+  /// request now. Returns whether it did.
+  bool reserveRetry();
   Routing::PlacementRequest placement() const;
   void handleAttemptFailure(AttemptResult Result, CallFailure Failure,
                             Routing::ServerOutcome Outcome);
@@ -157,6 +159,9 @@
   /// Id of the last complete event sent to the caller, over all attempts.
   std::optional<std::string> LastEventId;
   bool Streaming = false;
+  /// When the last event was sent to the caller; at first, when the request
+  /// arrived.
+  Common::TimePoint LastEventAt;
   /// Whether the call was recorded in the latency metric and the team's usage.
   bool ExecutionStartRecorded = false;
   Network::EventHandle DeadlineTimer;
--- a/Source/FaultTests/RoutedCluster.cpp
+++ b/Source/FaultTests/RoutedCluster.cpp
@@ -264,10 +264,15 @@
   };
   Json Stream = Route("flow", Prefix + "flow/", "streaming");
   Stream["resumable"] = true;
+  // Its callers wait for the next event for 8 times the pause.
+  Json SlowStream = Route("slow-flow", Prefix + "slow-flow/", "streaming");
+  SlowStream["resumable"] = true;
+  SlowStream["timeout-ms"] = 10000;
+  SlowStream["gap-target-ms"] = 500;
   const Json Declaration = {
       {"version", Version},
       {"routes",
-       {Route("safe", Prefix, "safe"), Stream,
+       {Route("safe", Prefix, "safe"), Stream, SlowStream,
         Route("once", Prefix + "once/", "unsafe")}},
       {"services", {{{"name", "shop"}}}},
       {"tenants",
--- a/Source/FaultTests/RoutedServingTest.cpp
+++ b/Source/FaultTests/RoutedServingTest.cpp
@@ -407,6 +407,46 @@
   BOOST_TEST(Fixture.waitUntil([&CutOff] { return CutOff; }));
 }
 
+// Guards against a stream that is given up while its caller still waits for it,
+// and against waiting that uses up the retry budget.
+BOOST_AUTO_TEST_CASE(ABrokenStreamIsResumedWhileItsCallerWaits) {
+  RoutedCluster Fixture;
+  Fixture.startAll();
+  bool Broken = false;
+  Fixture.OnServerRequest =
+      [&](const std::shared_ptr<Network::Http1Exchange> &Exchange) {
+        if (Exchange->header("Last-Event-Id")) {
+          Exchange->reply(200, eventStreamHeaders(*Exchange), SecondEvent);
+          return;
+        }
+        Exchange->startStream(200, eventStreamHeaders(*Exchange));
+        Exchange->sendChunk(FirstEvent);
+        Fixture.loop().defer([&Broken, Exchange] {
+          Exchange->abort();
+          Broken = true;
+        });
+      };
+  const auto Response =
+      Fixture.startCall(Fixture.entryAddress(), "POST", "/a/slow-flow/x", "",
+                        {{"X-Sycamorereach-Request-Id", "slow-flow"},
+                         {"X-Sycamorereach-Request-Deadline", "10000"},
+                         {"Authorization", "Bearer key-1"}});
+  BOOST_REQUIRE(Fixture.waitUntil([&] { return Broken; }));
+  // Another server appears halfway to the pause after which callers abandon a
+  // stream: 8 times the route's gap-target-ms.
+  constexpr Common::Duration AbandonPause = std::chrono::milliseconds(8 * 500);
+  const Common::TimePoint BrokenAt = Fixture.loop().now();
+  BOOST_REQUIRE(Fixture.waitUntil([&] {
+    return Response->Done ||
+           Fixture.loop().now() - BrokenAt >= AbandonPause / 2;
+  }));
+  BOOST_TEST(!Response->Done);
+  Fixture.announce("ready", 2);
+  BOOST_REQUIRE(Fixture.waitUntil([&] { return Response->Done; }));
+  BOOST_TEST(Response->Body == std::string(FirstEvent) + SecondEvent);
+  BOOST_TEST((Response->Result == Network::Http1CallResult::Complete));
+}
+
 BOOST_AUTO_TEST_CASE(ARefusalIsNotPromisedOnceAServerRanTheRequest) {
   RoutedCluster Fixture;
   Fixture.startAll();
