--- a/Source/FaultTests/RoutedServingTest.cpp
+++ b/Source/FaultTests/RoutedServingTest.cpp
@@ -360,6 +360,27 @@
   BOOST_TEST((Response.Result == Network::Http1CallResult::Complete));
 }
 
+// Guards against a stream that ends as complete within an event, and against
+// one that is broken off although its continuation ended as complete.
+BOOST_AUTO_TEST_CASE(AStreamIsCompleteAfterAWholeEvent) {
+  RoutedCluster Fixture;
+  Fixture.startAll();
+  Fixture.announce("ready", 2);
+  const RoutedResponse Partial =
+      breakAndResume(Fixture, [](Network::Http1Exchange &Exchange) {
+        Exchange.reply(200, eventStreamHeaders(Exchange), "id: 2\ndata: b\n");
+      });
+  BOOST_TEST(Partial.Body == FirstEvent);
+  BOOST_TEST((Partial.Result == Network::Http1CallResult::Truncated));
+  // All events had been sent before the first server broke off.
+  const RoutedResponse Whole =
+      breakAndResume(Fixture, [](Network::Http1Exchange &Exchange) {
+        Exchange.reply(200, eventStreamHeaders(Exchange), "");
+      });
+  BOOST_TEST(Whole.Body == FirstEvent);
+  BOOST_TEST((Whole.Result == Network::Http1CallResult::Complete));
+}
+
 // Guards against events that reach the caller twice because the server that was
 // asked to resume the stream started it anew.
 BOOST_AUTO_TEST_CASE(AStreamThatStartsAnewDoesNotResumeABrokenOne) {
