--- a/Source/EntryDaemon/RoutedCall.h
+++ b/Source/EntryDaemon/RoutedCall.h
@@ -54,6 +54,8 @@
     std::string ResponseBody;
     /// Set if the response is a stream whose events are forwarded.
     std::optional<Network::EventSplitter> Splitter;
+    /// The event after which the server was asked to resume the stream.
+    std::optional<std::string> ResumedAfter;
     /// Whether the attempt has produced output.
     bool OutputStarted = false;
     bool ReadingPaused = false;
@@ -71,17 +73,21 @@
   /// Longest queued prefill time at which the request is still sent to a
   /// server.
   Common::Duration maxQueueingTime() const;
+  /// Pause after which callers abandon a stream.
+  Common::Duration abandonPause() const;
   void sendTo(const Routing::PlacementChoice &To);
   /// Returns false to skip a response that belongs to another request.
   bool handleHead(const Network::Http1Head &Head);
   void handleBody(const std::string &Bytes);
+  /// Ends the current attempt because its response cannot be used.
+  void rejectResponse(AttemptResult Result);
   void handleAttemptEnd(Network::Http1CallResult End);
   void noteServerActivity();
   void checkServerSilence();
   void abandonSilentServer();
-  /// Whether another server would accept the request now; if so, a retry is
-  /// taken from the retry budget for it.
-  bool reserveFailover();
+  /// Takes a retry from the retry budget if another server would accept the
+  /// request now. Returns whether it did.
+  bool reserveRetry();
   Routing::PlacementRequest placement() const;
   void handleAttemptFailure(AttemptResult Result, CallFailure Failure,
                             Routing::ServerOutcome Outcome);
@@ -159,6 +165,9 @@
   /// Id of the last complete event sent to the caller, over all attempts.
   std::optional<std::string> LastEventId;
   bool Streaming = false;
+  /// When the last event was sent to the caller; at first, when the request
+  /// arrived.
+  Common::TimePoint LastEventAt;
   /// Whether the call was recorded in the latency metric and the team's usage.
   bool ExecutionStartRecorded = false;
   Network::EventHandle DeadlineTimer;
--- a/Source/FaultTests/RoutedServingTest.cpp
+++ b/Source/FaultTests/RoutedServingTest.cpp
@@ -352,6 +352,114 @@
   BOOST_TEST((Response.Result == Network::Http1CallResult::Complete));
 }
 
+// Guards against a stream that ends as complete within an event, and against
+// one that is broken off although its continuation ended as complete.
+BOOST_AUTO_TEST_CASE(AStreamIsCompleteAfterAWholeEvent) {
+  RoutedCluster Fixture;
+  Fixture.startAll();
+  Fixture.announce("ready", 2);
+  const RoutedResponse Partial =
+      breakAndResume(Fixture, [](Network::Http1Exchange &Exchange) {
+        Exchange.reply(200, eventStreamHeaders(Exchange), "id: 2\ndata: b\n");
+      });
+  BOOST_TEST(Partial.Body == FirstEvent);
+  BOOST_TEST((Partial.Result == Network::Http1CallResult::Truncated));
+  // All events had been sent before the first server broke off.
+  const RoutedResponse Whole =
+      breakAndResume(Fixture, [](Network::Http1Exchange &Exchange) {
+        Exchange.reply(200, eventStreamHeaders(Exchange), "");
+      });
+  BOOST_TEST(Whole.Body == FirstEvent);
+  BOOST_TEST((Whole.Result == Network::Http1CallResult::Complete));
+}
+
+// Guards against events that reach the caller twice because the server that was
+// asked to resume the stream started it anew.
+BOOST_AUTO_TEST_CASE(AStreamThatStartsAnewDoesNotResumeABrokenOne) {
+  RoutedCluster Fixture;
+  Fixture.startAll();
+  Fixture.announce("ready", 2);
+  const RoutedResponse Response =
+      breakAndResume(Fixture, [](Network::Http1Exchange &Exchange) {
+        Exchange.reply(200, eventStreamHeaders(Exchange),
+                       std::string(FirstEvent) + SecondEvent);
+      });
+  BOOST_TEST(Response.Body == FirstEvent);
+  BOOST_TEST((Response.Result == Network::Http1CallResult::Truncated));
+}
+
+// Guards against memory that grows without bound while a server sends an event
+// that does not end.
+BOOST_AUTO_TEST_CASE(AnEventThatDoesNotEndIsCutOff) {
+  RoutedCluster Fixture;
+  Fixture.startAll();
+  Fixture.announce("ready", 2);
+  bool CutOff = false;
+  std::shared_ptr<Network::Http1Exchange> Endless;
+  Fixture.OnServerRequest =
+      [&](const std::shared_ptr<Network::Http1Exchange> &Exchange) {
+        if (Exchange->header("Last-Event-Id")) {
+          Exchange->reply(200, eventStreamHeaders(*Exchange), SecondEvent);
+          return;
+        }
+        Endless = Exchange;
+        Exchange->onCallerDisconnected([&CutOff] { CutOff = true; });
+        Exchange->startStream(200, eventStreamHeaders(*Exchange));
+        Exchange->sendChunk(FirstEvent);
+      };
+  // More than an event may have, and never its end.
+  const std::string Part(64u << 10, 'a');
+  const auto PartTimer =
+      Fixture.loop().callEvery(std::chrono::milliseconds(5), [&] {
+        if (Endless && Endless->unsentBytes() == 0)
+          Endless->sendChunk(Part);
+      });
+  const RoutedResponse Response = Fixture.request("/a/flow/x");
+  BOOST_TEST(Response.Body == std::string(FirstEvent) + SecondEvent);
+  BOOST_TEST((Response.Result == Network::Http1CallResult::Complete));
+  BOOST_TEST(Fixture.waitUntil([&CutOff] { return CutOff; }));
+}
+
+// Guards against a stream that is given up while its caller still waits for it,
+// and against waiting that uses up the retry budget.
+BOOST_AUTO_TEST_CASE(ABrokenStreamIsResumedWhileItsCallerWaits) {
+  RoutedCluster Fixture;
+  Fixture.startAll();
+  bool Broken = false;
+  Fixture.OnServerRequest =
+      [&](const std::shared_ptr<Network::Http1Exchange> &Exchange) {
+        if (Exchange->header("Last-Event-Id")) {
+          Exchange->reply(200, eventStreamHeaders(*Exchange), SecondEvent);
+          return;
+        }
+        Exchange->startStream(200, eventStreamHeaders(*Exchange));
+        Exchange->sendChunk(FirstEvent);
+        Fixture.loop().defer([&Broken, Exchange] {
+          Exchange->abort();
+          Broken = true;
+        });
+      };
+  const auto Response =
+      Fixture.startCall(Fixture.entryAddress(), "POST", "/a/slow-flow/x", "",
+                        {{"X-Sycamorereach-Request-Id", "slow-flow"},
+                         {"X-Sycamorereach-Request-Deadline", "10000"},
+                         {"Authorization", "Bearer key-1"}});
+  BOOST_REQUIRE(Fixture.waitUntil([&] { return Broken; }));
+  // Another server appears halfway to the pause after which callers abandon a
+  // stream: 8 times the route's gap-target-ms.
+  constexpr Common::Duration AbandonPause = std::chrono::milliseconds(8 * 500);
+  const Common::TimePoint BrokenAt = Fixture.loop().now();
+  BOOST_REQUIRE(Fixture.waitUntil([&] {
+    return Response->Done ||
+           Fixture.loop().now() - BrokenAt >= AbandonPause / 2;
+  }));
+  BOOST_TEST(!Response->Done);
+  Fixture.announce("ready", 2);
+  BOOST_REQUIRE(Fixture.waitUntil([&] { return Response->Done; }));
+  BOOST_TEST(Response->Body == std::string(FirstEvent) + SecondEvent);
+  BOOST_TEST((Response->Result == Network::Http1CallResult::Complete));
+}
+
 BOOST_AUTO_TEST_CASE(ARefusalIsNotPromisedOnceAServerRanTheRequest) {
   RoutedCluster Fixture;
   Fixture.startAll();
