StateDaemon: A daemon that is stopped hands its vote on first

What callers could see: no daemon answers for the declaration any more, after a planned stop. A state daemon whose successor runs already is stopped for good, and then the disk of another one is lost, which is the one loss that is tolerated.

Cause: SIGTERM moved the leadership but not the vote. The stopped daemon stayed a voter until it had been silent for half of the catch-up time, while a learner that held everything was there.

Evidence: RoutedServing/AStoppedStateDaemonHandsItsVoteOn stops a voter of four daemons for good and deletes the leader's disk. In its first form the test only read; with the leader stopped that could succeed within a lease, so it declares as well.

Fix: a voter that is stopped sends LeaveRequest to the leader, which treats it as lost: it promotes a learner, then removes the voter, and confirms. The daemon waits for that within the limit of 2 s that a stop had before, and only if the group has a learner. A daemon that comes back joins as a learner with its log.

Ruled out: an operator's call that is open at the stop and gets a false answer. A declaration is answered 200 once it is applied, 500 with "outcome unknown" when the leadership ends first, and the call is closed without an answer only if no quorum decides within 2 s. Reads and heartbeats are answered in the call itself.

--- a/Source/Core/Consensus/VoterPlan.cpp
+++ b/Source/Core/Consensus/VoterPlan.cpp
@@ -48,7 +48,7 @@
     const bool IsLeader = Each.Id == Leader;
     if (Each.Role == Role::Voter) {
       const bool Lost =
-          !IsLeader && (Observed.IdentityLost ||
+          !IsLeader && (Observed.IdentityLost || Observed.Leaving ||
                         Observed.SinceLastContact > Options.VoterTimeout);
       if (Lost)
         LostVoter = Each.Id;
--- a/Source/Core/Consensus/VoterPlan.h
+++ b/Source/Core/Consensus/VoterPlan.h
@@ -18,6 +18,8 @@
   /// Another replica identity now uses the member's address, so the member's
   /// data folder is lost.
   bool IdentityLost = false;
+  /// The member is about to stop, and may not come back.
+  bool Leaving = false;
 };
 
 /// The replica that last asked to join from each address.
--- a/Source/Core/State/ControlProtocol.h
+++ b/Source/Core/State/ControlProtocol.h
@@ -30,6 +30,21 @@
   }
 };
 
+/// Request of a state daemon that stops to be replaced as a voter. Sent to the
+/// leader until it is answered.
+struct LeaveRequest {
+  Consensus::ReplicaId Self;
+
+  template <class Archive> void serialize(Archive &Ar) { Ar(this->Self); }
+};
+
+/// Response to a LeaveRequest: the daemon is no voter any more.
+struct LeaveConfirmation {
+  Consensus::ReplicaId Self;
+
+  template <class Archive> void serialize(Archive &Ar) { Ar(this->Self); }
+};
+
 /// Heartbeat of a server whose record is unchanged except for its sequence
 /// number. It repeats the phase, so that a daemon that missed the change learns
 /// it.
@@ -281,7 +296,7 @@
     std::variant<Consensus::Message, JoinRequest, RegistryDelta, EntryHello,
                  StateEndpoints, DeclarationPush, EntryPoll, EntryPollResponse,
                  TokenRequest, TokenDecisions, TokenPoolRequest, TokenPoolGrant,
-                 ServerLoads>;
+                 ServerLoads, LeaveRequest, LeaveConfirmation>;
 
 } // namespace State
 
--- a/Source/FaultTests/RoutedServingTest.cpp
+++ b/Source/FaultTests/RoutedServingTest.cpp
@@ -337,6 +337,35 @@
   BOOST_TEST(CurrentDeclaration == RoutedCluster::declaration(Version, "/a/"));
 }
 
+// Guards against a declaration that no daemon answers for: a state daemon is
+// stopped for good, and right after its end the disk of another one is lost.
+BOOST_AUTO_TEST_CASE(AStoppedStateDaemonHandsItsVoteOn) {
+  for (const bool StopsLeader : {false, true}) {
+    RoutedCluster Fixture;
+    Fixture.startAll();
+    BOOST_REQUIRE(Fixture.waitUntil([&] { return Fixture.isGroupHealthy(); }));
+    const std::string Declared = RoutedCluster::declaration(10, "/a/");
+    BOOST_REQUIRE(Fixture.operatorCall("POST", ReplacePath, Declared, 200));
+    constexpr int Founders = 3;
+    const int Leader = Fixture.leader();
+    const int Follower = Leader % Founders + 1;
+    const int Stopped = StopsLeader ? Leader : Follower;
+    const int Lost = StopsLeader ? Follower : Leader;
+    const std::string StoppedName = "state" + std::to_string(Stopped);
+    Fixture.process(StoppedName).signal(SIGTERM);
+    BOOST_REQUIRE(Fixture.waitUntil(
+        [&] { return Fixture.process(StoppedName).hasExited(); }));
+    Fixture.crash("state" + std::to_string(Lost));
+    Fixture.wipeDisk(Lost);
+    Fixture.startStateDaemon(Lost, false);
+    std::string Current;
+    BOOST_TEST(Fixture.operatorCall("GET", ReadPath, "", 200, &Current));
+    BOOST_TEST(Current == Declared);
+    BOOST_TEST(Fixture.operatorCall(
+        "POST", ReplacePath, RoutedCluster::declaration(11, "/a/"), 200));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(EverythingRestartsAtOnceAndNothingIsLost) {
   RoutedCluster Fixture;
   Fixture.startAll();
--- a/Source/StateDaemon/Controller.cpp
+++ b/Source/StateDaemon/Controller.cpp
@@ -223,6 +223,8 @@
     this->Driver->step(*Message);
   } else if (const auto *Join = std::get_if<State::JoinRequest>(&*Frame))
     this->handleJoinRequest(*Join);
+  else if (const auto *Leave = std::get_if<State::LeaveRequest>(&*Frame))
+    this->handleLeaveRequest(From, *Leave);
   else if (const auto *Delta = std::get_if<State::RegistryDelta>(&*Frame))
     this->mergeRegistryDelta(*Delta, true);
   else if (const auto *Hello = std::get_if<State::EntryHello>(&*Frame))
@@ -250,6 +252,8 @@
     this->handleTokenPoolGrant(*Grant);
   else if (const auto *Message = std::get_if<Consensus::Message>(&*Frame))
     this->Driver->step(*Message);
+  else if (std::get_if<State::LeaveConfirmation>(&*Frame))
+    this->LeaveConfirmed = true;
 }
 
 void Controller::sendTo(Network::ConnectionId To,
@@ -532,7 +536,8 @@
     const bool Leads =
         Replica && Replica->state() == Consensus::Replica::State::Leader;
     const bool Idle = this->Http->openExchanges() == 0;
-    if ((!Leads && Idle) || this->Loop.now() >= EndsAt)
+    const bool Leaving = !Leads && this->requestLeave();
+    if ((!Leads && !Leaving && Idle) || this->Loop.now() >= EndsAt)
       this->Loop.stop();
   });
 }
--- a/Source/StateDaemon/Controller.h
+++ b/Source/StateDaemon/Controller.h
@@ -47,6 +47,11 @@
   void requestJoin();
   void handleJoinRequest(const State::JoinRequest &Request);
   void adjustMembership();
+  void handleLeaveRequest(Network::ConnectionId From,
+                          const State::LeaveRequest &Request);
+  /// Asks the leader to replace this daemon as a voter, if a learner is there
+  /// to take its place. Returns whether a confirmation is still to come.
+  bool requestLeave();
   std::map<Consensus::ReplicaId, Consensus::MemberHealth> memberHealth() const;
 
   // Frames between daemons.
@@ -130,6 +135,11 @@
   std::map<Network::Address, std::unique_ptr<Network::FrameClient>> Links;
   std::map<Common::DaemonId, Network::ConnectionId> Entries;
   Consensus::LatestReplicas JoinRequesters;
+  /// When each replica that is about to stop last said so.
+  std::map<Consensus::ReplicaId, Common::TimePoint> LeavingReplicas;
+  bool LeaveRequested = false;
+  /// The leader has confirmed that this daemon is no voter.
+  bool LeaveConfirmed = false;
   /// Exists only while this daemon leads.
   std::unique_ptr<EntryDaemonTracker> Tracker;
   /// Exists only while this daemon leads and an address for duty calls is set.
--- a/Source/StateDaemon/ControllerGroup.cpp
+++ b/Source/StateDaemon/ControllerGroup.cpp
@@ -21,6 +21,8 @@
     std::chrono::milliseconds(800), std::chrono::milliseconds(360)};
 /// How long a daemon goes without a leader before it asks to join the group.
 constexpr Common::Duration JoinDelay = std::chrono::milliseconds(1000);
+/// A replica counts as leaving for this long after it last said so.
+constexpr Common::Duration LeaveRequestAge = std::chrono::milliseconds(1000);
 
 } // namespace
 
@@ -192,8 +194,51 @@
 
 std::map<Consensus::ReplicaId, Consensus::MemberHealth>
 Controller::memberHealth() const {
-  return Consensus::observeHealth(*this->Driver->replica(), this->LeadingSince,
-                                  this->JoinRequesters, this->Loop.now());
+  auto Result =
+      Consensus::observeHealth(*this->Driver->replica(), this->LeadingSince,
+                               this->JoinRequesters, this->Loop.now());
+  for (auto &[Id, Health] : Result) {
+    const auto Leaving = this->LeavingReplicas.find(Id);
+    Health.Leaving = Leaving != this->LeavingReplicas.end() &&
+                     this->Loop.now() - Leaving->second < LeaveRequestAge;
+  }
+  return Result;
+}
+
+void Controller::handleLeaveRequest(Network::ConnectionId From,
+                                    const State::LeaveRequest &Request) {
+  if (!this->Driver->holdsLeadership())
+    return;
+  const Consensus::Replica &Replica = *this->Driver->replica();
+  const bool RemovalCommitted =
+      !Replica.membership().isVoter(Request.Self) &&
+      Replica.log().membershipIndex() <= Replica.commitIndex();
+  if (RemovalCommitted) {
+    this->LeavingReplicas.erase(Request.Self);
+    this->sendTo(From, State::LeaveConfirmation{Request.Self});
+    return;
+  }
+  this->LeavingReplicas[Request.Self] = this->Loop.now();
+  this->adjustMembership();
+}
+
+bool Controller::requestLeave() {
+  const auto *Replica = this->Driver->replica();
+  if (!Replica || this->LeaveConfirmed ||
+      !Replica->membership().isVoter(Replica->self()))
+    return false;
+  const auto &Members = Replica->membership().members();
+  const bool HasLearner = std::any_of(
+      Members.begin(), Members.end(), [](const Consensus::Member &Each) {
+        return Each.Role == Consensus::Role::Learner;
+      });
+  if (!HasLearner && !this->LeaveRequested)
+    return false;
+  this->LeaveRequested = true;
+  if (Network::FrameClient *Leader = this->leaderLink())
+    Leader->send(Network::encode(
+        State::ControlFrame(State::LeaveRequest{Replica->self()})));
+  return true;
 }
 
 void Controller::adjustMembership() {
--- a/Source/UnitTests/Consensus/VoterPlanTest.cpp
+++ b/Source/UnitTests/Consensus/VoterPlanTest.cpp
@@ -23,6 +23,7 @@
 const MemberHealth LogBehind{10ms, false, false};
 const MemberHealth Silent{7s, true, false};
 const MemberHealth DiskLost{10ms, true, true};
+const MemberHealth Leaving{10ms, true, false, true};
 
 std::string plannedChange(const Membership &Members,
                           const std::map<ReplicaId, MemberHealth> &Health) {
@@ -48,7 +49,7 @@
   BOOST_TEST(
       plannedChange(WithLearner, {{B, Healthy}, {C, Healthy}, {D, Healthy}}) ==
       "none");
-  for (const MemberHealth &Lost : {Silent, DiskLost})
+  for (const MemberHealth &Lost : {Silent, DiskLost, Leaving})
     BOOST_TEST(
         plannedChange(WithLearner, {{B, Lost}, {C, Healthy}, {D, Healthy}}) ==
         "promote d");
