EntryDaemon, StateDaemon, FleetDaemon: SIGHUP does not end the process

What callers saw: SIGHUP, which tells the other programs that their settings changed, ended sycamore-entry without `gateway`, `sycamore-state run` and sycamore-fleet at once; every open request ended without an answer.

Cause: the three daemons had no handler, and the default action of SIGHUP ends a process. They now log `reload`, as the controller does.

Failed before: ServingFaultTest/hangupCutsNothingOff ("check (*Call)->Status == 200 has failed [0 != 200]", and e1, s1 and f1 had ended), passed afterwards in 3 of 3 runs.

--- a/Source/EntryDaemon/EntryDaemon.cpp
+++ b/Source/EntryDaemon/EntryDaemon.cpp
@@ -128,6 +128,9 @@
   const auto Stop = [this] { this->shutDown(); };
   this->EventHandles.push_back(this->Loop.onSignal(SIGTERM, Stop));
   this->EventHandles.push_back(this->Loop.onSignal(SIGINT, Stop));
+  // All settings are read at the start only, so SIGHUP reloads nothing.
+  this->EventHandles.push_back(this->Loop.onSignal(
+      SIGHUP, [] { Telemetry::log(Events::Reload, "nothing"); }));
   this->EventHandles.push_back(this->Loop.callEvery(
       RefreshPeriod, [this] { this->Dispatchers->refresh(); }));
   Telemetry::log(Events::EntryDaemonStarted, this->Settings.Http.str(),
--- a/Source/FaultTests/ServingFaultTest.cpp
+++ b/Source/FaultTests/ServingFaultTest.cpp
@@ -347,6 +347,29 @@
       Fixture.waitUntil([&] { return Fixture.process("e1").hasExited(); }));
 }
 
+// SIGHUP, as sent for changed settings, must not end a daemon that runs
+// requests.
+BOOST_AUTO_TEST_CASE(hangupCutsNothingOff) {
+  Cluster Fixture;
+  Fixture.startAll();
+  Fixture.startCloud();
+  Fixture.startFleetDaemon(1);
+  Fixture.startEngine("engine1", 1, 10);
+  BOOST_REQUIRE(Fixture.waitUntil([&] {
+    return Fixture.servingBackendCount(1) == 1 &&
+           isListening(Fixture, Fixture.fleetHttp(1));
+  }));
+  const auto Call = Fixture.startChat(1, "story", 40);
+  BOOST_REQUIRE(
+      Fixture.waitUntil([&] { return engineRequestCount(Fixture, 1) == 1; }));
+  for (const char *Name : {"e1", "s1", "f1"})
+    Fixture.process(Name).signal(SIGHUP);
+  BOOST_REQUIRE(Fixture.waitUntil([&] { return Call->has_value(); }));
+  BOOST_TEST((*Call)->Status == 200);
+  for (const char *Name : {"e1", "s1", "f1"})
+    BOOST_TEST(!Fixture.process(Name).hasExited(), Name);
+}
+
 BOOST_AUTO_TEST_CASE(crashingRequestCostsAtMostTwoServers) {
   Cluster Fixture;
   Fixture.startAll();
--- a/Source/FleetDaemon/FleetDaemon.cpp
+++ b/Source/FleetDaemon/FleetDaemon.cpp
@@ -65,6 +65,9 @@
   const auto Stop = [this] { this->Loop.stop(); };
   this->EventHandles.push_back(this->Loop.onSignal(SIGTERM, Stop));
   this->EventHandles.push_back(this->Loop.onSignal(SIGINT, Stop));
+  // All settings are read at the start only, so SIGHUP reloads nothing.
+  this->EventHandles.push_back(this->Loop.onSignal(
+      SIGHUP, [] { Telemetry::log(Events::Reload, "nothing"); }));
   this->EventHandles.push_back(
       this->Loop.callEvery(TickPeriod, [this] { this->tick(); }));
   Telemetry::log(Events::FleetDaemonStarted, this->HolderId.str());
--- a/Source/StateDaemon/StateDaemon.cpp
+++ b/Source/StateDaemon/StateDaemon.cpp
@@ -127,6 +127,9 @@
   const auto Stop = [this] { this->shutDown(); };
   this->EventHandles.push_back(this->Loop.onSignal(SIGTERM, Stop));
   this->EventHandles.push_back(this->Loop.onSignal(SIGINT, Stop));
+  // All settings are read at the start only, so SIGHUP reloads nothing.
+  this->EventHandles.push_back(this->Loop.onSignal(
+      SIGHUP, [] { Telemetry::log(Events::Reload, "nothing"); }));
   this->EventHandles.push_back(this->Loop.callEvery(TickPeriod, [this] {
     this->Replica.tick(this->Loop.now());
     this->flush();
