FleetDaemon: A stop writes its answers before it ends

What callers saw: an answer of sycamore-fleet that was being written at SIGTERM was cut in the middle.

Cause: SIGTERM stopped the loop at once, whatever was in the output buffers. The daemon now stops listening, announces the close of its connections, begins no further round, and ends when its answers are written, after 2 s at the latest.

Failed before: FleetFaultTest/stopWritesItsAnswersFirst ("check areCompleteResponses(Received) has failed"), passed afterwards in 3 of 3 runs. FleetFaultTest passed; its case deadFleetDaemonIsReplacedAndOrdersNothingTwice failed once, as another test run on the host held its port ("cannot bind UDP socket to 127.0.0.1:21181"), and passed alone.

Ruled out: an order whose outcome is lost by the stop. The next holder of the lease begins with the hosts that the cloud lists, and a late order of the old holder bears an older fencing number; deadFleetDaemonIsReplacedAndOrders- NothingTwice ends the holder with SIGKILL, which leaves it less time.

The raw connection of ServingFaultTest becomes the class RawConnection, which both tests use.

--- a/Source/FaultTests/FleetFaultTest.cpp
+++ b/Source/FaultTests/FleetFaultTest.cpp
@@ -1,4 +1,5 @@
 #include "FaultTests/Cluster.h"
+#include "FaultTests/RawConnection.h"
 
 #include <boost/test/unit_test.hpp>
 #include <csignal>
@@ -50,6 +51,22 @@
       Fixture.waitUntil([&] { return Fixture.servingBackendCount(1) >= 4; }));
 }
 
+/// Whether Bytes are responses with a Content-Length, the last one complete.
+bool areCompleteResponses(const std::string &Bytes) {
+  constexpr std::string_view HeadEnd = "\r\n\r\n";
+  constexpr std::string_view LengthHeader = "Content-Length: ";
+  std::size_t Position = 0;
+  while (Position < Bytes.size()) {
+    const std::size_t Body = Bytes.find(HeadEnd, Position);
+    const std::size_t Length = Bytes.find(LengthHeader, Position);
+    if (Body == std::string::npos || Length > Body)
+      return false;
+    Position = Body + HeadEnd.size() +
+               std::stoul(Bytes.substr(Length + LengthHeader.size()));
+  }
+  return Position > 0 && Position == Bytes.size();
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(FleetFaultTest)
@@ -103,6 +120,34 @@
   BOOST_TEST(Fixture.metric(Fixture.fleetHttp(First), "fleet_leading") == 0);
 }
 
+// A stop must not cut an answer that its caller has not read yet.
+BOOST_AUTO_TEST_CASE(stopWritesItsAnswersFirst) {
+  Cluster Fixture;
+  Fixture.startAll();
+  Fixture.startCloud();
+  Fixture.startFleetDaemon(1);
+  BOOST_REQUIRE(Fixture.waitUntil([&] {
+    return Fixture.metric(Fixture.fleetHttp(1), "fleet_leading") == 1;
+  }));
+  const CallResponse Single =
+      Fixture.call(Fixture.fleetHttp(1), Network::HttpMethod::Get, "/metrics");
+  BOOST_REQUIRE(Single.Status == 200);
+  // The answers exceed what the kernel buffers for a connection that is not
+  // read, so the daemon is left with an answer that it cannot write.
+  constexpr std::size_t AnswerBytes = 12u << 20;
+  std::string Requests;
+  for (std::size_t I = 0; I < AnswerBytes / Single.Body.size(); ++I)
+    Requests += "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n";
+  const RawConnection Caller(Fixture.fleetHttp(1));
+  BOOST_REQUIRE(Caller.send(Requests));
+  Fixture.process("f1").signal(SIGTERM);
+  const std::string Received = Caller.receiveAll();
+  BOOST_TEST(areCompleteResponses(Received));
+  BOOST_TEST(
+      Fixture.waitUntil([&] { return Fixture.process("f1").hasExited(); }));
+  BOOST_TEST(Fixture.process("f1").exitCode() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace FaultTests
--- a/Source/FaultTests/ServingFaultTest.cpp
+++ b/Source/FaultTests/ServingFaultTest.cpp
@@ -1,10 +1,8 @@
 #include "FaultTests/Cluster.h"
-#include "Network/SocketAddress.h"
+#include "FaultTests/RawConnection.h"
 
 #include <boost/test/unit_test.hpp>
 #include <csignal>
-#include <sys/socket.h>
-#include <unistd.h>
 
 namespace FaultTests {
 
@@ -25,34 +23,6 @@
   return Response.json().value("requests", 0.0);
 }
 
-/// Opens a connection with a small receive buffer, so that an answer that is
-/// not read stays with the daemon, and sends a request.
-int sendRequest(int Port, const std::string &Request) {
-  const int Descriptor = socket(AF_INET, SOCK_STREAM, 0);
-  const int ReceiveBytes = 64 << 10;
-  setsockopt(Descriptor, SOL_SOCKET, SO_RCVBUF, &ReceiveBytes,
-             sizeof(ReceiveBytes));
-  const sockaddr_in Endpoint =
-      Network::toSocketAddress({"127.0.0.1", static_cast<std::uint16_t>(Port)});
-  BOOST_REQUIRE(connect(Descriptor,
-                        reinterpret_cast<const sockaddr *>(&Endpoint),
-                        sizeof(Endpoint)) == 0);
-  BOOST_REQUIRE(send(Descriptor, Request.data(), Request.size(),
-                     MSG_NOSIGNAL) == static_cast<ssize_t>(Request.size()));
-  return Descriptor;
-}
-
-/// Reads until the connection ends.
-std::string readToEnd(int Descriptor) {
-  std::string Received;
-  std::vector<char> Buffer(64 << 10);
-  ssize_t Length = 0;
-  while ((Length = recv(Descriptor, Buffer.data(), Buffer.size(), 0)) > 0)
-    Received.append(Buffer.data(), static_cast<std::size_t>(Length));
-  close(Descriptor);
-  return Received;
-}
-
 bool isListening(Cluster &Fixture, int Port) {
   return Fixture.call(Port, Network::HttpMethod::Get, "/healthz").Status != 0;
 }
@@ -246,9 +216,9 @@
   Fixture.startService("orders1", 1);
   BOOST_REQUIRE(
       Fixture.waitUntil([&] { return Fixture.servingBackendCount(1) == 1; }));
-  const int Caller = sendRequest(
-      Fixture.entryHttp(1), "GET /services/orders/large HTTP/1.1\r\nHost: x\r\n"
-                            "Authorization: Bearer yard-key\r\n\r\n");
+  const RawConnection Caller(Fixture.entryHttp(1));
+  BOOST_REQUIRE(Caller.send("GET /services/orders/large HTTP/1.1\r\nHost: x\r\n"
+                            "Authorization: Bearer yard-key\r\n\r\n"));
   BOOST_REQUIRE(Fixture.waitUntil([&] {
     return Fixture.metric(Fixture.entryHttp(1),
                           "plain_requests_completed_total") == 1;
@@ -256,7 +226,7 @@
   Fixture.process("e1").signal(SIGTERM);
   BOOST_REQUIRE(Fixture.waitUntil(
       [&] { return !isListening(Fixture, Fixture.entryHttp(1)); }));
-  const std::string Received = readToEnd(Caller);
+  const std::string Received = Caller.receiveAll();
   constexpr std::size_t BodyBytes = 32u << 20;
   BOOST_TEST(Received.size() > BodyBytes);
   BOOST_TEST(
@@ -327,8 +297,8 @@
   BOOST_REQUIRE(
       Fixture.waitUntil([&] { return Fixture.servingBackendCount(1) == 1; }));
   const auto Stream = startStream(Fixture, 1, 100'000);
-  const int Caller = sendRequest(Fixture.entryHttp(1),
-                                 "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+  const RawConnection Caller(Fixture.entryHttp(1));
+  BOOST_REQUIRE(Caller.send("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"));
   BOOST_REQUIRE(
       Fixture.waitUntil([&] { return engineRequestCount(Fixture, 1) == 1; }));
   Fixture.process("e1").signal(SIGTERM);
@@ -336,9 +306,8 @@
       [&] { return !isListening(Fixture, Fixture.entryHttp(1)); }));
   const std::string Late = "GET /v1/models HTTP/1.1\r\nHost: x\r\n"
                            "Authorization: Bearer yard-key\r\n\r\n";
-  BOOST_REQUIRE(send(Caller, Late.data(), Late.size(), MSG_NOSIGNAL) ==
-                static_cast<ssize_t>(Late.size()));
-  const std::string Received = readToEnd(Caller);
+  BOOST_REQUIRE(Caller.send(Late));
+  const std::string Received = Caller.receiveAll();
   BOOST_TEST(Received.find("HTTP/1.1 200") != std::string::npos);
   BOOST_TEST(Received.find("HTTP/1.1 503") != std::string::npos);
   BOOST_TEST(Received.find("\"shutting_down\"") != std::string::npos);
--- a/Source/FleetDaemon/FleetDaemon.cpp
+++ b/Source/FleetDaemon/FleetDaemon.cpp
@@ -20,6 +20,8 @@
 constexpr Common::Duration StateRequestTimeout =
     std::chrono::milliseconds(1500);
 constexpr Common::Duration CloudTimeout = std::chrono::seconds(5);
+/// How long a stop waits for its HTTP answers to be written.
+constexpr Common::Duration ShutdownLimit = std::chrono::seconds(2);
 constexpr int StatusOk = 200;
 constexpr int StatusServiceUnavailable = 503;
 const State::LeaseName FleetLease{"fleet"};
@@ -62,7 +64,7 @@
 }
 
 int FleetDaemon::run() {
-  const auto Stop = [this] { this->Loop.stop(); };
+  const auto Stop = [this] { this->shutDown(); };
   this->EventHandles.push_back(this->Loop.onSignal(SIGTERM, Stop));
   this->EventHandles.push_back(this->Loop.onSignal(SIGINT, Stop));
   // All settings are read at the start only, so SIGHUP reloads nothing.
@@ -75,6 +77,21 @@
   return 0;
 }
 
+void FleetDaemon::shutDown() {
+  if (this->ShuttingDown)
+    return;
+  this->ShuttingDown = true;
+  Telemetry::log(Events::ShuttingDown);
+  this->Server->startShutdown();
+  this->Server->stopAccepting();
+  const Common::TimePoint EndsAt = this->Loop.now() + ShutdownLimit;
+  constexpr Common::Duration CheckPeriod = std::chrono::milliseconds(20);
+  this->ShutdownTimer = this->Loop.callEvery(CheckPeriod, [this, EndsAt] {
+    if (this->Server->openExchanges() == 0 || this->Loop.now() >= EndsAt)
+      this->Loop.stop();
+  });
+}
+
 void FleetDaemon::handleHttpRequest(
     const std::shared_ptr<Network::HttpExchange> &Exchange) {
   const std::string Path = Exchange->request().path();
@@ -104,6 +121,9 @@
 }
 
 void FleetDaemon::tick() {
+  // What a round of this daemon would order is left to the next holder.
+  if (this->ShuttingDown)
+    return;
   if (!this->LeaseRequestPending &&
       (!this->holdsLease() || this->Lease.needsRenewal(this->Loop.now())))
     this->requestLease();
--- a/Source/FleetDaemon/FleetDaemon.h
+++ b/Source/FleetDaemon/FleetDaemon.h
@@ -33,6 +33,8 @@
   void
   handleHttpRequest(const std::shared_ptr<Network::HttpExchange> &Exchange);
 
+  void shutDown();
+
   // Lease.
   void tick();
   void requestLease();
@@ -78,6 +80,8 @@
   /// Hosts whose drain was sent to the entry daemons.
   std::set<Common::HostId> DrainedHosts;
   std::vector<Network::EventHandle> EventHandles;
+  bool ShuttingDown = false;
+  Network::EventHandle ShutdownTimer;
 };
 
 } // namespace FleetDaemon
