EntryDaemon: A call that may have run is not refused as not run

What callers saw: a model or idempotent plain call whose server was lost while it ran the call, and which then found no other server in time, was refused with waited_too_long: 503, outcome not_run, "the request was never started".

Cause: the reason of the dispatcher was passed on, whatever had become of earlier attempts. A call whose earlier attempt may have run is now refused with backend_server_failed (502, unknown) in place of a reason that promises not_run, except quarantined, whose remedy the caller needs.

Left: quarantined keeps the outcome not_run, which is untrue for the requests that crashed a server themselves.

--- a/Source/EntryDaemon/ModelCall.cpp
+++ b/Source/EntryDaemon/ModelCall.cpp
@@ -1,5 +1,6 @@
 #include "EntryDaemon/ModelCall.h"
 
+#include "EntryDaemon/PlainCall.h"
 #include "Network/Problem.h"
 #include "Telemetry/LogEvents.h"
 
@@ -156,7 +157,6 @@
                                Routing::Failure::ConnectFailed);
     return;
   }
-  this->MayHaveRun = true;
   const bool Busy = Result == Network::HttpCallResult::Complete &&
                     (Answer.Status == StatusTooManyRequests ||
                      Answer.Status == StatusUnavailable);
@@ -167,6 +167,7 @@
                  "the backend server has no free capacity");
     return;
   }
+  this->MayHaveRun = true;
   if (Result == Network::HttpCallResult::Complete &&
       Answer.Status >= FirstServerError) {
     this->Dispatchers.onFailed(Service, Id, this->Server,
@@ -209,6 +210,8 @@
   if (this->Finished)
     return;
   this->Finished = true;
+  if (this->MayHaveRun)
+    Reason = reasonAfterRun(Reason);
   this->Context.Metrics.recordRefusal(Reason);
   const Common::Refusal Refusal{Reason, Detail};
   Telemetry::log(Events::ModelCallRefused, Common::refusalInfo(Reason).Name,
--- a/Source/EntryDaemon/PlainCall.cpp
+++ b/Source/EntryDaemon/PlainCall.cpp
@@ -70,6 +70,15 @@
   return Result;
 }
 
+RefusalReason reasonAfterRun(RefusalReason Reason) {
+  const bool PromisesNotRun =
+      Common::refusalInfo(Reason).Outcome == Common::Outcome::NotExecuted;
+  // A quarantined content must be changed, whatever it did before.
+  return PromisesNotRun && Reason != RefusalReason::Quarantined
+             ? RefusalReason::BackendServerFailed
+             : Reason;
+}
+
 PlainCall::PlainCall(EntryContext &Context, ServiceDispatchers &Dispatchers,
                      ExchangePtr Exchange, PlainRequest Request)
     : Context(Context), Dispatchers(Dispatchers), Exchange(std::move(Exchange)),
@@ -142,8 +151,8 @@
                                Routing::Failure::ConnectFailed);
     return;
   }
-  this->MayHaveRun = true;
   if (Result == Network::HttpCallResult::Incomplete) {
+    this->MayHaveRun = true;
     this->Dispatchers.onFailed(Service, Id, this->Server,
                                Routing::Failure::ConnectionLost);
     return;
@@ -168,6 +177,8 @@
   if (this->Finished)
     return;
   this->Finished = true;
+  if (this->MayHaveRun)
+    Reason = reasonAfterRun(Reason);
   this->Context.Metrics.recordRefusal(Reason);
   this->Exchange->reply(Network::problemResponse({Reason, ""}));
 }
--- a/Source/EntryDaemon/PlainCall.h
+++ b/Source/EntryDaemon/PlainCall.h
@@ -29,6 +29,10 @@
                   const CallerContext &Caller,
                   const Configuration::Declaration &Declared);
 
+/// The reason to give for refusing a call that a server may have run. It does
+/// not promise that the call was not run.
+Common::RefusalReason reasonAfterRun(Common::RefusalReason Reason);
+
 /// A call to a plain service that is idempotent and so may be retried.
 class PlainCall : public std::enable_shared_from_this<PlainCall> {
 public:
--- a/Source/FaultTests/ServingFaultTest.cpp
+++ b/Source/FaultTests/ServingFaultTest.cpp
@@ -379,6 +379,46 @@
   }
 }
 
+// A call that a server began to run may be refused later, but not as not_run.
+BOOST_AUTO_TEST_CASE(refusalAfterALostServerPromisesNothing) {
+  Cluster Fixture;
+  Fixture.startAll();
+  BOOST_REQUIRE(
+      Fixture
+          .executeStatement(Fixture.entryHttp(1),
+                            "declare priority brief rank 5 target 1 s")
+          .Status == 200);
+  BOOST_REQUIRE(Fixture.waitUntil([&] {
+    return Fixture.metric(Fixture.entryHttp(1), "configuration_version") >= 7;
+  }));
+  Fixture.startEngine("engine1", 1, 20);
+  Fixture.startService("orders1", 1, 60'000);
+  BOOST_REQUIRE(
+      Fixture.waitUntil([&] { return Fixture.servingBackendCount(1) == 2; }));
+  Network::HttpHeaders Brief = CallerHeaders;
+  Brief.push_back({"Sycamore-Priority", "brief"});
+  const auto Model = Fixture.startCall(
+      Fixture.entryHttp(1), Network::HttpMethod::Post, "/v1/completions",
+      R"({"model":"m","prompt":"p","max_tokens":100000})", Brief);
+  const auto Plain =
+      Fixture.startCall(Fixture.entryHttp(1), Network::HttpMethod::Get,
+                        "/services/orders/stock", "", Brief);
+  BOOST_REQUIRE(Fixture.waitUntil([&] {
+    return engineRequestCount(Fixture, 1) == 1 &&
+           Fixture.executeStatement(Fixture.entryHttp(1),
+                                    "show backends where running = 1")
+                   .json()
+                   .size() == 2;
+  }));
+  Fixture.crash("engine1");
+  Fixture.crash("orders1");
+  for (const auto &Call : {Model, Plain}) {
+    BOOST_REQUIRE(Fixture.waitUntil([&] { return Call->has_value(); }));
+    BOOST_TEST((*Call)->Status == 502, (*Call)->Body);
+    BOOST_TEST((*Call)->outcome() == "unknown", (*Call)->Body);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(goneCallerFreesTheEngine) {
   Cluster Fixture;
   Fixture.startAll();
