--- a/Source/FaultTests/ServingFaultTest.cpp
+++ b/Source/FaultTests/ServingFaultTest.cpp
@@ -379,6 +379,47 @@
   }
 }
 
+// A new configuration that takes away what open requests use (the version, the
+// host, the caller, the service) must not end them without an answer.
+BOOST_AUTO_TEST_CASE(configurationChangeCutsNothingOff) {
+  Cluster Fixture;
+  Fixture.startAll();
+  Fixture.startEngine("engine1", 1, 20);
+  Fixture.startService("orders1", 1, 1500);
+  BOOST_REQUIRE(
+      Fixture.waitUntil([&] { return Fixture.servingBackendCount(1) == 2; }));
+  const auto Stream = startStream(Fixture, 1, 100);
+  const auto Chat = Fixture.startChat(1, "story", 100);
+  const auto Plain =
+      Fixture.startCall(Fixture.entryHttp(1), Network::HttpMethod::Get,
+                        "/services/orders/stock", "", CallerHeaders);
+  Network::HttpHeaders Keyed = CallerHeaders;
+  Keyed.push_back({"Idempotency-Key", "changed"});
+  const auto Reservation =
+      Fixture.startCall(Fixture.entryHttp(1), Network::HttpMethod::Post,
+                        "/services/orders/reservations", "{}", Keyed);
+  BOOST_REQUIRE(Fixture.waitUntil([&] {
+    return engineRequestCount(Fixture, 1) == 2 &&
+           Fixture.executeStatement(Fixture.entryHttp(1),
+                                    "show backends where running = 2")
+                   .json()
+                   .size() == 2;
+  }));
+  for (const char *Statement :
+       {"set service assistant version 2", "drain host h-engine1",
+        "drain host h-orders1", "remove caller yard", "remove service orders"})
+    BOOST_TEST(
+        Fixture.executeStatement(Fixture.entryHttp(1), Statement).Status == 200,
+        Statement);
+  for (const auto &Call : {Stream, Chat, Plain, Reservation}) {
+    BOOST_REQUIRE(Fixture.waitUntil([&] { return Call->has_value(); }));
+    BOOST_TEST((*Call)->Status == 200, (*Call)->Body);
+  }
+  BOOST_TEST((*Stream)->Body.find("[DONE]") != std::string::npos);
+  BOOST_TEST((*Chat)->json()["usage"].value("completion_tokens", 0) == 100);
+  BOOST_TEST(Fixture.runCounts()["yard/changed"] == 1);
+}
+
 // A call that a server began to run may be refused later, but not as not_run.
 BOOST_AUTO_TEST_CASE(refusalAfterALostServerPromisesNothing) {
   Cluster Fixture;
