--- a/Source/FaultTests/ServingFaultTest.cpp
+++ b/Source/FaultTests/ServingFaultTest.cpp
@@ -1,10 +1,8 @@
 #include "FaultTests/Cluster.h"
-#include "Network/SocketAddress.h"
+#include "FaultTests/RawConnection.h"
 
 #include <boost/test/unit_test.hpp>
 #include <csignal>
-#include <sys/socket.h>
-#include <unistd.h>
 
 namespace FaultTests {
 
@@ -25,34 +23,6 @@
   return Response.json().value("requests", 0.0);
 }
 
-/// Opens a connection with a small receive buffer, so that an answer that is
-/// not read stays with the daemon, and sends a request.
-int sendRequest(int Port, const std::string &Request) {
-  const int Descriptor = socket(AF_INET, SOCK_STREAM, 0);
-  const int ReceiveBytes = 64 << 10;
-  setsockopt(Descriptor, SOL_SOCKET, SO_RCVBUF, &ReceiveBytes,
-             sizeof(ReceiveBytes));
-  const sockaddr_in Endpoint =
-      Network::toSocketAddress({"127.0.0.1", static_cast<std::uint16_t>(Port)});
-  BOOST_REQUIRE(connect(Descriptor,
-                        reinterpret_cast<const sockaddr *>(&Endpoint),
-                        sizeof(Endpoint)) == 0);
-  BOOST_REQUIRE(send(Descriptor, Request.data(), Request.size(),
-                     MSG_NOSIGNAL) == static_cast<ssize_t>(Request.size()));
-  return Descriptor;
-}
-
-/// Reads until the connection ends.
-std::string readToEnd(int Descriptor) {
-  std::string Received;
-  std::vector<char> Buffer(64 << 10);
-  ssize_t Length = 0;
-  while ((Length = recv(Descriptor, Buffer.data(), Buffer.size(), 0)) > 0)
-    Received.append(Buffer.data(), static_cast<std::size_t>(Length));
-  close(Descriptor);
-  return Received;
-}
-
 bool isListening(Cluster &Fixture, int Port) {
   return Fixture.call(Port, Network::HttpMethod::Get, "/healthz").Status != 0;
 }
@@ -278,9 +248,9 @@
   Fixture.startService("orders1", 1);
   BOOST_REQUIRE(
       Fixture.waitUntil([&] { return Fixture.servingBackendCount(1) == 1; }));
-  const int Caller = sendRequest(
-      Fixture.entryHttp(1), "GET /services/orders/large HTTP/1.1\r\nHost: x\r\n"
-                            "Authorization: Bearer yard-key\r\n\r\n");
+  const RawConnection Caller(Fixture.entryHttp(1));
+  BOOST_REQUIRE(Caller.send("GET /services/orders/large HTTP/1.1\r\nHost: x\r\n"
+                            "Authorization: Bearer yard-key\r\n\r\n"));
   BOOST_REQUIRE(Fixture.waitUntil([&] {
     return Fixture.metric(Fixture.entryHttp(1),
                           "plain_requests_completed_total") == 1;
@@ -288,7 +258,7 @@
   Fixture.process("e1").signal(SIGTERM);
   BOOST_REQUIRE(Fixture.waitUntil(
       [&] { return !isListening(Fixture, Fixture.entryHttp(1)); }));
-  const std::string Received = readToEnd(Caller);
+  const std::string Received = Caller.receiveAll();
   constexpr std::size_t BodyBytes = 32u << 20;
   BOOST_TEST(Received.size() > BodyBytes);
   BOOST_TEST(
@@ -359,8 +329,8 @@
   BOOST_REQUIRE(
       Fixture.waitUntil([&] { return Fixture.servingBackendCount(1) == 1; }));
   const auto Stream = startStream(Fixture, 1, 100'000);
-  const int Caller = sendRequest(Fixture.entryHttp(1),
-                                 "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+  const RawConnection Caller(Fixture.entryHttp(1));
+  BOOST_REQUIRE(Caller.send("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"));
   BOOST_REQUIRE(
       Fixture.waitUntil([&] { return engineRequestCount(Fixture, 1) == 1; }));
   Fixture.process("e1").signal(SIGTERM);
@@ -368,9 +338,8 @@
       [&] { return !isListening(Fixture, Fixture.entryHttp(1)); }));
   const std::string Late = "GET /v1/models HTTP/1.1\r\nHost: x\r\n"
                            "Authorization: Bearer yard-key\r\n\r\n";
-  BOOST_REQUIRE(send(Caller, Late.data(), Late.size(), MSG_NOSIGNAL) ==
-                static_cast<ssize_t>(Late.size()));
-  const std::string Received = readToEnd(Caller);
+  BOOST_REQUIRE(Caller.send(Late));
+  const std::string Received = Caller.receiveAll();
   BOOST_TEST(Received.find("HTTP/1.1 200") != std::string::npos);
   BOOST_TEST(Received.find("HTTP/1.1 503") != std::string::npos);
   BOOST_TEST(Received.find("\"shutting_down\"") != std::string::npos);
@@ -379,6 +348,29 @@
       Fixture.waitUntil([&] { return Fixture.process("e1").hasExited(); }));
 }
 
+// SIGHUP, as sent for changed settings, must not end a daemon that runs
+// requests.
+BOOST_AUTO_TEST_CASE(hangupCutsNothingOff) {
+  Cluster Fixture;
+  Fixture.startAll();
+  Fixture.startCloud();
+  Fixture.startFleetDaemon(1);
+  Fixture.startEngine("engine1", 1, 10);
+  BOOST_REQUIRE(Fixture.waitUntil([&] {
+    return Fixture.servingBackendCount(1) == 1 &&
+           isListening(Fixture, Fixture.fleetHttp(1));
+  }));
+  const auto Call = Fixture.startChat(1, "story", 40);
+  BOOST_REQUIRE(
+      Fixture.waitUntil([&] { return engineRequestCount(Fixture, 1) == 1; }));
+  for (const char *Name : {"e1", "s1", "f1"})
+    Fixture.process(Name).signal(SIGHUP);
+  BOOST_REQUIRE(Fixture.waitUntil([&] { return Call->has_value(); }));
+  BOOST_TEST((*Call)->Status == 200);
+  for (const char *Name : {"e1", "s1", "f1"})
+    BOOST_TEST(!Fixture.process(Name).hasExited(), Name);
+}
+
 BOOST_AUTO_TEST_CASE(crashingRequestCostsAtMostTwoServers) {
   Cluster Fixture;
   Fixture.startAll();
@@ -419,6 +411,87 @@
   }
 }
 
+// A new configuration that takes away what open requests use (the version, the
+// host, the caller, the service) must not end them without an answer.
+BOOST_AUTO_TEST_CASE(configurationChangeCutsNothingOff) {
+  Cluster Fixture;
+  Fixture.startAll();
+  Fixture.startEngine("engine1", 1, 20);
+  Fixture.startService("orders1", 1, 1500);
+  BOOST_REQUIRE(
+      Fixture.waitUntil([&] { return Fixture.servingBackendCount(1) == 2; }));
+  const auto Stream = startStream(Fixture, 1, 100);
+  const auto Chat = Fixture.startChat(1, "story", 100);
+  const auto Plain =
+      Fixture.startCall(Fixture.entryHttp(1), Network::HttpMethod::Get,
+                        "/services/orders/stock", "", CallerHeaders);
+  Network::HttpHeaders Keyed = CallerHeaders;
+  Keyed.push_back({"Idempotency-Key", "changed"});
+  const auto Reservation =
+      Fixture.startCall(Fixture.entryHttp(1), Network::HttpMethod::Post,
+                        "/services/orders/reservations", "{}", Keyed);
+  BOOST_REQUIRE(Fixture.waitUntil([&] {
+    return engineRequestCount(Fixture, 1) == 2 &&
+           Fixture.executeStatement(Fixture.entryHttp(1),
+                                    "show backends where running = 2")
+                   .json()
+                   .size() == 2;
+  }));
+  for (const char *Statement :
+       {"set service assistant version 2", "drain host h-engine1",
+        "drain host h-orders1", "remove caller yard", "remove service orders"})
+    BOOST_TEST(
+        Fixture.executeStatement(Fixture.entryHttp(1), Statement).Status == 200,
+        Statement);
+  for (const auto &Call : {Stream, Chat, Plain, Reservation}) {
+    BOOST_REQUIRE(Fixture.waitUntil([&] { return Call->has_value(); }));
+    BOOST_TEST((*Call)->Status == 200, (*Call)->Body);
+  }
+  BOOST_TEST((*Stream)->Body.find("[DONE]") != std::string::npos);
+  BOOST_TEST((*Chat)->json()["usage"].value("completion_tokens", 0) == 100);
+  BOOST_TEST(Fixture.runCounts()["yard/changed"] == 1);
+}
+
+// A call that a server began to run may be refused later, but not as not_run.
+BOOST_AUTO_TEST_CASE(refusalAfterALostServerPromisesNothing) {
+  Cluster Fixture;
+  Fixture.startAll();
+  BOOST_REQUIRE(
+      Fixture
+          .executeStatement(Fixture.entryHttp(1),
+                            "declare priority brief rank 5 target 1 s")
+          .Status == 200);
+  BOOST_REQUIRE(Fixture.waitUntil([&] {
+    return Fixture.metric(Fixture.entryHttp(1), "configuration_version") >= 7;
+  }));
+  Fixture.startEngine("engine1", 1, 20);
+  Fixture.startService("orders1", 1, 60'000);
+  BOOST_REQUIRE(
+      Fixture.waitUntil([&] { return Fixture.servingBackendCount(1) == 2; }));
+  Network::HttpHeaders Brief = CallerHeaders;
+  Brief.push_back({"Sycamore-Priority", "brief"});
+  const auto Model = Fixture.startCall(
+      Fixture.entryHttp(1), Network::HttpMethod::Post, "/v1/completions",
+      R"({"model":"m","prompt":"p","max_tokens":100000})", Brief);
+  const auto Plain =
+      Fixture.startCall(Fixture.entryHttp(1), Network::HttpMethod::Get,
+                        "/services/orders/stock", "", Brief);
+  BOOST_REQUIRE(Fixture.waitUntil([&] {
+    return engineRequestCount(Fixture, 1) == 1 &&
+           Fixture.executeStatement(Fixture.entryHttp(1),
+                                    "show backends where running = 1")
+                   .json()
+                   .size() == 2;
+  }));
+  Fixture.crash("engine1");
+  Fixture.crash("orders1");
+  for (const auto &Call : {Model, Plain}) {
+    BOOST_REQUIRE(Fixture.waitUntil([&] { return Call->has_value(); }));
+    BOOST_TEST((*Call)->Status == 502, (*Call)->Body);
+    BOOST_TEST((*Call)->outcome() == "unknown", (*Call)->Body);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(goneCallerFreesTheEngine) {
   Cluster Fixture;
   Fixture.startAll();
