Network: A stream in response to HEAD has no body

What callers saw: after a HEAD request that was answered with a stream, the chunks or at least the last chunk, which a caller that keeps its connection takes for the start of its next response.

Cause: only Http1Exchange::reply knew that the response to HEAD has no body.

--- a/Source/Core/Network/Http1Server.cpp
+++ b/Source/Core/Network/Http1Server.cpp
@@ -356,12 +356,11 @@
                           std::string_view Body) {
   if (!this->Connection || this->Streaming)
     return;
-  const bool IsHeadRequest = this->Head.Method == "HEAD";
   const std::string FramingHeaders =
       hasNoBody(Status) ? ""
                         : absl::StrCat("Content-Length: ", Body.size(), "\r\n");
   this->Connection->writeHead(Status, Headers, FramingHeaders);
-  if (!IsHeadRequest && !hasNoBody(Status))
+  if (!this->isHeadRequest() && !hasNoBody(Status))
     this->Connection->write(Body);
   this->Connection->finish(true);
 }
@@ -375,7 +374,8 @@
 }
 
 void Http1Exchange::sendChunk(std::string_view Bytes) {
-  if (!this->Connection || !this->Streaming || Bytes.empty())
+  if (!this->Connection || !this->Streaming || this->isHeadRequest() ||
+      Bytes.empty())
     return;
   std::string Chunk = absl::StrCat(absl::Hex(Bytes.size()), "\r\n");
   Chunk.append(Bytes);
@@ -386,7 +386,8 @@
 void Http1Exchange::endStream() {
   if (!this->Connection || !this->Streaming)
     return;
-  this->Connection->write("0\r\n\r\n");
+  if (!this->isHeadRequest())
+    this->Connection->write("0\r\n\r\n");
   this->Connection->finish(true);
 }
 
--- a/Source/Core/Network/Http1Server.h
+++ b/Source/Core/Network/Http1Server.h
@@ -58,6 +58,9 @@
 private:
   friend class Http1Server;
   friend class detail::Http1ServerConnection;
+  /// The response to a HEAD request has no body.
+  bool isHeadRequest() const { return this->Head.Method == "HEAD"; }
+
   detail::Http1ServerConnection *Connection = nullptr;
   Http1Head Head;
   std::string Body;
--- a/Source/UnitTests/Network/Http1ContractTest.cpp
+++ b/Source/UnitTests/Network/Http1ContractTest.cpp
@@ -309,6 +309,30 @@
   BOOST_TEST(runUntil(*Loop, [&] { return (*Server)->openExchanges() == 0; }));
 }
 
+// Guards against bytes of a stream that the caller takes for the start of its
+// next response.
+BOOST_AUTO_TEST_CASE(StreamInResponseToHeadHasNoBody) {
+  const auto Loop = createLoop();
+  Http1Server::Handlers Handlers;
+  Handlers.OnRequest = [](const std::shared_ptr<Http1Exchange> &Exchange) {
+    Exchange->startStream(200, {});
+    Exchange->sendChunk("part");
+    Exchange->endStream();
+  };
+  const Address Listen = allocateAddress();
+  auto Server = Http1Server::create(*Loop, Listen, std::move(Handlers));
+  BOOST_REQUIRE(Server.ok());
+  RawCaller Caller(*Loop, Listen);
+  Caller.write("HEAD / HTTP/1.1\r\nHost: x\r\n\r\n"
+               "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  BOOST_REQUIRE(runUntil(*Loop, [&] { return Caller.ended(); }));
+  const std::string &Received = Caller.received();
+  const std::size_t HeadEnd = Received.find("\r\n\r\n");
+  BOOST_REQUIRE(HeadEnd != std::string::npos);
+  BOOST_TEST(Received.substr(HeadEnd + 4, 12) == "HTTP/1.1 200");
+  BOOST_TEST(Received.find("part") == Received.rfind("part"));
+}
+
 BOOST_AUTO_TEST_CASE(AbortedStreamIsIncomplete) {
   const auto Loop = createLoop();
   Http1Server::Handlers Handlers;
