EntryDaemon: The shutdown limit also closes the listener

Cause: the listener closed by the grace alone, and the check that ends the process followed it. The limit now closes it too.

--- a/Source/EntryDaemon/EntryDaemon.cpp
+++ b/Source/EntryDaemon/EntryDaemon.cpp
@@ -504,15 +504,17 @@
 void EntryDaemon::checkShutdown() {
   const Common::Duration Elapsed = std::chrono::duration_cast<Common::Duration>(
       this->Loop.now() - this->ShutdownStartedAt);
+  const Common::Duration InterruptAfter =
+      this->Settings.ShutdownTime - InterruptedReplyTime;
   // The load balancer must see /readyz fail before the listener closes.
-  if (!this->ListenerClosed && Elapsed >= this->Settings.DrainGrace) {
+  if (!this->ListenerClosed &&
+      Elapsed >= std::min(this->Settings.DrainGrace, InterruptAfter)) {
     this->ListenerClosed = true;
     this->Server->stopAccepting();
     // What has arrived by now is read before the next check.
     return;
   }
-  if (!this->Interrupted &&
-      Elapsed >= this->Settings.ShutdownTime - InterruptedReplyTime) {
+  if (!this->Interrupted && Elapsed >= InterruptAfter) {
     this->Interrupted = true;
     this->Server->interruptExchanges();
   }
--- a/Source/FaultTests/ServingFaultTest.cpp
+++ b/Source/FaultTests/ServingFaultTest.cpp
@@ -41,10 +41,12 @@
 }
 
 /// Starts all daemons, e1 with an option that limits the time of its shutdown.
-void startWithShutdownTime(Cluster &Fixture, const std::string &Seconds) {
+void startWithShutdownTime(Cluster &Fixture, const std::string &Seconds,
+                           const std::string &GraceMilliseconds = "500") {
   Fixture.startAll();
   Fixture.crash("e1");
-  Fixture.startEntryDaemon(1, {"--shutdown-time=" + Seconds});
+  Fixture.startEntryDaemon(
+      1, {"--shutdown-time=" + Seconds, "--drain-grace=" + GraceMilliseconds});
   BOOST_REQUIRE(Fixture.waitUntil([&] {
     return Fixture.metric(Fixture.entryHttp(1), "configuration_version") >= 6;
   }));
@@ -339,6 +341,32 @@
     BOOST_TEST(!Fixture.process(Name).hasExited(), Name);
 }
 
+// A grace that is longer than the shutdown must not let requests in after the
+// open ones were answered: they would be cut.
+BOOST_AUTO_TEST_CASE(shutdownLimitGoesBeforeTheGrace) {
+  Cluster Fixture;
+  startWithShutdownTime(Fixture, "2", "60000");
+  Fixture.startService("orders1", 1);
+  BOOST_REQUIRE(
+      Fixture.waitUntil([&] { return Fixture.servingBackendCount(1) == 1; }));
+  // An answer that is not read keeps the daemon until the limit.
+  const RawConnection Caller(Fixture.entryHttp(1));
+  BOOST_REQUIRE(Caller.send("GET /services/orders/large HTTP/1.1\r\nHost: x\r\n"
+                            "Authorization: Bearer yard-key\r\n\r\n"));
+  BOOST_REQUIRE(Fixture.waitUntil([&] {
+    return Fixture.metric(Fixture.entryHttp(1),
+                          "plain_requests_completed_total") == 1;
+  }));
+  Fixture.process("e1").signal(SIGTERM);
+  BOOST_REQUIRE(Fixture.waitUntil(
+      [&] { return !isListening(Fixture, Fixture.entryHttp(1)); }));
+  // The process has not ended yet, so the whole answer can still be read.
+  constexpr std::size_t BodyBytes = 32u << 20;
+  BOOST_TEST(Caller.receiveAll().size() > BodyBytes);
+  BOOST_TEST(
+      Fixture.waitUntil([&] { return Fixture.process("e1").hasExited(); }));
+}
+
 BOOST_AUTO_TEST_CASE(crashingRequestCostsAtMostTwoServers) {
   Cluster Fixture;
   Fixture.startAll();
