StateDaemon: A restarted leader decodes its newest declaration only

What callers could see: after a final fault no state daemon answers for two seconds longer than the election takes, and entry daemons refuse requests meanwhile.

Cause: a replica that starts applies the log again, and decoded and pushed each declaration in it. Nobody heard from it, it lost its leadership, and the next leader did the same.

Evidence: RoutedServing/ARestartedLeaderInstallsTheNewestDeclarationOnly restarts the group after 21 declarations.

Fix: the declaration is pushed and decoded once after the entries at hand are applied.

Ruled out: the log's size as the cause of a loss; each replica applies it once, so that the third leader at the latest goes on.

--- a/Source/FaultTests/RoutedCluster.cpp
+++ b/Source/FaultTests/RoutedCluster.cpp
@@ -4,6 +4,8 @@
 #include <boost/test/unit_test.hpp>
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <unistd.h>
 
 namespace FaultTests {
@@ -96,7 +98,7 @@
           "--metrics-port=" + std::to_string(MetricsPort),
           std::string("--first-start=") + (FirstStart ? "true" : "false"),
           "--tolerated-hosts=1"},
-      this->Folder + "/" + Name + ".log" + std::to_string(++this->LogCount));
+      this->newLogPath(Name));
 }
 
 void RoutedCluster::startEntryDaemon() {
@@ -108,7 +110,17 @@
           "--ready=" + this->readinessAddress().str(),
           std::string("--link-port=") + LinkPort, "--seeds=" + seedAddresses(),
           "--revoke-time=5000", "--shutdown-time=8"},
-      this->Folder + "/entry.log" + std::to_string(++this->LogCount));
+      this->newLogPath("entry"));
+}
+
+std::string RoutedCluster::newLogPath(const std::string &Name) {
+  return this->LogPaths[Name] = this->Folder + "/" + Name + ".log" +
+                                std::to_string(++this->LogCount);
+}
+
+std::string RoutedCluster::log(const std::string &Name) const {
+  std::ifstream Stream(this->LogPaths.at(Name));
+  return {std::istreambuf_iterator<char>(Stream), {}};
 }
 
 void RoutedCluster::startAll() {
--- a/Source/FaultTests/RoutedCluster.h
+++ b/Source/FaultTests/RoutedCluster.h
@@ -44,6 +44,8 @@
   void crash(const std::string &Name) { this->Processes.erase(Name); }
   /// Deletes a state daemon's data folder.
   void wipeDisk(int Number);
+  /// What a process has logged since its last start.
+  std::string log(const std::string &Name) const;
   Process &process(const std::string &Name) {
     return *this->Processes.at(Name);
   }
@@ -99,6 +101,8 @@
   static void respond(Network::Http1Exchange &Exchange, int Status = 200);
 
 private:
+  std::string newLogPath(const std::string &Name);
+
   std::unique_ptr<Network::EventLoop> Loop;
   std::unique_ptr<Network::Http1Client> Client;
   std::vector<std::unique_ptr<Network::Http1Server>> Servers;
@@ -106,6 +110,7 @@
   std::string Folder;
   std::uint64_t LastRequestId = 0;
   std::uint64_t HeartbeatSequence = 0;
+  std::map<std::string, std::string> LogPaths;
   int LogCount = 0;
 };
 
--- a/Source/FaultTests/RoutedServingTest.cpp
+++ b/Source/FaultTests/RoutedServingTest.cpp
@@ -366,6 +366,31 @@
   }
 }
 
+// Guards against a leader that loses its leadership after a restart because it
+// decodes each declaration of its log, and answers nobody meanwhile.
+BOOST_AUTO_TEST_CASE(ARestartedLeaderInstallsTheNewestDeclarationOnly) {
+  RoutedCluster Fixture;
+  Fixture.startAll();
+  std::uint64_t Version = 10;
+  for (; Version < 30; ++Version)
+    BOOST_REQUIRE(Fixture.operatorCall(
+        "POST", ReplacePath, RoutedCluster::declaration(Version, "/a/"), 200));
+  for (int I = 1; I <= RoutedCluster::StateDaemons; ++I)
+    Fixture.crash("state" + std::to_string(I));
+  for (int I = 1; I <= RoutedCluster::StateDaemons; ++I)
+    Fixture.startStateDaemon(I, false);
+  const int Leader = Fixture.leader();
+  BOOST_REQUIRE(Leader != 0);
+  const std::string Log = Fixture.log("state" + std::to_string(Leader));
+  const std::string Event = "event=declaration_in_force";
+  int Installed = 0;
+  for (std::size_t At = Log.find(Event); At != std::string::npos;
+       At = Log.find(Event, At + 1))
+    ++Installed;
+  BOOST_TEST(Installed == 1);
+  BOOST_TEST(Log.find(Event + " version=29") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(EverythingRestartsAtOnceAndNothingIsLost) {
   RoutedCluster Fixture;
   Fixture.startAll();
--- a/Source/StateDaemon/Controller.cpp
+++ b/Source/StateDaemon/Controller.cpp
@@ -121,7 +121,7 @@
     if (!Restored.ok())
       return Restored.status();
     this->State = std::move(*Restored);
-    this->pushDeclaration();
+    this->schedulePushDeclaration();
     return absl::OkStatus();
   };
   Result.Apply = [this](const Consensus::LogEntry &Entry) {
@@ -179,10 +179,20 @@
   if (!Command.ok())
     return Command.status();
   this->State.apply(*Command);
-  this->pushDeclaration();
+  this->schedulePushDeclaration();
   return absl::OkStatus();
 }
 
+void Controller::schedulePushDeclaration() {
+  if (this->DeclarationPushScheduled)
+    return;
+  this->DeclarationPushScheduled = true;
+  this->Loop.defer([this] {
+    this->DeclarationPushScheduled = false;
+    this->pushDeclaration();
+  });
+}
+
 void Controller::pushDeclaration() {
   if (this->State.declarationVersion() <= this->PushedVersion)
     return;
--- a/Source/StateDaemon/Controller.h
+++ b/Source/StateDaemon/Controller.h
@@ -103,6 +103,9 @@
   void redirectToLeader(Network::Http1Exchange &Exchange,
                         const std::string &Path);
   void pushDeclaration();
+  /// Pushes the declaration once the entries at hand are applied. To decode
+  /// each one of a long log would keep this daemon from its peers for too long.
+  void schedulePushDeclaration();
   /// Decodes the applied declaration document for the token pool, the tracker
   /// and the duties.
   void decodeDeclaration();
@@ -147,6 +150,7 @@
   std::shared_ptr<const Configuration::ServiceMap> Declaration;
   /// Connections of replicas that this replica's membership does not list yet.
   std::map<Consensus::ReplicaId, Network::ConnectionId> NonMemberConnections;
+  bool DeclarationPushScheduled = false;
   /// Version of the last declaration that was pushed to entry daemons.
   Common::ConfigurationVersion PushedVersion;
   /// When a leader was last known; without one for JoinDelay, this daemon asks
