--- a/Source/FaultTests/RoutedCluster.cpp
+++ b/Source/FaultTests/RoutedCluster.cpp
@@ -303,6 +303,15 @@
   return false;
 }
 
+int RoutedCluster::proposals(int Number) {
+  const std::string Metrics =
+      this->call({stateDaemonIp(Number), MetricsPort}, "GET", "/metrics").Body;
+  const std::string Name = "\nsycamore_proposals_total ";
+  const std::size_t At = Metrics.find(Name);
+  return At == std::string::npos ? 0
+                                 : std::stoi(Metrics.substr(At + Name.size()));
+}
+
 int RoutedCluster::leader() {
   int Leader = 0;
   this->waitUntil([&] {
--- a/Source/FaultTests/RoutedCluster.h
+++ b/Source/FaultTests/RoutedCluster.h
@@ -87,6 +87,8 @@
   /// Whether the leader reports three voters and four members, none of them
   /// lost or behind.
   bool isGroupHealthy();
+  /// Number of commands that a state daemon has proposed since its start.
+  int proposals(int Number);
 
   Network::Address entryAddress() const;
   Network::Address readinessAddress() const;
--- a/Source/FaultTests/RoutedServingTest.cpp
+++ b/Source/FaultTests/RoutedServingTest.cpp
@@ -391,6 +391,35 @@
   BOOST_TEST(Log.find(Event + " version=29") != std::string::npos);
 }
 
+// Guards against a stop that closes an open declaration without an answer.
+BOOST_AUTO_TEST_CASE(AnOpenDeclarationIsAnsweredBeforeTheStop) {
+  RoutedCluster Fixture;
+  Fixture.startAll();
+  BOOST_REQUIRE(Fixture.waitUntil([&] { return Fixture.isGroupHealthy(); }));
+  const int Leader = Fixture.leader();
+  BOOST_REQUIRE(Leader != 0);
+  Process &Stopped = Fixture.process("state" + std::to_string(Leader));
+  const int Before = Fixture.proposals(Leader);
+  // No other daemon can confirm the declaration.
+  for (int I = 1; I <= RoutedCluster::StateDaemons; ++I)
+    if (I != Leader)
+      Fixture.process("state" + std::to_string(I)).signal(SIGSTOP);
+  const auto Call =
+      Fixture.startCall(Fixture.controlAddress(Leader), "POST", ReplacePath,
+                        RoutedCluster::declaration(10, "/a/"), {});
+  bool Proposed = false;
+  BOOST_REQUIRE(Fixture.waitUntil([&] {
+    Proposed = Fixture.proposals(Leader) > Before;
+    return Proposed || Call->Done;
+  }));
+  Stopped.signal(SIGTERM);
+  BOOST_REQUIRE(Fixture.waitUntil([&] { return Call->Done; }));
+  // The outcome of a proposed declaration is unknown. Without a quorum the
+  // leader may have found that it cannot propose, and refused the call.
+  BOOST_TEST(Call->Status == (Proposed ? 500 : 503));
+  BOOST_TEST(Fixture.waitUntil([&] { return Stopped.hasExited(); }));
+}
+
 BOOST_AUTO_TEST_CASE(EverythingRestartsAtOnceAndNothingIsLost) {
   RoutedCluster Fixture;
   Fixture.startAll();
