--- a/Source/UnitTests/Consensus/ReplicaTest.cpp
+++ b/Source/UnitTests/Consensus/ReplicaTest.cpp
@@ -256,6 +256,53 @@
     replaceHostsThenLoseDisks(Seed, 2);
 }
 
+// Guards against a loss of acknowledged entries while members change: a disk is
+// lost amid other faults, which may stop more hosts than tolerated for a while.
+BOOST_AUTO_TEST_CASE(disksAreReplacedUnderRandomFaults) {
+  constexpr std::uint64_t Seeds = 30;
+  constexpr Common::Duration CatchUpTime = 4s;
+  std::size_t Acknowledged = 0;
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    const std::size_t Tolerated = 1 + Seed % 2;
+    Common::Random Randomness(Seed);
+    SimulatedGroup Group(3, Seed);
+    Group.keepVoters(
+        Consensus::VoterPlanOptions::create(Tolerated, CatchUpTime));
+    for (int I = 3; I < (Tolerated == 1 ? 4 : 5); ++I)
+      Group.addHost();
+    Group.run(10s);
+    for (int Round = 0; Round < 6; ++Round) {
+      const int LossAt = static_cast<int>(Randomness.below(20));
+      for (int I = 0; I < 20; ++I) {
+        Group.injectRandomFault();
+        for (int J = 0; J < 5; ++J) {
+          Group.propose(std::to_string(Round) + "." + std::to_string(I) + "." +
+                        std::to_string(J));
+          Group.run(20ms);
+        }
+        if (I != LossAt)
+          continue;
+        const auto Running =
+            runningWithLeaderAt(Group, Randomness.below(2 * Tolerated));
+        for (std::size_t K = 0; K < std::min(Tolerated, Running.size()); ++K)
+          Group.replaceDisk(Running[K]);
+      }
+      Group.clearFaults();
+      Group.run(3s + CatchUpTime);
+    }
+    const std::string Label = "seed " + std::to_string(Seed) + ": ";
+    BOOST_REQUIRE_MESSAGE(Group.violation().empty(),
+                          Label << Group.violation());
+    BOOST_REQUIRE_MESSAGE(Group.leader().has_value(), Label << "no leader");
+    BOOST_REQUIRE_MESSAGE(Group.converged(),
+                          Label << "an acknowledged payload is lost or "
+                                   "replicas differ");
+    Acknowledged += Group.acknowledged().size();
+  }
+  // The faults must allow progress, or the test checks too little.
+  BOOST_TEST(Acknowledged > 100 * Seeds);
+}
+
 BOOST_AUTO_TEST_CASE(noDataCentreMayHoldAMajority) {
   const auto Read = [](const char *Text) {
     return *Consensus::Member::create(Text);
