--- a/Source/FaultTests/RoutedCluster.cpp
+++ b/Source/FaultTests/RoutedCluster.cpp
@@ -4,6 +4,8 @@
 #include <boost/test/unit_test.hpp>
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <unistd.h>
 
 namespace FaultTests {
@@ -104,7 +106,7 @@
           "--metrics-port=" + std::to_string(MetricsPort),
           std::string("--first-start=") + (FirstStart ? "true" : "false"),
           "--tolerated-hosts=1"},
-      this->Folder + "/" + Name + ".log" + std::to_string(++this->LogCount));
+      this->newLogPath(Name));
 }
 
 void RoutedCluster::startEntryDaemon() {
@@ -117,7 +119,17 @@
           std::string("--link-port=") + LinkPort, "--seeds=" + seedAddresses(),
           "--revoke-time=5000",
           "--shutdown-time=" + std::to_string(this->ShutdownSeconds)},
-      this->Folder + "/entry.log" + std::to_string(++this->LogCount));
+      this->newLogPath("entry"));
+}
+
+std::string RoutedCluster::newLogPath(const std::string &Name) {
+  return this->LogPaths[Name] = this->Folder + "/" + Name + ".log" +
+                                std::to_string(++this->LogCount);
+}
+
+std::string RoutedCluster::log(const std::string &Name) const {
+  std::ifstream Stream(this->LogPaths.at(Name));
+  return {std::istreambuf_iterator<char>(Stream), {}};
 }
 
 void RoutedCluster::startAll() {
@@ -307,6 +319,15 @@
   return false;
 }
 
+int RoutedCluster::proposals(int Number) {
+  const std::string Metrics =
+      this->call({stateDaemonIp(Number), MetricsPort}, "GET", "/metrics").Body;
+  const std::string Name = "\nsycamore_proposals_total ";
+  const std::size_t At = Metrics.find(Name);
+  return At == std::string::npos ? 0
+                                 : std::stoi(Metrics.substr(At + Name.size()));
+}
+
 int RoutedCluster::leader() {
   int Leader = 0;
   this->waitUntil([&] {
--- a/Source/FaultTests/RoutedCluster.h
+++ b/Source/FaultTests/RoutedCluster.h
@@ -44,6 +44,8 @@
   void crash(const std::string &Name) { this->Processes.erase(Name); }
   /// Deletes a state daemon's data folder.
   void wipeDisk(int Number);
+  /// What a process has logged since its last start.
+  std::string log(const std::string &Name) const;
   Process &process(const std::string &Name) {
     return *this->Processes.at(Name);
   }
@@ -86,6 +88,8 @@
   /// Whether the leader reports three voters and four members, none of them
   /// lost or behind.
   bool isGroupHealthy();
+  /// Number of commands that a state daemon has proposed since its start.
+  int proposals(int Number);
 
   Network::Address entryAddress() const;
   Network::Address readinessAddress() const;
@@ -104,6 +108,8 @@
   static void startEventStream(Network::Http1Exchange &Exchange);
 
 private:
+  std::string newLogPath(const std::string &Name);
+
   std::unique_ptr<Network::EventLoop> Loop;
   std::unique_ptr<Network::Http1Client> Client;
   std::vector<std::unique_ptr<Network::Http1Server>> Servers;
@@ -111,6 +117,7 @@
   std::string Folder;
   std::uint64_t LastRequestId = 0;
   std::uint64_t HeartbeatSequence = 0;
+  std::map<std::string, std::string> LogPaths;
   int LogCount = 0;
 };
 
