EntryDaemon: A begun stream is kept until its time is over

Such an end is excused only once the deadline has passed.

Cause: retryLater fails a call that has no time for another attempt, also when its stream has begun and an early end helps nobody.

Change: the deadline ends it. A call without a response is still answered early.

--- a/Source/EntryDaemon/RoutedAttempt.cpp
+++ b/Source/EntryDaemon/RoutedAttempt.cpp
@@ -525,9 +525,11 @@
 
 bool RoutedCall::retryLater() {
   if (!this->MayHaveExecuted || !this->route().isIdempotent() ||
-      this->Executions >= this->route().MaxAttempts ||
-      this->timeLeft() < MinRetryTime)
+      this->Executions >= this->route().MaxAttempts)
     return false;
+  // A begun stream is broken off only when its time is over.
+  if (this->timeLeft() < MinRetryTime)
+    return this->Streaming;
   const Common::TimePoint Now = this->Context.Loop.now();
   if (!this->RetryingLaterSince)
     this->RetryingLaterSince = Now;
