Admission, EntryDaemon: A stop that is checked late answers first; reasons of closes

A process that was held up from before the end of its requests until its stop skipped the former and closed its calls without a status. ShutdownSchedule now ends them at least once before it says stop (ShutdownSchedule_/ALateCheckEndsTheRequestsFirst fails on the code before).

Tests: a late request may stay unanswered only within 200 ms of the exit; the refusal at the end of a stop names its reason, as the wait at the start also ends with 503.

--- a/Source/Core/Admission/ShutdownSchedule.cpp
+++ b/Source/Core/Admission/ShutdownSchedule.cpp
@@ -1,5 +1,7 @@
 #include "Admission/ShutdownSchedule.h"
 
+#include <algorithm>
+
 namespace Admission {
 
 Common::Duration ShutdownSchedule::elapsed(Common::TimePoint Now) const {
@@ -13,21 +15,27 @@
   if (!this->StartedAt)
     return true;
   const Common::Duration Elapsed = this->elapsed(Now);
-  return Elapsed <= this->Timing.LongRequestIntake ||
-         Elapsed + TimeLeft <= this->Timing.Limit - this->Timing.EndMargin;
+  const Common::Duration End = this->Timing.Limit - this->Timing.EndMargin;
+  return Elapsed <= std::min(this->Timing.LongRequestIntake, End) ||
+         Elapsed + TimeLeft <= End;
 }
 
 ShutdownSchedule::Action ShutdownSchedule::nextAction(Common::TimePoint Now,
-                                                      bool Idle) const {
+                                                      bool Idle) {
   if (!this->StartedAt)
     return Action::Continue;
   const Common::Duration Elapsed = this->elapsed(Now);
   const bool Ending = Elapsed > this->Timing.Limit - this->Timing.EndMargin;
   if (Idle && (Ending || Elapsed > this->Timing.BalancerDrainTime))
     return Action::Stop;
-  if (Elapsed > this->Timing.Limit - this->Timing.StopMargin)
+  if (!Ending)
+    return Action::Continue;
+  // Also when a process that was held up checks late for the first time.
+  if (this->RequestsEnded &&
+      Elapsed > this->Timing.Limit - this->Timing.StopMargin)
     return Action::Stop;
-  return Ending ? Action::EndRequests : Action::Continue;
+  this->RequestsEnded = true;
+  return Action::EndRequests;
 }
 
 } // namespace Admission
--- a/Source/Core/Admission/ShutdownSchedule.h
+++ b/Source/Core/Admission/ShutdownSchedule.h
@@ -49,11 +49,13 @@
   bool accepts(Common::TimePoint Now, Common::Duration TimeLeft) const;
 
   /// Idle means that no request is in progress and no response is unsent.
-  Action nextAction(Common::TimePoint Now, bool Idle) const;
+  Action nextAction(Common::TimePoint Now, bool Idle);
 
 private:
   Options Timing;
   std::optional<Common::TimePoint> StartedAt;
+  /// Whether nextAction returned EndRequests.
+  bool RequestsEnded = false;
 };
 
 } // namespace Admission
--- a/Source/EntryDaemon/EntryDaemon.cpp
+++ b/Source/EntryDaemon/EntryDaemon.cpp
@@ -524,7 +524,10 @@
   if (!Idle && !Answered && Elapsed < this->Settings.ShutdownTime)
     return;
   Telemetry::log(Events::Stopped, this->Server->openExchanges(),
-                 Idle ? "idle" : "timed_out", Common::toMilliseconds(Elapsed));
+                 Idle       ? "idle"
+                 : Answered ? "ended_requests"
+                            : "timed_out",
+                 Common::toMilliseconds(Elapsed));
   this->Loop.stop();
 }
 
--- a/Source/EntryDaemon/Gateway.cpp
+++ b/Source/EntryDaemon/Gateway.cpp
@@ -184,7 +184,7 @@
   this->Context.Metrics.incrementLabelledCounter("connections_cut_total",
                                                  "reason", Name);
   const Network::Http1Exchange &Exchange = *Closed.Unfinished;
-  const char *Response = !Exchange.isOpen()       ? "unsent"
+  const char *Response = Closed.UnsentBytes != 0  ? "unsent"
                          : Exchange.isStreaming() ? "streaming"
                                                   : "none";
   Telemetry::log(
@@ -361,13 +361,17 @@
     while (!this->Context.OpenCalls.empty()) {
       const std::shared_ptr<RoutedCall> Call = *this->Context.OpenCalls.begin();
       Call->endBeforeStop();
+      this->EndedRequests = true;
     }
     return;
   }
   if (Next != Action::Stop)
     return;
   this->RequestServer->closeAll();
-  Telemetry::log(Events::Stopped, Open, Open == 0 ? "idle" : "timed_out",
+  const char *Reason = Open != 0             ? "timed_out"
+                       : this->EndedRequests ? "ended_requests"
+                                             : "idle";
+  Telemetry::log(Events::Stopped, Open, Reason,
                  Common::toMilliseconds(this->Context.Shutdown.elapsed(Now)));
   this->Loop.stop();
 }
--- a/Source/EntryDaemon/Gateway.h
+++ b/Source/EntryDaemon/Gateway.h
@@ -60,6 +60,8 @@
   bool LastReady = false;
   std::vector<Network::EventHandle> EventHandles;
   Network::EventHandle ShutdownTimer;
+  /// Whether calls were ended because the process was about to stop.
+  bool EndedRequests = false;
   Network::EventHandle TokenRequestTimer;
   bool TokenRequestScheduled = false;
 };
--- a/Source/FaultTests/RoutedServingTest.cpp
+++ b/Source/FaultTests/RoutedServingTest.cpp
@@ -460,6 +460,30 @@
   BOOST_TEST((Response->Result == Network::Http1CallResult::Complete));
 }
 
+// LOST: a stream that broke shortly before its deadline was given up at once,
+// which is excused only once the deadline has passed.
+BOOST_AUTO_TEST_CASE(AStreamThatBreaksLateIsKeptUntilItsDeadline) {
+  RoutedCluster Fixture;
+  Fixture.startAll();
+  constexpr Common::Duration Deadline = std::chrono::milliseconds(1000);
+  constexpr Common::Duration BreaksBefore = std::chrono::milliseconds(150);
+  Network::EventHandle BreakTimer;
+  Fixture.OnServerRequest =
+      [&](const std::shared_ptr<Network::Http1Exchange> &Exchange) {
+        Exchange->startStream(200, eventStreamHeaders(*Exchange));
+        Exchange->sendChunk(FirstEvent);
+        BreakTimer = Fixture.loop().callAfter(
+            Deadline - BreaksBefore, [Exchange] { Exchange->abort(); });
+      };
+  const auto Response =
+      Fixture.startRequest("/a/flow/x", "key-1", "POST",
+                           static_cast<int>(Common::toMilliseconds(Deadline)));
+  BOOST_REQUIRE(Fixture.waitUntil([&] { return Response->Done; }));
+  BOOST_TEST((Response->Result == Network::Http1CallResult::Truncated));
+  BOOST_TEST(Fixture.log("entry").find("event=stream_out_of_time") !=
+             std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(ARefusalIsNotPromisedOnceAServerRanTheRequest) {
   RoutedCluster Fixture;
   Fixture.startAll();
@@ -723,6 +747,7 @@
         {"/a/x", Now, Fixture.startRequest("/a/x", "key-1", "POST", 300)});
     return Fixture.process("entry").hasExited();
   }));
+  const Common::TimePoint ExitedAt = Fixture.loop().now();
   BOOST_TEST(Fixture.process("entry").exitCode() == 0);
   BOOST_TEST(Fixture.waitUntil([&] {
     return std::all_of(Long.begin(), Long.end(),
@@ -730,15 +755,20 @@
   }));
   // A request that is sent later may not be cut at the end of the grace period.
   constexpr Common::Duration MaySendUntil = std::chrono::seconds(3);
+  // Within the time that a request may stay unanswered.
+  constexpr Common::Duration ExitDelay = std::chrono::milliseconds(200);
   int Refused = 0;
   for (const SentRequest &Each : Long) {
     if (Each.SentAt - SignalledAt <= MaySendUntil)
       continue;
     BOOST_TEST(!PathsThatReachedServer.contains(Each.Path));
     // The last requests find the process gone, or cross its exit.
-    if (Each.Response->Result == Network::Http1CallResult::NotSent ||
-        Each.Response->Result == Network::Http1CallResult::NoResponse)
+    if (Each.Response->Result == Network::Http1CallResult::NotSent)
+      continue;
+    if (Each.Response->Result == Network::Http1CallResult::NoResponse) {
+      BOOST_TEST((ExitedAt - Each.SentAt < ExitDelay));
       continue;
+    }
     BOOST_TEST((Each.Response->Result == Network::Http1CallResult::Complete));
     BOOST_TEST(Each.Response->Status == 503);
     BOOST_TEST(
@@ -773,6 +803,7 @@
   BOOST_TEST(Fixture.waitUntil([&] { return Response->Done; }));
   BOOST_TEST((Response->Result == Network::Http1CallResult::Complete));
   BOOST_TEST(Response->Status == 503);
+  BOOST_TEST(Response->Body.find("shutting_down") != std::string::npos);
   BOOST_TEST(
       Fixture.waitUntil([&] { return Fixture.process("entry").hasExited(); }));
 }
--- a/Source/UnitTests/Admission/ShutdownScheduleTest.cpp
+++ b/Source/UnitTests/Admission/ShutdownScheduleTest.cpp
@@ -15,7 +15,7 @@
   bool accepts(Common::Duration TimeLeft) const {
     return this->Schedule.accepts(this->Clock.now(), TimeLeft);
   }
-  Action nextAction(bool Idle) const {
+  Action nextAction(bool Idle) {
     return this->Schedule.nextAction(this->Clock.now(), Idle);
   }
 
@@ -67,6 +67,25 @@
   BOOST_TEST((nextAction(false) == Action::Stop));
 }
 
+// LOST: a process that was held up until the limit stopped without answering.
+BOOST_AUTO_TEST_CASE(ALateCheckEndsTheRequestsFirst) {
+  Schedule.start(Clock.now());
+  Clock.advance(7950ms);
+  BOOST_TEST((nextAction(false) == Action::EndRequests));
+  BOOST_TEST((nextAction(false) == Action::Stop));
+}
+
+BOOST_AUTO_TEST_CASE(NothingIsAcceptedAtTheEndOfAShortLimit) {
+  ShutdownSchedule::Options Timing;
+  Timing.Limit = 1s;
+  ShutdownSchedule Short(Timing);
+  Short.start(Clock.now());
+  Clock.advance(500ms);
+  BOOST_TEST(Short.accepts(Clock.now(), 12s));
+  Clock.advance(200ms);
+  BOOST_TEST(!Short.accepts(Clock.now(), 12s));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace UnitTests
