--- a/Source/StateDaemon/ReplicaDriver.cpp
+++ b/Source/StateDaemon/ReplicaDriver.cpp
@@ -210,6 +210,7 @@
       this->closeOnFailure(Restored);
       return false;
     }
+    this->OwnerHandlers.OnChange();
   }
   for (const Consensus::LogEntry &Entry : Actions.Apply)
     if (!this->apply(Entry))
