--- a/Source/FaultTests/RoutedServingTest.cpp
+++ b/Source/FaultTests/RoutedServingTest.cpp
@@ -460,6 +460,71 @@
   BOOST_TEST((Response->Result == Network::Http1CallResult::Complete));
 }
 
+// LOST: a stream was taken away from a server that paused, as another one would
+// accept it by this daemon's figures; that one rejected it, and the stream was
+// broken off. A server's silence is no reason to end a response sooner.
+BOOST_AUTO_TEST_CASE(AStreamStaysAtASilentServerIfOthersRejectIt) {
+  RoutedCluster Fixture;
+  Fixture.startAll();
+  Fixture.announce("ready", 2);
+  // shop-2 sends events of another stream, and shop-1 pauses. Requests that
+  // arrive at the other server than wanted are answered at once.
+  std::shared_ptr<Network::Http1Exchange> Active;
+  std::shared_ptr<Network::Http1Exchange> Paused;
+  int Rejections = 0;
+  Fixture.OnServerRequest =
+      [&](const std::shared_ptr<Network::Http1Exchange> &Exchange) {
+        const bool AtFirst =
+            Exchange->header("X-Sycamorereach-Expect-Replica") == "shop-1";
+        const bool Slow = Exchange->path() == "/a/slow-flow/x";
+        Network::HttpHeaders Headers = eventStreamHeaders(*Exchange);
+        if (Exchange->header("Last-Event-Id")) {
+          ++Rejections;
+          Headers.push_back({"X-Sycamorereach-Not-Executed", "full"});
+          Exchange->reply(503, Headers, "");
+        } else if (AtFirst == Slow && !(Slow ? Paused : Active)) {
+          (Slow ? Paused : Active) = Exchange;
+          Exchange->startStream(200, Headers);
+          Exchange->sendChunk(FirstEvent);
+        } else {
+          Exchange->reply(200, Headers, FirstEvent);
+        }
+      };
+  std::shared_ptr<RoutedResponse> Response;
+  const auto StartUntil = [&](const char *Path, const auto &Reached) {
+    return Fixture.waitUntil([&] {
+      if (!Reached && (!Response || Response->Done))
+        Response =
+            Fixture.startCall(Fixture.entryAddress(), "POST", Path, "",
+                              {{"X-Sycamorereach-Request-Id", "stream"},
+                               {"X-Sycamorereach-Request-Deadline", "10000"},
+                               {"Authorization", "Bearer key-1"}});
+      return Reached != nullptr;
+    });
+  };
+  BOOST_REQUIRE(StartUntil("/a/flow/x", Active));
+  int LastEventId = 1;
+  const auto EventTimer =
+      Fixture.loop().callEvery(std::chrono::milliseconds(50), [&] {
+        Active->sendChunk("id: " + std::to_string(++LastEventId) +
+                          "\ndata: a\n\n");
+      });
+  Response.reset();
+  BOOST_REQUIRE(StartUntil("/a/slow-flow/x", Paused));
+  // Callers wait for 8 times the route's gap-target-ms.
+  constexpr Common::Duration AbandonPause = std::chrono::milliseconds(8 * 500);
+  const Common::TimePoint PausedAt = Fixture.loop().now();
+  BOOST_REQUIRE(Fixture.waitUntil([&] {
+    return Rejections > 0 || Response->Done ||
+           Fixture.loop().now() - PausedAt > AbandonPause * 3 / 4;
+  }));
+  Paused->sendChunk(SecondEvent);
+  Paused->endStream();
+  BOOST_REQUIRE(Fixture.waitUntil([&] { return Response->Done; }));
+  BOOST_TEST(Response->Body == std::string(FirstEvent) + SecondEvent);
+  BOOST_TEST((Response->Result == Network::Http1CallResult::Complete));
+}
+
 // LOST: a stream that broke shortly before its deadline was given up at once,
 // which is excused only once the deadline has passed.
 BOOST_AUTO_TEST_CASE(AStreamThatBreaksLateIsKeptUntilItsDeadline) {
