Scripts: Known failures that are skipped do not count as failed

Cause: test.sh took all cases minus the passed ones for failed, and Boost.Test counts the skipped ones among all.

Change: as many cases as KNOWN-RED.txt lists may be skipped; any other case that did not pass counts as failed, as before.

--- a/Scripts/test.sh
+++ b/Scripts/test.sh
@@ -20,7 +20,8 @@
   grep -E 'error|fatal' "$Log" | head -40
   Ok=$(sed -nE 's/^ *([0-9]+) test cases? out of [0-9]+ passed.*/\1/p' "$Log" | head -1)
   All=$(sed -nE 's/^ *[0-9]+ test cases? out of ([0-9]+) passed.*/\1/p' "$Log" | head -1)
-  Bad=$(( ${All:-0} - ${Ok:-0} ))
+  # Only the known failures may be skipped; other cases that did not run failed.
+  Bad=$(( ${All:-0} - ${Ok:-0} - ${#Skip[@]} ))
   if [ "$Code" -ne 0 ] && [ "$Bad" -eq 0 ]; then Bad=1; tail -20 "$Log"; fi
   echo "$Program: ${Ok:-0} passed, $Bad failed"
   Passed=$((Passed + ${Ok:-0}))
