FaultTests: The headers of a fake server's answers stand once

The signed headers of a stream stood in RoutedCluster::startEventStream and again in RoutedServingTest, and the signature a third time in respond. An unused include of ShutdownSchedule.h is gone.

--- a/Source/Core/Admission/ShutdownSchedule.h
+++ b/Source/Core/Admission/ShutdownSchedule.h
@@ -3,7 +3,6 @@
 
 #include "Common/Time.h"
 
-#include <cstddef>
 #include <optional>
 
 namespace Admission {
--- a/Source/FaultTests/RoutedCluster.cpp
+++ b/Source/FaultTests/RoutedCluster.cpp
@@ -76,24 +76,27 @@
   std::filesystem::remove_all(this->Folder);
 }
 
+Network::HttpHeaders
+RoutedCluster::signedHeaders(const Network::Http1Exchange &Exchange) {
+  return {{"X-Sycamorereach-Request-Id",
+           Exchange.header("X-Sycamorereach-Request-Id").value_or("")},
+          {"X-Sycamorereach-Replica-Signature", "signed"}};
+}
+
+Network::HttpHeaders
+RoutedCluster::eventStreamHeaders(const Network::Http1Exchange &Exchange) {
+  Network::HttpHeaders Result = signedHeaders(Exchange);
+  Result.push_back({"Content-Type", "text/event-stream"});
+  return Result;
+}
+
 void RoutedCluster::respond(Network::Http1Exchange &Exchange, int Status) {
   Exchange.reply(
-      Status,
-      {{"X-Sycamorereach-Request-Id",
-        Exchange.header("X-Sycamorereach-Request-Id").value_or("")},
-       {"X-Sycamorereach-Replica-Signature", "signed"}},
+      Status, signedHeaders(Exchange),
       "served " + Exchange.path() + " for " +
           Exchange.header("X-Sycamorereach-Tenant").value_or("nobody"));
 }
 
-void RoutedCluster::startEventStream(Network::Http1Exchange &Exchange) {
-  Exchange.startStream(
-      200, {{"Content-Type", "text/event-stream"},
-            {"X-Sycamorereach-Request-Id",
-             Exchange.header("X-Sycamorereach-Request-Id").value_or("")},
-            {"X-Sycamorereach-Replica-Signature", "signed"}});
-}
-
 void RoutedCluster::startStateDaemon(int Number, bool FirstStart) {
   const std::string Name = "state" + std::to_string(Number);
   this->Processes[Name] = std::make_unique<Process>(
--- a/Source/FaultTests/RoutedCluster.h
+++ b/Source/FaultTests/RoutedCluster.h
@@ -104,10 +104,14 @@
   Network::EventLoop &loop() { return *this->Loop; }
   /// Sends the response of a fake server, signed as a replica's.
   static void respond(Network::Http1Exchange &Exchange, int Status = 200);
-  /// Starts a stream of events as a fake server, signed as a replica's.
-  static void startEventStream(Network::Http1Exchange &Exchange);
+  /// The headers of a fake server's stream of events, signed as a replica's.
+  static Network::HttpHeaders
+  eventStreamHeaders(const Network::Http1Exchange &Exchange);
 
 private:
+  static Network::HttpHeaders
+  signedHeaders(const Network::Http1Exchange &Exchange);
+
   std::string newLogPath(const std::string &Name);
 
   std::unique_ptr<Network::EventLoop> Loop;
--- a/Source/FaultTests/RoutedServingTest.cpp
+++ b/Source/FaultTests/RoutedServingTest.cpp
@@ -14,15 +14,6 @@
 constexpr const char *FirstEvent = "id: 1\ndata: a\n\n";
 constexpr const char *SecondEvent = "id: 2\ndata: b\n\n";
 
-/// The headers of a server's signed stream of events.
-Network::HttpHeaders
-eventStreamHeaders(const Network::Http1Exchange &Exchange) {
-  return {{"Content-Type", "text/event-stream"},
-          {"X-Sycamorereach-Request-Id",
-           Exchange.header("X-Sycamorereach-Request-Id").value_or("")},
-          {"X-Sycamorereach-Replica-Signature", "signed"}};
-}
-
 /// Sends a stream to Fixture whose first server breaks off after FirstEvent;
 /// Resume responds on the server that is asked to resume it. Returns the
 /// caller's response.
@@ -37,7 +28,8 @@
           Resume(*Exchange);
           return;
         }
-        Exchange->startStream(200, eventStreamHeaders(*Exchange));
+        Exchange->startStream(200,
+                              RoutedCluster::eventStreamHeaders(*Exchange));
         Exchange->sendChunk(FirstEvent);
         Fixture.loop().defer([Exchange] { Exchange->abort(); });
       };
@@ -199,7 +191,8 @@
           return;
         }
         Stream = Exchange;
-        RoutedCluster::startEventStream(*Exchange);
+        Exchange->startStream(200,
+                              RoutedCluster::eventStreamHeaders(*Exchange));
       };
   std::vector<std::shared_ptr<RoutedResponse>> Streams;
   BOOST_REQUIRE(Fixture.waitUntil([&] {
@@ -296,7 +289,8 @@
   Fixture.startAll();
   Fixture.OnServerRequest =
       [&Fixture](const std::shared_ptr<Network::Http1Exchange> &Exchange) {
-        RoutedCluster::startEventStream(*Exchange);
+        Exchange->startStream(200,
+                              RoutedCluster::eventStreamHeaders(*Exchange));
         Exchange->sendChunk("id: 1\ndata: a\n\n");
         Fixture.loop().defer([Exchange] { Exchange->abort(); });
       };
@@ -334,7 +328,8 @@
     BOOST_TEST_CONTEXT(Each.Description) {
       const RoutedResponse Response =
           breakAndResume(Fixture, [&](Network::Http1Exchange &Exchange) {
-            Network::HttpHeaders Headers = eventStreamHeaders(Exchange);
+            Network::HttpHeaders Headers =
+                RoutedCluster::eventStreamHeaders(Exchange);
             Headers.front().Value = Each.ContentType;
             std::erase_if(Headers, [&](const Network::HttpHeader &Header) {
               return Header.Name == Each.MissingHeader;
@@ -346,7 +341,8 @@
     }
   const RoutedResponse Response =
       breakAndResume(Fixture, [](Network::Http1Exchange &Exchange) {
-        Exchange.reply(200, eventStreamHeaders(Exchange), SecondEvent);
+        Exchange.reply(200, RoutedCluster::eventStreamHeaders(Exchange),
+                       SecondEvent);
       });
   BOOST_TEST(Response.Body == std::string(FirstEvent) + SecondEvent);
   BOOST_TEST((Response.Result == Network::Http1CallResult::Complete));
@@ -360,14 +356,15 @@
   Fixture.announce("ready", 2);
   const RoutedResponse Partial =
       breakAndResume(Fixture, [](Network::Http1Exchange &Exchange) {
-        Exchange.reply(200, eventStreamHeaders(Exchange), "id: 2\ndata: b\n");
+        Exchange.reply(200, RoutedCluster::eventStreamHeaders(Exchange),
+                       "id: 2\ndata: b\n");
       });
   BOOST_TEST(Partial.Body == FirstEvent);
   BOOST_TEST((Partial.Result == Network::Http1CallResult::Truncated));
   // All events had been sent before the first server broke off.
   const RoutedResponse Whole =
       breakAndResume(Fixture, [](Network::Http1Exchange &Exchange) {
-        Exchange.reply(200, eventStreamHeaders(Exchange), "");
+        Exchange.reply(200, RoutedCluster::eventStreamHeaders(Exchange), "");
       });
   BOOST_TEST(Whole.Body == FirstEvent);
   BOOST_TEST((Whole.Result == Network::Http1CallResult::Complete));
@@ -381,7 +378,7 @@
   Fixture.announce("ready", 2);
   const RoutedResponse Response =
       breakAndResume(Fixture, [](Network::Http1Exchange &Exchange) {
-        Exchange.reply(200, eventStreamHeaders(Exchange),
+        Exchange.reply(200, RoutedCluster::eventStreamHeaders(Exchange),
                        std::string(FirstEvent) + SecondEvent);
       });
   BOOST_TEST(Response.Body == FirstEvent);
@@ -399,12 +396,14 @@
   Fixture.OnServerRequest =
       [&](const std::shared_ptr<Network::Http1Exchange> &Exchange) {
         if (Exchange->header("Last-Event-Id")) {
-          Exchange->reply(200, eventStreamHeaders(*Exchange), SecondEvent);
+          Exchange->reply(200, RoutedCluster::eventStreamHeaders(*Exchange),
+                          SecondEvent);
           return;
         }
         Endless = Exchange;
         Exchange->onCallerDisconnected([&CutOff] { CutOff = true; });
-        Exchange->startStream(200, eventStreamHeaders(*Exchange));
+        Exchange->startStream(200,
+                              RoutedCluster::eventStreamHeaders(*Exchange));
         Exchange->sendChunk(FirstEvent);
       };
   // More than an event may have, and never its end.
@@ -429,10 +428,12 @@
   Fixture.OnServerRequest =
       [&](const std::shared_ptr<Network::Http1Exchange> &Exchange) {
         if (Exchange->header("Last-Event-Id")) {
-          Exchange->reply(200, eventStreamHeaders(*Exchange), SecondEvent);
+          Exchange->reply(200, RoutedCluster::eventStreamHeaders(*Exchange),
+                          SecondEvent);
           return;
         }
-        Exchange->startStream(200, eventStreamHeaders(*Exchange));
+        Exchange->startStream(200,
+                              RoutedCluster::eventStreamHeaders(*Exchange));
         Exchange->sendChunk(FirstEvent);
         Fixture.loop().defer([&Broken, Exchange] {
           Exchange->abort();
@@ -477,7 +478,8 @@
         const bool AtFirst =
             Exchange->header("X-Sycamorereach-Expect-Replica") == "shop-1";
         const bool Slow = Exchange->path() == "/a/slow-flow/x";
-        Network::HttpHeaders Headers = eventStreamHeaders(*Exchange);
+        Network::HttpHeaders Headers =
+            RoutedCluster::eventStreamHeaders(*Exchange);
         if (Exchange->header("Last-Event-Id")) {
           ++Rejections;
           Headers.push_back({"X-Sycamorereach-Not-Executed", "full"});
@@ -535,7 +537,8 @@
   Network::EventHandle BreakTimer;
   Fixture.OnServerRequest =
       [&](const std::shared_ptr<Network::Http1Exchange> &Exchange) {
-        Exchange->startStream(200, eventStreamHeaders(*Exchange));
+        Exchange->startStream(200,
+                              RoutedCluster::eventStreamHeaders(*Exchange));
         Exchange->sendChunk(FirstEvent);
         BreakTimer = Fixture.loop().callAfter(
             Deadline - BreaksBefore, [Exchange] { Exchange->abort(); });
@@ -789,7 +792,8 @@
           RoutedCluster::respond(*Exchange);
           return;
         }
-        RoutedCluster::startEventStream(*Exchange);
+        Exchange->startStream(200,
+                              RoutedCluster::eventStreamHeaders(*Exchange));
         Exchange->sendChunk("id: 1\ndata: a\n\n");
       };
   struct SentRequest {
