--- a/Source/Core/Telemetry/LogEvents.h
+++ b/Source/Core/Telemetry/LogEvents.h
@@ -61,6 +61,11 @@
     LogLevel::Warning,
     "attempt_failed",
     {"request", "server", "reason", "attempts", "retry"}};
+inline constexpr LogEvent<11> RunLost{
+    LogLevel::Warning,
+    "run_lost",
+    {"request", "server", "started", "route", "content", "parts", "sent_ms_ago",
+     "head_ms_ago", "output_ms_ago", "events", "framing"}};
 inline constexpr LogEvent<8> AllowanceShort{LogLevel::Warning,
                                             "allowance_short",
                                             {"request", "team", "tokens",
@@ -102,6 +107,10 @@
     LogLevel::Info, "reclaim_notice", {"reclaimed_host", "servers"}};
 inline constexpr LogEvent<2> ContentRefused{
     LogLevel::Warning, "content_refused", {"content", "servers"}};
+inline constexpr LogEvent<5> CrashReported{
+    LogLevel::Info,
+    "crash_reported",
+    {"entry", "content", "server", "started", "servers"}};
 inline constexpr LogEvent<2> AllowancesLearned{
     LogLevel::Info, "allowances_learned", {"entries", "expected"}};
 
--- a/Source/EntryDaemon/RoutedAttempt.cpp
+++ b/Source/EntryDaemon/RoutedAttempt.cpp
@@ -5,6 +5,7 @@
 
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
 
 // The attempts of a routed call: server selection, forwarding, and how the end
 // of an attempt is handled.
@@ -67,6 +68,9 @@
 /// Weight of the newest response in a route's moving average of output tokens.
 constexpr double MeanOutputWeight = 0.1;
 
+/// The prompt parts in a log line are cut off at this length.
+constexpr std::size_t MaxLoggedPartsLength = 160;
+
 /// Whether an event may follow another one in a stream, whose ids increase.
 bool canFollow(const std::string &EventId, const std::string &PreviousId) {
   std::uint64_t Number = 0;
@@ -152,7 +156,7 @@
 }
 
 void RoutedCall::sendTo(const Routing::PlacementChoice &To) {
-  this->CurrentAttempt.emplace(To);
+  this->CurrentAttempt.emplace(To, this->Context.Loop.now());
   this->CurrentAttempt->ResumedAfter = this->LastEventId;
   Platform::ForwardedHeaders Forwarded;
   Forwarded.TimeLeft = this->timeLeft();
@@ -292,6 +296,7 @@
   }
   this->noteServerActivity();
   this->CurrentAttempt->ResponseHead = Head;
+  this->CurrentAttempt->HeadAt = this->Context.Loop.now();
   if (!isSuccess(Head.Status) || Network::hasNoBody(Head.Status) ||
       !isTrustworthy(Head, Decoded))
     return true;
@@ -322,6 +327,8 @@
     return;
   this->noteServerActivity();
   Attempt &Current = *this->CurrentAttempt;
+  if (!Current.OutputAt)
+    Current.OutputAt = this->Context.Loop.now();
   if (!Current.Splitter) {
     Current.ResponseBody += Bytes;
     if (Current.ResponseBody.size() > MaxBufferedResponseBytes)
@@ -506,10 +513,35 @@
 }
 
 void RoutedCall::reportCrash() {
-  if (this->CurrentAttempt)
-    this->Context.CrashingContents.recordCrash(
-        this->contentHash(), this->CurrentAttempt->Server.Id,
-        this->CurrentAttempt->Server.ServerStartedAt, this->Context.Loop.now());
+  if (!this->CurrentAttempt)
+    return;
+  this->logLostRun();
+  this->Context.CrashingContents.recordCrash(
+      this->contentHash(), this->CurrentAttempt->Server.Id,
+      this->CurrentAttempt->Server.ServerStartedAt, this->Context.Loop.now());
+}
+
+void RoutedCall::logLostRun() const {
+  const Attempt &Current = *this->CurrentAttempt;
+  const Common::TimePoint Now = this->Context.Loop.now();
+  const auto MillisecondsSince =
+      [Now](const std::optional<Common::TimePoint> &Time) {
+        return Time ? absl::StrCat(Common::toMilliseconds(Now - *Time)) : "";
+      };
+  std::string Parts;
+  if (this->CallerHeaders.Prompt)
+    for (const Routing::PromptPart &Each : this->CallerHeaders.Prompt->Parts)
+      absl::StrAppend(&Parts, Parts.empty() ? "" : ",", Each.Id);
+  const char *Framing = !Current.ResponseHead                ? "none"
+                        : Current.ResponseHead->CloseDelimited ? "close"
+                                                               : "framed";
+  Telemetry::log(
+      Events::RunLost, this->CallerHeaders.RequestId, Current.Server.Id.str(),
+      Current.Server.ServerStartedAt, this->route().Name,
+      absl::Hex(this->contentHash()), Parts.substr(0, MaxLoggedPartsLength),
+      MillisecondsSince(Current.SentAt), MillisecondsSince(Current.HeadAt),
+      MillisecondsSince(Current.OutputAt),
+      Current.Splitter ? Current.Splitter->eventCount() : 0, Framing);
 }
 
 bool RoutedCall::canRetry(AttemptResult Result) const {
--- a/Source/EntryDaemon/RoutedCall.h
+++ b/Source/EntryDaemon/RoutedCall.h
@@ -46,9 +46,14 @@
   /// The state of one attempt. It is discarded when the attempt ends, so that
   /// the response of one attempt is never judged by that of another.
   struct Attempt {
-    explicit Attempt(Routing::PlacementChoice To) : Server(std::move(To)) {}
+    Attempt(Routing::PlacementChoice To, Common::TimePoint SentAt)
+        : Server(std::move(To)), SentAt(SentAt) {}
 
     Routing::PlacementChoice Server;
+    Common::TimePoint SentAt;
+    /// When the head of the response arrived, and the first bytes of its body.
+    std::optional<Common::TimePoint> HeadAt;
+    std::optional<Common::TimePoint> OutputAt;
     Network::Http1Client::CallPtr Call;
     std::optional<Network::Http1Head> ResponseHead;
     std::string ResponseBody;
@@ -111,6 +116,7 @@
   void logServed(int Status) const;
   Routing::ServerOutcome outcomeIfAbandoned() const;
   void reportCrash();
+  void logLostRun() const;
 
   void handleDisconnect();
   void handleDeadline();
--- a/Source/StateDaemon/EntryDaemonTracker.cpp
+++ b/Source/StateDaemon/EntryDaemonTracker.cpp
@@ -28,7 +28,7 @@
   this->Clocks.addReading(Poll.Entry, Poll.Wall, Now);
   this->Usage.update(Poll.Entry, Poll.Incarnation, Poll.Usage);
   for (const State::CrashReport &Each : Poll.Crashes)
-    this->recordCrash(Each, Now);
+    this->recordCrash(Poll.Entry, Each, Now);
 
   State::EntryPollResponse Answer;
   Answer.Entry = Poll.Entry;
@@ -128,12 +128,19 @@
                  this->MaxReportedEntries);
 }
 
-void EntryDaemonTracker::recordCrash(const State::CrashReport &Report,
+void EntryDaemonTracker::recordCrash(const Common::DaemonId &Reporter,
+                                     const State::CrashReport &Report,
                                      Common::TimePoint Now) {
   if (this->Crashes.size() > MaxTrackedContents)
     this->Crashes.clear();
   auto &Servers = this->Crashes[Report.Content];
-  Servers.emplace(ServerIncarnation{Report.Server, Report.StartedAt}, Now);
+  const bool IsNew =
+      Servers.emplace(ServerIncarnation{Report.Server, Report.StartedAt}, Now)
+          .second;
+  if (IsNew)
+    Telemetry::log(Telemetry::Events::CrashReported, Reporter.str(),
+                   absl::Hex(Report.Content), Report.Server.str(),
+                   Report.StartedAt, Servers.size());
   if (Servers.size() < MinCrashesToRefuse ||
       !this->Refused.emplace(Report.Content, Now).second)
     return;
--- a/Source/StateDaemon/EntryDaemonTracker.h
+++ b/Source/StateDaemon/EntryDaemonTracker.h
@@ -82,7 +82,8 @@
   /// granted by earlier leaders.
   void learnAllowances(const Configuration::ServiceMap &Declaration,
                        Common::TimePoint Now);
-  void recordCrash(const State::CrashReport &Report, Common::TimePoint Now);
+  void recordCrash(const Common::DaemonId &Reporter,
+                   const State::CrashReport &Report, Common::TimePoint Now);
   void expireCrashes(Common::TimePoint Now);
   struct LoadSum {
     std::int64_t Requests = 0;
