--- a/Source/FaultTests/RoutedCluster.cpp
+++ b/Source/FaultTests/RoutedCluster.cpp
@@ -257,7 +257,8 @@
        {"Authorization", "Bearer " + Key}});
 }
 
-void RoutedCluster::announce(const std::string &State, int Server) {
+void RoutedCluster::announce(const std::string &State, int Server,
+                             std::uint64_t Born) {
   const Json Heartbeat = {
       {"service", "shop"},
       {"address", Network::Address{ServerIps.at(Server - 1), ServerPort}.str()},
@@ -266,7 +267,7 @@
       {"slots", 8},
       {"state", State},
       {"sequence", ++this->HeartbeatSequence},
-      {"born", 1000}};
+      {"born", Born}};
   BOOST_REQUIRE(this->waitUntil([&] {
     for (int I = 1; I <= StateDaemons; ++I)
       if (this->call(this->controlAddress(I), "POST",
--- a/Source/FaultTests/RoutedCluster.h
+++ b/Source/FaultTests/RoutedCluster.h
@@ -75,9 +75,11 @@
   startRequest(const std::string &Path, const std::string &Key = "key-1",
                const std::string &Method = "POST",
                int DeadlineMilliseconds = 3000);
-  /// Sends a heartbeat with State for the server shop-<Server>. The fake
-  /// servers shop-1 and shop-2 accept connections; shop-3 refuses them.
-  void announce(const std::string &State, int Server = 1);
+  /// Sends a heartbeat with State for the server shop-<Server>, whose process
+  /// started at Born. The fake servers shop-1 and shop-2 accept connections;
+  /// shop-3 refuses them.
+  void announce(const std::string &State, int Server = 1,
+                std::uint64_t Born = 1000);
   /// A configuration document whose routes lie under Prefix.
   static std::string declaration(std::uint64_t Version,
                                  const std::string &Prefix);
