--- /dev/null
+++ b/Source/Core/Routing/CrashAttribution.cpp
@@ -0,0 +1,163 @@
+#include "Routing/CrashAttribution.h"
+
+#include <algorithm>
+#include <iterator>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace Routing {
+
+namespace {
+
+bool hasRunWith(const std::vector<Common::CauseSet> &Runs,
+                const Common::CauseSet &Parts) {
+  return std::any_of(Runs.begin(), Runs.end(), [&](const auto &Each) {
+    return Common::includesCauses(Each, Parts);
+  });
+}
+
+} // namespace
+
+bool CrashAttribution::recordLostRun(const ServerIncarnation &Server,
+                                     Common::CauseSet Parts,
+                                     Common::TimePoint CrashedAt) {
+  if (Parts.empty())
+    return false;
+  const auto Known =
+      std::find_if(this->Crashes.begin(), this->Crashes.end(),
+                   [&](const Crash &Each) { return Each.Server == Server; });
+  if (Known != this->Crashes.end()) {
+    if (Known->Runs.size() >= MaxRunsPerCrash ||
+        std::find(Known->Runs.begin(), Known->Runs.end(), Parts) !=
+            Known->Runs.end())
+      return false;
+    Known->Runs.push_back(std::move(Parts));
+    return true;
+  }
+  const auto Next = std::find_if(
+      this->Crashes.begin(), this->Crashes.end(),
+      [CrashedAt](const Crash &Each) { return Each.At > CrashedAt; });
+  this->Crashes.insert(Next, Crash{Server, CrashedAt, {std::move(Parts)}});
+  if (this->Crashes.size() > MaxCrashes)
+    this->Crashes.pop_front();
+  return true;
+}
+
+void CrashAttribution::recordSurvival(Common::CauseHash Part,
+                                      Common::TimePoint BegunAt) {
+  for (Crash &Each : this->Crashes) {
+    if (Each.At >= BegunAt)
+      break;
+    for (Common::CauseSet &Run : Each.Runs)
+      std::erase(Run, Part);
+  }
+}
+
+std::vector<Common::CauseHash> CrashAttribution::suspects() const {
+  std::map<Common::CauseHash, std::size_t> RunsWith;
+  for (const Crash &Each : this->Crashes)
+    for (const Common::CauseSet &Run : Each.Runs)
+      for (const Common::CauseHash Part : Run)
+        ++RunsWith[Part];
+  std::vector<Common::CauseHash> Result;
+  for (const auto &Each : RunsWith)
+    Result.push_back(Each.first);
+  std::stable_sort(Result.begin(), Result.end(),
+                   [&](Common::CauseHash Left, Common::CauseHash Right) {
+                     return RunsWith[Left] > RunsWith[Right];
+                   });
+  return Result;
+}
+
+void CrashAttribution::removeExpired(Common::TimePoint Now) {
+  while (!this->Crashes.empty() &&
+         Now - this->Crashes.front().At > CrashRetention)
+    this->Crashes.pop_front();
+}
+
+std::vector<const CrashAttribution::Crash *>
+CrashAttribution::crashesWith(Common::CauseHash Part,
+                              const std::vector<const Crash *> &In) {
+  std::vector<const Crash *> Result;
+  std::copy_if(
+      In.begin(), In.end(), std::back_inserter(Result),
+      [Part](const Crash *Each) { return hasRunWith(Each->Runs, {Part}); });
+  return Result;
+}
+
+std::size_t
+CrashAttribution::countDistinct(const std::vector<const Crash *> &Crashes) {
+  std::size_t Count = 0;
+  Common::TimePoint LastCounted;
+  for (const Crash *Each : Crashes) {
+    if (Count != 0 && Each->At - LastCounted < MinCrashDistance)
+      continue;
+    ++Count;
+    LastCounted = Each->At;
+  }
+  return Count;
+}
+
+Common::CauseSet
+CrashAttribution::partsAlwaysWith(Common::CauseHash Part,
+                                  const std::vector<const Crash *> &Crashes) {
+  std::optional<Common::CauseSet> Common;
+  for (const Crash *Each : Crashes) {
+    std::set<Common::CauseHash> Together;
+    for (const Common::CauseSet &Run : Each->Runs)
+      if (Common::includesCauses(Run, {Part}))
+        Together.insert(Run.begin(), Run.end());
+    if (!Common)
+      Common.emplace(Together.begin(), Together.end());
+    else
+      std::erase_if(*Common, [&](Common::CauseHash Other) {
+        return Together.count(Other) == 0;
+      });
+  }
+  // Several runs of one crash may have had one of the parts each.
+  const bool InOneRun =
+      std::all_of(Crashes.begin(), Crashes.end(), [&](const Crash *Each) {
+        return hasRunWith(Each->Runs, *Common);
+      });
+  return InOneRun ? *Common : Common::CauseSet{Part};
+}
+
+std::vector<CrashAttribution::Cause>
+CrashAttribution::findCauses(const std::vector<Common::CauseSet> &Refused,
+                             Common::TimePoint Now) const {
+  std::vector<const Crash *> Unexplained;
+  for (const Crash &Each : this->Crashes)
+    if (std::none_of(Refused.begin(), Refused.end(), [&](const auto &Set) {
+          return hasRunWith(Each.Runs, Set);
+        }))
+      Unexplained.push_back(&Each);
+  std::vector<Cause> Result;
+  while (Unexplained.size() >= MinCrashes) {
+    std::set<Common::CauseHash> Candidates;
+    for (const Crash *Each : Unexplained)
+      for (const Common::CauseSet &Run : Each->Runs)
+        Candidates.insert(Run.begin(), Run.end());
+    Cause Best;
+    std::vector<const Crash *> BestCrashes;
+    for (const Common::CauseHash Part : Candidates) {
+      std::vector<const Crash *> With = crashesWith(Part, Unexplained);
+      const std::size_t Count = countDistinct(With);
+      if (Count < MinCrashes || Count <= Best.Crashes ||
+          Now - With.front()->At < MinEvidenceAge)
+        continue;
+      Best = {{Part}, Count, With.front()->At};
+      BestCrashes = std::move(With);
+    }
+    if (BestCrashes.empty())
+      break;
+    Best.Parts = partsAlwaysWith(Best.Parts.front(), BestCrashes);
+    std::erase_if(Unexplained, [&](const Crash *Each) {
+      return hasRunWith(Each->Runs, Best.Parts);
+    });
+    Result.push_back(std::move(Best));
+  }
+  return Result;
+}
+
+} // namespace Routing
--- /dev/null
+++ b/Source/Core/Routing/CrashAttribution.h
@@ -0,0 +1,79 @@
+#ifndef SYCAMOREREACH_ROUTING_CRASHATTRIBUTION_H
+#define SYCAMOREREACH_ROUTING_CRASHATTRIBUTION_H
+
+#include "Common/CauseSet.h"
+#include "Common/Time.h"
+#include "Routing/ServerIncarnation.h"
+
+#include <deque>
+#include <vector>
+
+namespace Routing {
+
+/// Finds the prompt parts that crash servers, from the runs that were lost soon
+/// after they had begun to write their answers, and from the answers that went
+/// on. A part causes crashes if several servers crashed with it and no answer
+/// with it that began after the first of these crashes went on. Parts that were
+/// together in each of these runs are one cause, a set, until an answer or a
+/// crash tells them apart.
+class CrashAttribution {
+public:
+  struct Cause {
+    Common::CauseSet Parts;
+    std::size_t Crashes = 0;
+    /// The oldest of these crashes.
+    Common::TimePoint FirstCrashAt;
+  };
+
+  /// Records that the server crashed while it began to write the answer of a
+  /// request with these parts. Returns whether this is new.
+  bool recordLostRun(const ServerIncarnation &Server, Common::CauseSet Parts,
+                     Common::TimePoint CrashedAt);
+  /// Records that an answer of a request with this part began at BegunAt and
+  /// went on.
+  void recordSurvival(Common::CauseHash Part, Common::TimePoint BegunAt);
+  /// The causes of the crashes that no set of Refused explains.
+  std::vector<Cause> findCauses(const std::vector<Common::CauseSet> &Refused,
+                                Common::TimePoint Now) const;
+  /// The parts whose surviving answers are of interest, those of most crashes
+  /// first.
+  std::vector<Common::CauseHash> suspects() const;
+  void removeExpired(Common::TimePoint Now);
+
+private:
+  /// Number of crashes after which a part is a cause.
+  static constexpr std::size_t MinCrashes = 3;
+  /// Crashes that follow one another faster count once: what ends several
+  /// servers in one moment is no request.
+  static constexpr Common::Duration MinCrashDistance =
+      std::chrono::milliseconds(100);
+  /// Time for answers that began after a crash to go on and to be reported.
+  static constexpr Common::Duration MinEvidenceAge =
+      std::chrono::milliseconds(1500);
+  static constexpr Common::Duration CrashRetention = std::chrono::minutes(10);
+  static constexpr std::size_t MaxCrashes = 512;
+  static constexpr std::size_t MaxRunsPerCrash = 32;
+
+  struct Crash {
+    ServerIncarnation Server;
+    Common::TimePoint At;
+    /// The parts of each lost run, without those that survived later.
+    std::vector<Common::CauseSet> Runs;
+  };
+
+  static std::vector<const Crash *>
+  crashesWith(Common::CauseHash Part, const std::vector<const Crash *> &In);
+  /// Number of crashes, in ascending order of time, that count.
+  static std::size_t countDistinct(const std::vector<const Crash *> &Crashes);
+  /// The parts that were in one run with Part at each of the crashes.
+  static Common::CauseSet
+  partsAlwaysWith(Common::CauseHash Part,
+                  const std::vector<const Crash *> &Crashes);
+
+  /// In ascending order of time.
+  std::deque<Crash> Crashes;
+};
+
+} // namespace Routing
+
+#endif
--- a/Source/Core/Routing/Quarantine.h
+++ b/Source/Core/Routing/Quarantine.h
@@ -1,8 +1,8 @@
 #ifndef SYCAMOREREACH_ROUTING_QUARANTINE_H
 #define SYCAMOREREACH_ROUTING_QUARANTINE_H
 
-#include "Common/Ids.h"
 #include "Common/Time.h"
+#include "Routing/ServerIncarnation.h"
 
 #include <cstdint>
 #include <deque>
@@ -15,13 +15,6 @@
 /// Hash of a service name and a request's content.
 using Fingerprint = std::uint64_t;
 
-/// A backend server process between one start and the next.
-struct ServerIncarnation {
-  Common::BackendServerId BackendServer;
-  Common::Incarnation Incarnation;
-  auto operator<=>(const ServerIncarnation &) const = default;
-};
-
 /// Detects requests that crash the servers which run them. Every request that
 /// was running on a server when it failed becomes a suspect; a request that was
 /// running during two failures (of different servers, or of one server before
--- a/Source/Core/State/ControlProtocol.h
+++ b/Source/Core/State/ControlProtocol.h
@@ -243,6 +243,30 @@
   }
 };
 
+/// A run that was lost with its server soon after the answer had begun.
+struct LostRun {
+  /// The parts of the prompt that other requests may share.
+  Common::CauseSet Parts;
+  Common::BackendServerId Server;
+  std::uint64_t StartedAt = 0;
+  /// Time since the run was lost.
+  std::uint64_t AgeMilliseconds = 0;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(this->Parts, this->Server, this->StartedAt, this->AgeMilliseconds);
+  }
+};
+
+/// An answer that went on, or was completed, although its request has a cause
+/// that is under suspicion.
+struct Survival {
+  Common::CauseHash Cause = 0;
+  /// Time since the answer began.
+  std::uint64_t AgeMilliseconds = 0;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(this->Cause, this->AgeMilliseconds);
+  }
+};
+
 /// Asks the leader for the current state. The response proves that the state
 /// was confirmed by a leader with a quorum after the poll was sent.
 struct EntryPoll {
@@ -261,12 +285,17 @@
   std::vector<ServiceDemand> Services;
   std::vector<ServerLoad> Loads;
   std::vector<CrashReport> Crashes;
+  std::vector<LostRun> LostRuns;
+  std::vector<Survival> Survivals;
+  /// Refusals that a request has met since the last poll.
+  std::vector<Common::CauseSet> UsedRefusals;
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(this->Entry, this->Incarnation, this->DataCentre, this->Sequence,
        this->InstalledVersion, this->NewestSeenVersion, this->Wall,
        this->EntryCount, this->RecentGrants, this->Usage, this->Services,
-       this->Loads, this->Crashes);
+       this->Loads, this->Crashes, this->LostRuns, this->Survivals,
+       this->UsedRefusals);
   }
 };
 
@@ -279,16 +308,20 @@
   std::uint32_t EntryCount = 1;
   /// The median of the daemons' wall clocks.
   Common::WallTime ReferenceTime;
-  /// Hashes of request contents that are refused because they crash servers.
-  std::vector<std::uint64_t> RefusedContents;
+  /// Requests with all causes of one of these sets are refused.
+  std::vector<Common::CauseSet> Refusals;
+  /// Causes whose surviving answers are to be reported.
+  std::vector<Common::CauseHash> Suspects;
+  /// Refusals through which this daemon may let one request.
+  std::vector<Common::CauseSet> Probes;
   /// The newest declaration, for an entry daemon that knows of this version but
   /// did not receive it from its state daemon.
   std::optional<DeclarationPush> Declaration;
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(this->Entry, this->Incarnation, this->Sequence, this->NewestVersion,
-       this->EntryCount, this->ReferenceTime, this->RefusedContents,
-       this->Declaration);
+       this->EntryCount, this->ReferenceTime, this->Refusals, this->Suspects,
+       this->Probes, this->Declaration);
   }
 };
 
--- a/Source/Core/State/ControlState.cpp
+++ b/Source/Core/State/ControlState.cpp
@@ -2,6 +2,8 @@
 
 #include "Network/Codec.h"
 
+#include <algorithm>
+
 namespace State {
 
 void ControlState::apply(const ControlCommand &Command) {
@@ -31,12 +33,49 @@
     Found->second.Reported = true;
 }
 
+void ControlState::applyCommand(const RefuseCommand &Command) {
+  Refusal Added{Command.Causes};
+  for (const Refusal &Each : this->Refusals) {
+    if (Common::includesCauses(Command.Causes, Each.Causes))
+      return;
+    // Probes of a larger set were probes of this one.
+    if (Common::includesCauses(Each.Causes, Command.Causes))
+      Added.Probes = std::max(Added.Probes, Each.Probes);
+  }
+  std::erase_if(this->Refusals, [&](const Refusal &Each) {
+    return Common::includesCauses(Each.Causes, Command.Causes);
+  });
+  this->Refusals.push_back(std::move(Added));
+  if (this->Refusals.size() > MaxRefusals)
+    this->Refusals.erase(this->Refusals.begin());
+}
+
+void ControlState::applyCommand(const EndRefusalCommand &Command) {
+  std::erase_if(this->Refusals, [&](const Refusal &Each) {
+    return Each.Causes == Command.Causes;
+  });
+}
+
+void ControlState::applyCommand(const ProbeRefusalCommand &Command) {
+  for (Refusal &Each : this->Refusals)
+    if (Each.Causes == Command.Causes && Each.Probes == Command.Number)
+      ++Each.Probes;
+}
+
 std::string ControlState::snapshot() const { return Network::encode(*this); }
 
 absl::StatusOr<ControlState> ControlState::restore(const std::string &Bytes) {
   if (Bytes.empty())
     return ControlState();
-  return Network::decode<ControlState>(Bytes);
+  absl::StatusOr<ControlState> Result = Network::decode<ControlState>(Bytes);
+  if (Result.ok())
+    return Result;
+  // Releases before the refusals wrote the other members only.
+  const std::string NoRefusals = Network::encode(std::vector<Refusal>());
+  if (auto Older = Network::decode<ControlState>(Bytes + NoRefusals);
+      Older.ok())
+    return Older;
+  return Result;
 }
 
 } // namespace State
--- a/Source/Core/State/ControlState.h
+++ b/Source/Core/State/ControlState.h
@@ -1,6 +1,7 @@
 #ifndef SYCAMOREREACH_STATE_CONTROLSTATE_H
 #define SYCAMOREREACH_STATE_CONTROLSTATE_H
 
+#include "Common/CauseSet.h"
 #include "Common/Ids.h"
 #include "Configuration/ServiceMap.h"
 
@@ -9,6 +10,7 @@
 #include <map>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace State {
 
@@ -44,12 +46,53 @@
   template <class Archive> void serialize(Archive &Ar) { Ar(this->Window); }
 };
 
+/// Refuses the requests that have all of Causes, because they crash servers.
+/// Replaces the refusals of larger sets that contain Causes.
+struct RefuseCommand {
+  Common::CauseSet Causes;
+
+  template <class Archive> void serialize(Archive &Ar) { Ar(this->Causes); }
+};
+
+/// Ends the refusal of exactly these causes.
+struct EndRefusalCommand {
+  Common::CauseSet Causes;
+
+  template <class Archive> void serialize(Archive &Ar) { Ar(this->Causes); }
+};
+
+/// Lets one refused request through, to see whether it still crashes a server.
+/// Ignored unless Number requests were let through before it.
+struct ProbeRefusalCommand {
+  Common::CauseSet Causes;
+  std::uint32_t Number = 0;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(this->Causes, this->Number);
+  }
+};
+
+/// Commands are stored under their position in this list, so new ones are added
+/// at its end.
 using ControlCommand =
-    std::variant<DeclareCommand, RecordUsageCommand, MarkUsageReportedCommand>;
+    std::variant<DeclareCommand, RecordUsageCommand, MarkUsageReportedCommand,
+                 RefuseCommand, EndRefusalCommand, ProbeRefusalCommand>;
+
+/// Requests with all of these causes are refused.
+struct Refusal {
+  Common::CauseSet Causes;
+  /// Number of requests that were let through as probes.
+  std::uint32_t Probes = 0;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(this->Causes, this->Probes);
+  }
+};
 
 /// The replicated state of `sycamore-state control`: the current declaration, a
-/// text document, and the usage windows that are being reported. Deterministic:
-/// equal logs produce equal states.
+/// text document, the usage windows that are being reported, and what is
+/// refused because it crashes servers. Deterministic: equal logs produce equal
+/// states.
 class ControlState {
 public:
   /// Age, in windows, up to which a window is retained. Older windows are
@@ -75,21 +118,29 @@
     return this->Usage;
   }
 
+  /// Oldest first. The oldest ones are dropped beyond MaxRefusals.
+  const std::vector<Refusal> &refusals() const { return this->Refusals; }
+  static constexpr std::size_t MaxRefusals = 256;
+
   std::string snapshot() const;
   static absl::StatusOr<ControlState> restore(const std::string &Bytes);
 
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(this->Version, this->Document, this->Usage);
+    Ar(this->Version, this->Document, this->Usage, this->Refusals);
   }
 
 private:
   void applyCommand(const DeclareCommand &Command);
   void applyCommand(const RecordUsageCommand &Command);
   void applyCommand(const MarkUsageReportedCommand &Command);
+  void applyCommand(const RefuseCommand &Command);
+  void applyCommand(const EndRefusalCommand &Command);
+  void applyCommand(const ProbeRefusalCommand &Command);
 
   Common::ConfigurationVersion Version;
   std::string Document;
   std::map<UsageWindow, WindowUsage> Usage;
+  std::vector<Refusal> Refusals;
 };
 
 } // namespace State
--- a/Source/Core/Telemetry/LogEvents.h
+++ b/Source/Core/Telemetry/LogEvents.h
@@ -111,6 +111,22 @@
     LogLevel::Info,
     "crash_reported",
     {"entry", "content", "server", "started", "servers"}};
+inline constexpr LogEvent<5> LostRunReported{
+    LogLevel::Info,
+    "lost_run_reported",
+    {"entry", "server", "started", "causes", "lost_ms_ago"}};
+inline constexpr LogEvent<3> PromptRefused{
+    LogLevel::Warning,
+    "prompt_refused",
+    {"causes", "crashes", "first_crash_ms_ago"}};
+inline constexpr LogEvent<3> RefusalEnded{
+    LogLevel::Info, "refusal_ended", {"causes", "narrowed", "answer_ms_ago"}};
+inline constexpr LogEvent<3> RefusalProbed{
+    LogLevel::Info, "refusal_probed", {"causes", "entry", "probe"}};
+inline constexpr LogEvent<2> RefusalKnown{
+    LogLevel::Info, "refusal_known", {"causes", "change"}};
+inline constexpr LogEvent<2> ProbeSent{
+    LogLevel::Info, "probe_sent", {"request", "route"}};
 inline constexpr LogEvent<2> AllowancesLearned{
     LogLevel::Info, "allowances_learned", {"entries", "expected"}};
 
--- a/Source/EntryDaemon/CrashingContentTracker.h
+++ b/Source/EntryDaemon/CrashingContentTracker.h
@@ -5,7 +5,6 @@
 
 #include <cstdint>
 #include <deque>
-#include <map>
 #include <set>
 #include <vector>
 
@@ -13,7 +12,7 @@
 
 /// Tracks request contents, by hash, that may crash backend servers. The leader
 /// aggregates the reports of all entry daemons and decides which contents are
-/// refused.
+/// refused (RefusalList).
 class CrashingContentTracker {
 public:
   /// Records that the server failed while it executed the content. A content
@@ -49,28 +48,10 @@
     return Result;
   }
 
-  void refuse(const std::vector<std::uint64_t> &Contents,
-              Common::TimePoint Now) {
-    for (const std::uint64_t Each : Contents)
-      this->RefusedUntil[Each] = Now + RefusalDuration;
-  }
-
-  bool isRefused(std::uint64_t Content, Common::TimePoint Now) {
-    const auto Found = this->RefusedUntil.find(Content);
-    if (Found == this->RefusedUntil.end())
-      return false;
-    if (Now < Found->second)
-      return true;
-    this->RefusedUntil.erase(Found);
-    return false;
-  }
-
 private:
   /// Reports are sent repeatedly for this long, so that a newly elected leader
   /// receives them too.
   static constexpr Common::Duration ReportRetention = std::chrono::seconds(5);
-  /// A refusal that no leader renews expires after this time.
-  static constexpr Common::Duration RefusalDuration = std::chrono::seconds(30);
   static constexpr std::size_t MaxReports = 32;
   static constexpr std::size_t MaxHarmless = 8192;
 
@@ -83,7 +64,6 @@
   std::set<std::uint64_t> Harmless;
   /// Oldest first.
   std::deque<std::uint64_t> HarmlessOrder;
-  std::map<std::uint64_t, Common::TimePoint> RefusedUntil;
 };
 
 } // namespace EntryDaemon
--- a/Source/EntryDaemon/Gateway.cpp
+++ b/Source/EntryDaemon/Gateway.cpp
@@ -250,11 +250,18 @@
   for (const auto &[Service, Engines] : this->Context.Demand.busyEngines(Now))
     Poll.Services.push_back({Service, Engines});
   Poll.Crashes = this->Context.CrashingContents.recentReports(Now);
+  this->Context.PromptCrashes.fillPoll(Poll, this->Context.Servers.registry(),
+                                       Now);
+  Poll.UsedRefusals = this->Context.Refusals.takeUsed();
 }
 
 void Gateway::applyPollAnswer(const State::EntryPollResponse &Answer,
                               Common::TimePoint PollSentAt) {
   const Common::TimePoint Now = this->Loop.now();
+  // Calls that wait for this answer are checked against its refusals.
+  this->Context.Refusals.replace(Answer.Refusals, Now);
+  this->Context.Refusals.grantProbes(Answer.Probes, Now);
+  this->Context.PromptCrashes.setSuspects(Answer.Suspects);
   this->NewestVersion = std::max(this->NewestVersion, Answer.NewestVersion);
   if (Answer.Declaration)
     this->applyDeclaration(*Answer.Declaration);
@@ -276,7 +283,6 @@
   this->Context.Retries.setDaemons(Answer.EntryCount);
   if (Answer.ReferenceTime.Milliseconds != 0)
     this->Context.Usage.setReferenceTime(Answer.ReferenceTime, PollSentAt, Now);
-  this->Context.CrashingContents.refuse(Answer.RefusedContents, Now);
 }
 
 void Gateway::applyServerLoads(const State::ServerLoads &Totals) {
--- a/Source/EntryDaemon/GatewayContext.h
+++ b/Source/EntryDaemon/GatewayContext.h
@@ -6,6 +6,8 @@
 #include "Configuration/ServiceMap.h"
 #include "EntryDaemon/CrashingContentTracker.h"
 #include "EntryDaemon/GatewaySettings.h"
+#include "EntryDaemon/PromptCrashReporter.h"
+#include "EntryDaemon/RefusalList.h"
 #include "EntryDaemon/UsageCounter.h"
 #include "Fleet/DemandMeter.h"
 #include "Network/Http1Client.h"
@@ -30,7 +32,8 @@
         Retries(this->Settings.Retries),
         Grants(this->Settings.Tolerance.Window),
         Usage(this->Settings.UsageWindow),
-        Shutdown(shutdownOptions(this->Settings)), StartedAt(Loop.now()) {}
+        Shutdown(shutdownOptions(this->Settings)), Refusals(Loop.now()),
+        StartedAt(Loop.now()) {}
 
   Network::EventLoop &Loop;
   GatewaySettings Settings;
@@ -51,6 +54,8 @@
   /// When the latest poll was sent whose answer confirmed the declaration.
   std::optional<Common::TimePoint> DeclarationConfirmedAt;
   CrashingContentTracker CrashingContents;
+  PromptCrashReporter PromptCrashes;
+  RefusalList Refusals;
   /// Calls that wait for tokens of their team's allowance, by the number of
   /// their need.
   std::map<std::uint64_t, std::shared_ptr<RoutedCall>> CallsAwaitingTokens;
--- a/Source/EntryDaemon/RoutedAttempt.cpp
+++ b/Source/EntryDaemon/RoutedAttempt.cpp
@@ -94,6 +94,9 @@
 } // namespace
 
 void RoutedCall::dispatch() {
+  // The verdict may have come while the call waited or was tried.
+  if (this->failIfRefused())
+    return;
   const Common::TimePoint Now = this->Context.Loop.now();
   const auto Chosen = this->Context.Servers.choose(this->placement(), Now);
   if (this->CallerHeaders.Prompt && this->Attempts == 0 &&
@@ -297,6 +300,8 @@
   this->noteServerActivity();
   this->CurrentAttempt->ResponseHead = Head;
   this->CurrentAttempt->HeadAt = this->Context.Loop.now();
+  if (isSuccess(Head.Status))
+    this->CurrentAttempt->Progress.recordBytes(this->Context.Loop.now());
   if (!isSuccess(Head.Status) || Network::hasNoBody(Head.Status) ||
       !isTrustworthy(Head, Decoded))
     return true;
@@ -329,6 +334,10 @@
   Attempt &Current = *this->CurrentAttempt;
   if (!Current.OutputAt)
     Current.OutputAt = this->Context.Loop.now();
+  if (Current.Progress.beganAt()) {
+    Current.Progress.recordBytes(this->Context.Loop.now());
+    this->noteSurvival();
+  }
   if (!Current.Splitter) {
     Current.ResponseBody += Bytes;
     if (Current.ResponseBody.size() > MaxBufferedResponseBytes)
@@ -405,6 +414,7 @@
   const bool Complete = End == Network::Http1CallResult::Complete;
   if (Current.Splitter) {
     if (Complete && !Current.Splitter->hasPartialEvent()) {
+      this->recordCompleteAnswer();
       this->updateMeanOutput();
       this->logServed(Current.ResponseHead->Status);
       this->endAttempt(Routing::ServerOutcome::Answered);
@@ -442,6 +452,7 @@
 }
 
 void RoutedCall::finishBuffered() {
+  this->recordCompleteAnswer();
   // The attempt ends before its response is sent.
   const Network::Http1Head Head =
       std::move(*this->CurrentAttempt->ResponseHead);
@@ -491,8 +502,6 @@
   if (!this->CurrentAttempt)
     return;
   const Attempt &Current = *this->CurrentAttempt;
-  if (Outcome == Routing::ServerOutcome::Answered)
-    this->Context.CrashingContents.recordSuccess(this->contentHash());
   if (!Current.OutputStarted)
     this->Context.Servers.recordFirstOutput(Current.Server);
   this->Context.Servers.recordEnd(Current.Server, Outcome,
@@ -519,6 +528,44 @@
   this->Context.CrashingContents.recordCrash(
       this->contentHash(), this->CurrentAttempt->Server.Id,
       this->CurrentAttempt->Server.ServerStartedAt, this->Context.Loop.now());
+  const Routing::AnswerProgress &Progress = this->CurrentAttempt->Progress;
+  if (!Progress.beganAt() || Progress.hasSurvived())
+    return;
+  const PromptCrashReporter::Run Lost = this->currentRun();
+  this->Context.PromptCrashes.recordLostRun(Lost, this->Context.Loop.now());
+  this->Context.Refusals.ownEvidence().recordLostRun(
+      {Lost.Server, {Lost.ServerStartedAt}}, Lost.Parts,
+      this->Context.Loop.now());
+}
+
+PromptCrashReporter::Run RoutedCall::currentRun() const {
+  const Attempt &Current = *this->CurrentAttempt;
+  return {this->SharedParts, this->Causes, Current.Server.Id,
+          Current.Server.ServerStartedAt, *Current.Progress.beganAt()};
+}
+
+void RoutedCall::noteSurvival() {
+  Attempt &Current = *this->CurrentAttempt;
+  if (Current.SurvivalRecorded || !Current.Progress.hasSurvived())
+    return;
+  Current.SurvivalRecorded = true;
+  const Common::TimePoint BegunAt = *Current.Progress.beganAt();
+  this->Context.CrashingContents.recordSuccess(this->contentHash());
+  this->Context.PromptCrashes.recordSurvival(this->Causes, BegunAt);
+  for (const Common::CauseHash Each : this->Causes)
+    this->Context.Refusals.ownEvidence().recordSurvival(Each, BegunAt);
+}
+
+void RoutedCall::recordCompleteAnswer() {
+  Attempt &Current = *this->CurrentAttempt;
+  if (!Current.Progress.beganAt())
+    return;
+  if (!Current.ResponseHead->CloseDelimited)
+    Current.Progress.recordFramedEnd(this->Context.Loop.now());
+  this->noteSurvival();
+  if (!Current.SurvivalRecorded)
+    this->Context.PromptCrashes.recordUncertainEnd(this->currentRun(),
+                                                   this->Context.Loop.now());
 }
 
 void RoutedCall::logLostRun() const {
@@ -532,7 +579,7 @@
   if (this->CallerHeaders.Prompt)
     for (const Routing::PromptPart &Each : this->CallerHeaders.Prompt->Parts)
       absl::StrAppend(&Parts, Parts.empty() ? "" : ",", Each.Id);
-  const char *Framing = !Current.ResponseHead                ? "none"
+  const char *Framing = !Current.ResponseHead                  ? "none"
                         : Current.ResponseHead->CloseDelimited ? "close"
                                                                : "framed";
   Telemetry::log(
@@ -545,6 +592,9 @@
 }
 
 bool RoutedCall::canRetry(AttemptResult Result) const {
+  if (this->IsProbe && Result != AttemptResult::NotSent &&
+      Result != AttemptResult::NotExecuted)
+    return false;
   if (Result == AttemptResult::NotSent)
     return this->TriedServers.size() < MaxUnreachableServers;
   // The current attempt is not yet included in the counts.
@@ -556,7 +606,8 @@
 }
 
 bool RoutedCall::retryLater() {
-  if (!this->MayHaveExecuted || !this->route().isIdempotent() ||
+  if (!this->MayHaveExecuted || this->IsProbe ||
+      !this->route().isIdempotent() ||
       this->Executions >= this->route().MaxAttempts)
     return false;
   // A begun stream is broken off only when its time is over.
--- a/Source/EntryDaemon/RoutedCall.h
+++ b/Source/EntryDaemon/RoutedCall.h
@@ -5,6 +5,7 @@
 #include "EntryDaemon/GatewayContext.h"
 #include "Network/EventSplitter.h"
 #include "Network/Http1Server.h"
+#include "Routing/AnswerProgress.h"
 #include "platform/RequestHeaders.h"
 
 #include <memory>
@@ -54,6 +55,9 @@
     /// When the head of the response arrived, and the first bytes of its body.
     std::optional<Common::TimePoint> HeadAt;
     std::optional<Common::TimePoint> OutputAt;
+    /// Of a success.
+    Routing::AnswerProgress Progress;
+    bool SurvivalRecorded = false;
     Network::Http1Client::CallPtr Call;
     std::optional<Network::Http1Head> ResponseHead;
     std::string ResponseBody;
@@ -71,6 +75,12 @@
   /// Determines the route, team, deadline and service. If it fails, the caller
   /// has been sent an error response.
   bool resolve();
+  void chooseService();
+  /// Sets the causes under which this request may be refused.
+  void setCauses();
+  /// Fails the call if its content or a part of its prompt crashes servers.
+  /// Returns whether it did.
+  bool failIfRefused();
   void admit();
   void refuseOverAllowance(Common::Duration RetryAfter);
   void stopAwaitingTokens();
@@ -117,6 +127,12 @@
   Routing::ServerOutcome outcomeIfAbandoned() const;
   void reportCrash();
   void logLostRun() const;
+  PromptCrashReporter::Run currentRun() const;
+  /// Records that the server has survived the request, once it has.
+  void noteSurvival();
+  /// Records a complete response, by whose framing the server has survived the
+  /// request or may have crashed.
+  void recordCompleteAnswer();
 
   void handleDisconnect();
   void handleDeadline();
@@ -141,6 +157,12 @@
   const Configuration::Route *Route = nullptr;
   const Configuration::Team *Team = nullptr;
   Common::ServiceName Service;
+  /// The parts of the prompt that other requests may share.
+  Common::CauseSet SharedParts;
+  /// SharedParts and the whole content.
+  Common::CauseSet Causes;
+  /// The call was let through a refusal. It is sent to one server only.
+  bool IsProbe = false;
   /// Tokens that the request takes from its team's allowance.
   double TokenCost = 0;
   bool TokensCharged = false;
--- a/Source/StateDaemon/Controller.cpp
+++ b/Source/StateDaemon/Controller.cpp
@@ -27,6 +27,7 @@
 /// Changes within this time share a message.
 constexpr Common::Duration ChangeFlushDelay = std::chrono::milliseconds(4);
 constexpr Common::Duration LoadPublishPeriod = std::chrono::milliseconds(250);
+constexpr Common::Duration RefusalPlanPeriod = std::chrono::milliseconds(100);
 /// Token needs within this time share a request to the leader.
 constexpr Common::Duration TokenDemandDelay = std::chrono::milliseconds(2);
 /// How often reserves are refilled and expired needs are refused.
@@ -163,6 +164,8 @@
     this->sendTokenDemand();
     this->sendTokenDecisions();
   }));
+  this->EventHandles.push_back(this->Loop.callEvery(
+      RefusalPlanPeriod, [this] { this->proposeRefusals(); }));
   this->EventHandles.push_back(this->Loop.callEvery(ExpiryPeriod, [this] {
     this->Registry.removeExpired(this->Loop.now(), ServerRetention);
   }));
@@ -410,6 +413,14 @@
   this->broadcastToEntries(Frame);
 }
 
+void Controller::proposeRefusals() {
+  if (!this->Tracker || !this->Driver->holdsLeadership())
+    return;
+  for (const State::ControlCommand &Each :
+       this->Tracker->planRefusals(this->State, this->Loop.now()))
+    this->Driver->propose(Network::encode(Each), nullptr);
+}
+
 void Controller::forwardPollAnswer(const State::EntryPollResponse &Answer) {
   const auto Entry = this->Entries.find(Answer.Entry);
   if (Entry != this->Entries.end())
--- a/Source/StateDaemon/Controller.h
+++ b/Source/StateDaemon/Controller.h
@@ -73,6 +73,9 @@
   Network::FrameClient *leaderLink();
   /// Sends the total loads to all daemons while this daemon leads.
   void publishLoads();
+  /// Proposes changes of what is refused because it crashes servers, while this
+  /// daemon leads.
+  void proposeRefusals();
   void forwardPollAnswer(const State::EntryPollResponse &Answer);
   void sendTo(Network::ConnectionId To, const State::ControlFrame &Frame);
   void broadcastToEntries(const State::ControlFrame &Frame);
--- a/Source/StateDaemon/EntryDaemonTracker.cpp
+++ b/Source/StateDaemon/EntryDaemonTracker.cpp
@@ -2,8 +2,6 @@
 
 #include "Telemetry/LogEvents.h"
 
-#include <absl/strings/str_cat.h>
-
 namespace StateDaemon {
 
 State::EntryPollResponse EntryDaemonTracker::handlePoll(
@@ -28,7 +26,13 @@
   this->Clocks.addReading(Poll.Entry, Poll.Wall, Now);
   this->Usage.update(Poll.Entry, Poll.Incarnation, Poll.Usage);
   for (const State::CrashReport &Each : Poll.Crashes)
-    this->recordCrash(Poll.Entry, Each, Now);
+    this->Refusals.recordCrash(Poll.Entry, Each, Now);
+  for (const State::LostRun &Each : Poll.LostRuns)
+    this->Refusals.recordLostRun(Poll.Entry, Each, Now);
+  for (const State::Survival &Each : Poll.Survivals)
+    this->Refusals.recordSurvival(Each, State, Now);
+  for (const Common::CauseSet &Each : Poll.UsedRefusals)
+    this->Refusals.recordUse(Poll.Entry, Each, State, Now);
 
   State::EntryPollResponse Answer;
   Answer.Entry = Poll.Entry;
@@ -43,11 +47,9 @@
       Poll.NewestSeenVersion >= Answer.NewestVersion)
     Answer.Declaration =
         State::DeclarationPush{State.declarationVersion(), State.document()};
-  for (const auto &Each : this->Refused) {
-    if (Answer.RefusedContents.size() >= MaxRefusedPerAnswer)
-      break;
-    Answer.RefusedContents.push_back(Each.first);
-  }
+  Answer.Refusals = this->Refusals.refusals(State);
+  Answer.Suspects = this->Refusals.suspects(State);
+  Answer.Probes = this->Refusals.takeProbes(Poll.Entry, State);
   return Answer;
 }
 
@@ -103,7 +105,7 @@
   }
   std::erase_if(this->Loads,
                 [](const auto &Each) { return Each.second.Requests <= 0; });
-  this->expireCrashes(Now);
+  this->Refusals.removeExpired(Now);
 }
 
 void EntryDaemonTracker::learnAllowances(
@@ -128,38 +130,6 @@
                  this->MaxReportedEntries);
 }
 
-void EntryDaemonTracker::recordCrash(const Common::DaemonId &Reporter,
-                                     const State::CrashReport &Report,
-                                     Common::TimePoint Now) {
-  if (this->Crashes.size() > MaxTrackedContents)
-    this->Crashes.clear();
-  auto &Servers = this->Crashes[Report.Content];
-  const bool IsNew =
-      Servers.emplace(ServerIncarnation{Report.Server, Report.StartedAt}, Now)
-          .second;
-  if (IsNew)
-    Telemetry::log(Telemetry::Events::CrashReported, Reporter.str(),
-                   absl::Hex(Report.Content), Report.Server.str(),
-                   Report.StartedAt, Servers.size());
-  if (Servers.size() < MinCrashesToRefuse ||
-      !this->Refused.emplace(Report.Content, Now).second)
-    return;
-  Telemetry::log(Telemetry::Events::ContentRefused, absl::Hex(Report.Content),
-                 Servers.size());
-}
-
-void EntryDaemonTracker::expireCrashes(Common::TimePoint Now) {
-  for (auto Each = this->Crashes.begin(); Each != this->Crashes.end();) {
-    std::erase_if(Each->second, [Now](const auto &Failure) {
-      return Now - Failure.second > CrashWindow;
-    });
-    Each = Each->second.empty() ? this->Crashes.erase(Each) : std::next(Each);
-  }
-  std::erase_if(this->Refused, [Now](const auto &Each) {
-    return Now - Each.second > RefusalDuration;
-  });
-}
-
 std::map<Common::ServiceName, double> EntryDaemonTracker::engineDemand(
     const Membership::ServerRegistry &Servers) const {
   std::map<Common::ServiceName, double> Result;
--- a/Source/StateDaemon/EntryDaemonTracker.h
+++ b/Source/StateDaemon/EntryDaemonTracker.h
@@ -6,21 +6,21 @@
 #include "State/ClockMedian.h"
 #include "State/ControlProtocol.h"
 #include "State/UsageAggregator.h"
+#include "StateDaemon/RefusalPlanner.h"
 
 #include <map>
-#include <set>
 #include <string>
 
 namespace StateDaemon {
 
 /// The leader's view of the entry daemons, built from their polls: which are
-/// live, their clocks, their use of the teams' allowances, their load, and
-/// which request contents crash servers. A new leader starts with an empty one.
+/// live, their clocks, their use of the teams' allowances, their load, and what
+/// crashes servers. A new leader starts with an empty one.
 class EntryDaemonTracker {
 public:
   EntryDaemonTracker(Admission::AllowanceTolerance Tolerance,
                      Common::TimePoint Now)
-      : LeadingSince(Now), Allowances(Tolerance, Now) {}
+      : LeadingSince(Now), Allowances(Tolerance, Now), Refusals(Now) {}
 
   /// Declaration is null until a declaration is in force.
   State::EntryPollResponse
@@ -54,6 +54,12 @@
   std::map<Common::ServiceName, double>
   engineDemand(const Membership::ServerRegistry &Servers) const;
   std::size_t liveEntryCount() const { return this->LiveEntries; }
+  /// Commands that change what is refused because it crashes servers. They are
+  /// to be proposed.
+  std::vector<State::ControlCommand>
+  planRefusals(const State::ControlState &State, Common::TimePoint Now) {
+    return this->Refusals.plan(State, Now);
+  }
 
 private:
   /// An entry daemon that sent no poll for longer is not counted as live.
@@ -63,13 +69,6 @@
   /// has reported by then.
   static constexpr Common::Duration AllowanceLearningTime =
       std::chrono::milliseconds(900);
-  /// Number of servers that a content must crash before it is refused.
-  static constexpr std::size_t MinCrashesToRefuse = 3;
-  /// Failures further apart than this are not attributed to the same content.
-  static constexpr Common::Duration CrashWindow = std::chrono::seconds(30);
-  static constexpr Common::Duration RefusalDuration = std::chrono::minutes(2);
-  static constexpr std::size_t MaxTrackedContents = 20'000;
-  static constexpr std::size_t MaxRefusedPerAnswer = 256;
 
   struct Entry {
     bool Live = false;
@@ -82,9 +81,6 @@
   /// granted by earlier leaders.
   void learnAllowances(const Configuration::ServiceMap &Declaration,
                        Common::TimePoint Now);
-  void recordCrash(const Common::DaemonId &Reporter,
-                   const State::CrashReport &Report, Common::TimePoint Now);
-  void expireCrashes(Common::TimePoint Now);
   struct LoadSum {
     std::int64_t Requests = 0;
     std::int64_t PromptTokens = 0;
@@ -104,13 +100,7 @@
   Admission::AllowanceLedger Allowances;
   State::ClockMedian Clocks;
   State::UsageAggregator Usage;
-  using ServerIncarnation = std::pair<Common::BackendServerId, std::uint64_t>;
-  /// Servers that failed while they ran a content, with the time, by content
-  /// hash.
-  std::map<std::uint64_t, std::map<ServerIncarnation, Common::TimePoint>>
-      Crashes;
-  /// Refused contents and the start of their refusal, by content hash.
-  std::map<std::uint64_t, Common::TimePoint> Refused;
+  RefusalPlanner Refusals;
 };
 
 } // namespace StateDaemon
--- /dev/null
+++ b/Source/StateDaemon/RefusalPlanner.cpp
@@ -0,0 +1,257 @@
+#include "StateDaemon/RefusalPlanner.h"
+
+#include "Telemetry/LogEvents.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+#include <algorithm>
+
+namespace StateDaemon {
+
+namespace {
+
+namespace Events = Telemetry::Events;
+
+std::string hexCauses(const Common::CauseSet &Causes) {
+  return absl::StrJoin(Causes, ",",
+                       [](std::string *Out, Common::CauseHash Each) {
+                         absl::StrAppend(Out, absl::Hex(Each));
+                       });
+}
+
+const State::Refusal *findRefusal(const State::ControlState &State,
+                                  const Common::CauseSet &Causes) {
+  for (const State::Refusal &Each : State.refusals())
+    if (Each.Causes == Causes)
+      return &Each;
+  return nullptr;
+}
+
+bool isCovered(const State::ControlState &State,
+               const Common::CauseSet &Causes) {
+  return std::any_of(State.refusals().begin(), State.refusals().end(),
+                     [&](const State::Refusal &Each) {
+                       return Common::includesCauses(Causes, Each.Causes);
+                     });
+}
+
+} // namespace
+
+void RefusalPlanner::recordCrash(const Common::DaemonId &Reporter,
+                                 const State::CrashReport &Report,
+                                 Common::TimePoint Now) {
+  // Contents that have crashed one server only are the least suspect.
+  if (this->ContentCrashes.size() > MaxTrackedContents)
+    std::erase_if(this->ContentCrashes,
+                  [](const auto &Each) { return Each.second.size() < 2; });
+  auto &Servers = this->ContentCrashes[Report.Content];
+  const bool IsNew =
+      Servers
+          .emplace(
+              Routing::ServerIncarnation{Report.Server, {Report.StartedAt}},
+              Now)
+          .second;
+  if (!IsNew)
+    return;
+  Telemetry::log(Events::CrashReported, Reporter.str(),
+                 absl::Hex(Report.Content), Report.Server.str(),
+                 Report.StartedAt, Servers.size());
+  if (Servers.size() != MinCrashesToRefuse)
+    return;
+  Telemetry::log(Events::ContentRefused, absl::Hex(Report.Content),
+                 Servers.size());
+  Common::TimePoint FirstCrashAt = Now;
+  for (const auto &Each : Servers)
+    FirstCrashAt = std::min(FirstCrashAt, Each.second);
+  this->refuse({Report.Content}, FirstCrashAt);
+  this->DecidedAt[{Report.Content}] = Now;
+}
+
+void RefusalPlanner::recordLostRun(const Common::DaemonId &Reporter,
+                                   const State::LostRun &Report,
+                                   Common::TimePoint Now) {
+  const Common::TimePoint CrashedAt =
+      Now - std::chrono::milliseconds(Report.AgeMilliseconds);
+  if (!this->PartCrashes.recordLostRun({Report.Server, {Report.StartedAt}},
+                                       Report.Parts, CrashedAt))
+    return;
+  this->SuspectsChanged = true;
+  Telemetry::log(Events::LostRunReported, Reporter.str(), Report.Server.str(),
+                 Report.StartedAt, hexCauses(Report.Parts),
+                 Report.AgeMilliseconds);
+}
+
+void RefusalPlanner::recordSurvival(const State::Survival &Report,
+                                    const State::ControlState &State,
+                                    Common::TimePoint Now) {
+  const Common::TimePoint BegunAt =
+      Now - std::chrono::milliseconds(Report.AgeMilliseconds);
+  this->PartCrashes.recordSurvival(Report.Cause, BegunAt);
+  this->SuspectsChanged = true;
+  const auto Content = this->ContentCrashes.find(Report.Cause);
+  if (Content != this->ContentCrashes.end()) {
+    std::erase_if(Content->second, [BegunAt](const auto &Failure) {
+      return Failure.second < BegunAt;
+    });
+    if (Content->second.empty())
+      this->ContentCrashes.erase(Content);
+  }
+  for (const Common::CauseSet &Each : this->refusals(State)) {
+    if (!Common::includesCauses(Each, {Report.Cause}) ||
+        BegunAt <= this->since(Each) || this->ToEnd.count(Each) != 0)
+      continue;
+    Common::CauseSet Narrowed = Each;
+    std::erase(Narrowed, Report.Cause);
+    Telemetry::log(Events::RefusalEnded, hexCauses(Each), hexCauses(Narrowed),
+                   Report.AgeMilliseconds);
+    if (!Narrowed.empty())
+      this->refuse(Narrowed, this->since(Each));
+    this->ToRefuse.erase(Each);
+    if (findRefusal(State, Each))
+      this->ToEnd.insert(Each);
+  }
+}
+
+void RefusalPlanner::recordUse(const Common::DaemonId &Entry,
+                               const Common::CauseSet &Causes,
+                               const State::ControlState &State,
+                               Common::TimePoint Now) {
+  const State::Refusal *Used = findRefusal(State, Causes);
+  if (!Used || Used->Probes >= ProbeIntervals.size())
+    return;
+  const auto Decided = this->DecidedAt.find(Causes);
+  Common::TimePoint From =
+      Decided != this->DecidedAt.end() ? Decided->second : this->LeadingSince;
+  const auto Last = this->Probes.find(Causes);
+  if (Last != this->Probes.end())
+    From = std::max(From, Last->second.GrantedAt);
+  if (Now - From < ProbeIntervals[Used->Probes])
+    return;
+  this->Probes[Causes] = {Entry, Used->Probes, Now, false};
+  Telemetry::log(Events::RefusalProbed, hexCauses(Causes), Entry.str(),
+                 Used->Probes + 1);
+}
+
+std::vector<State::ControlCommand>
+RefusalPlanner::plan(const State::ControlState &State, Common::TimePoint Now) {
+  for (const Routing::CrashAttribution::Cause &Each :
+       this->PartCrashes.findCauses(this->refusals(State), Now)) {
+    Telemetry::log(Events::PromptRefused, hexCauses(Each.Parts), Each.Crashes,
+                   Common::toMilliseconds(Now - Each.FirstCrashAt));
+    this->refuse(Each.Parts, Each.FirstCrashAt);
+    this->DecidedAt[Each.Parts] = Now;
+  }
+  std::erase_if(this->ToRefuse, [&](const Common::CauseSet &Each) {
+    return isCovered(State, Each);
+  });
+  std::erase_if(this->ToEnd, [&](const Common::CauseSet &Each) {
+    return findRefusal(State, Each) == nullptr;
+  });
+  std::vector<State::ControlCommand> Result;
+  const auto Propose = [&](const Common::CauseSet &Causes,
+                           State::ControlCommand Command) {
+    const auto [Last, IsNew] = this->ProposedAt.try_emplace(Causes, Now);
+    if (!IsNew && Now - Last->second < ProposalTimeout)
+      return;
+    Last->second = Now;
+    Result.push_back(std::move(Command));
+  };
+  for (const Common::CauseSet &Each : this->ToRefuse)
+    Propose(Each, State::RefuseCommand{Each});
+  for (const Common::CauseSet &Each : this->ToEnd)
+    Propose(Each, State::EndRefusalCommand{Each});
+  for (const auto &[Causes, Granted] : this->Probes) {
+    const State::Refusal *Current = findRefusal(State, Causes);
+    if (Current && Current->Probes == Granted.Number)
+      Propose(Causes, State::ProbeRefusalCommand{Causes, Granted.Number});
+  }
+  std::erase_if(this->ProposedAt, [Now](const auto &Each) {
+    return Now - Each.second >= ProposalTimeout;
+  });
+  this->removeEnded(State);
+  return Result;
+}
+
+void RefusalPlanner::removeEnded(const State::ControlState &State) {
+  const auto HasEnded = [&](const auto &Each) {
+    return this->ToRefuse.count(Each.first) == 0 &&
+           findRefusal(State, Each.first) == nullptr;
+  };
+  std::erase_if(this->Since, HasEnded);
+  std::erase_if(this->DecidedAt, HasEnded);
+  std::erase_if(this->Probes, HasEnded);
+}
+
+std::vector<Common::CauseSet>
+RefusalPlanner::refusals(const State::ControlState &State) const {
+  std::vector<Common::CauseSet> Result;
+  for (const State::Refusal &Each : State.refusals())
+    if (this->ToEnd.count(Each.Causes) == 0)
+      Result.push_back(Each.Causes);
+  for (const Common::CauseSet &Each : this->ToRefuse)
+    if (!isCovered(State, Each))
+      Result.push_back(Each);
+  return Result;
+}
+
+std::vector<Common::CauseHash>
+RefusalPlanner::suspects(const State::ControlState &State) {
+  if (this->SuspectsChanged)
+    this->PartSuspects = this->PartCrashes.suspects();
+  this->SuspectsChanged = false;
+  std::set<Common::CauseHash> Refused;
+  for (const Common::CauseSet &Each : this->refusals(State))
+    Refused.insert(Each.begin(), Each.end());
+  std::vector<Common::CauseHash> Result(Refused.begin(), Refused.end());
+  for (const auto &[Content, Servers] : this->ContentCrashes)
+    if (Servers.size() + 1 >= MinCrashesToRefuse && Refused.count(Content) == 0)
+      Result.push_back(Content);
+  for (const Common::CauseHash Each : this->PartSuspects)
+    if (Refused.count(Each) == 0)
+      Result.push_back(Each);
+  if (Result.size() > MaxSuspects)
+    Result.resize(MaxSuspects);
+  return Result;
+}
+
+std::vector<Common::CauseSet>
+RefusalPlanner::takeProbes(const Common::DaemonId &Entry,
+                           const State::ControlState &State) {
+  std::vector<Common::CauseSet> Result;
+  for (auto &[Causes, Granted] : this->Probes) {
+    const State::Refusal *Current = findRefusal(State, Causes);
+    if (Granted.Sent || Granted.Entry != Entry || !Current ||
+        Current->Probes <= Granted.Number)
+      continue;
+    Granted.Sent = true;
+    Result.push_back(Causes);
+  }
+  return Result;
+}
+
+void RefusalPlanner::removeExpired(Common::TimePoint Now) {
+  for (auto Each = this->ContentCrashes.begin();
+       Each != this->ContentCrashes.end();) {
+    std::erase_if(Each->second, [Now](const auto &Failure) {
+      return Now - Failure.second > CrashWindow;
+    });
+    Each = Each->second.empty() ? this->ContentCrashes.erase(Each)
+                                : std::next(Each);
+  }
+  this->PartCrashes.removeExpired(Now);
+  this->SuspectsChanged = true;
+}
+
+void RefusalPlanner::refuse(const Common::CauseSet &Causes,
+                            Common::TimePoint Since) {
+  this->ToRefuse.insert(Causes);
+  this->Since[Causes] = Since;
+  this->DecidedAt.try_emplace(Causes, Since);
+}
+
+Common::TimePoint RefusalPlanner::since(const Common::CauseSet &Causes) const {
+  const auto Found = this->Since.find(Causes);
+  return Found == this->Since.end() ? this->LeadingSince : Found->second;
+}
+
+} // namespace StateDaemon
--- a/Source/UnitTests/StateDaemon/EntryDaemonTrackerTest.cpp
+++ b/Source/UnitTests/StateDaemon/EntryDaemonTrackerTest.cpp
@@ -62,7 +62,7 @@
     Tracker.handlePoll(Poll, nullptr, Newest, Common::TimePoint(11s));
     const auto Answer =
         Tracker.handlePoll(Poll, nullptr, Newest, Common::TimePoint(11s));
-    BOOST_TEST(Answer.RefusedContents.size() == (Server == 3 ? 1u : 0u));
+    BOOST_TEST(Answer.Refusals.size() == (Server == 3 ? 1u : 0u));
   }
 }
 
@@ -77,23 +77,53 @@
     Tracker.expire(Common::TimePoint(Server * 20s));
     const auto Answer = Tracker.handlePoll(Poll, nullptr, Newest,
                                            Common::TimePoint(Server * 20s));
-    BOOST_TEST(Answer.RefusedContents.empty());
+    BOOST_TEST(Answer.Refusals.empty());
   }
 }
 
-BOOST_AUTO_TEST_CASE(RefusalExpires) {
+// A refusal ended two minutes after it began, for all daemons at once, and the
+// request then crashed as many servers again. One request a time finds out.
+BOOST_AUTO_TEST_CASE(RefusalIsProbedWithOneRequestAndNotExpired) {
   EntryDaemonTracker Tracker({}, Common::TimePoint(10s));
-  const State::ControlState Newest = stateWith(1);
+  State::ControlState Newest = stateWith(1);
+  const auto Propose = [&](Common::TimePoint Now) {
+    for (const auto &Each : Tracker.planRefusals(Newest, Now))
+      Newest.apply(Each);
+  };
   State::EntryPoll Poll = pollFrom("e1", 1);
   for (std::uint64_t Server = 1; Server <= 3; ++Server)
     Poll.Crashes.push_back({77, Common::BackendServerId("s"), Server});
   BOOST_TEST(Tracker.handlePoll(Poll, nullptr, Newest, Common::TimePoint(11s))
-                 .RefusedContents.size() == 1u);
-  Tracker.expire(Common::TimePoint(200s));
-  BOOST_TEST(Tracker
-                 .handlePoll(pollFrom("e1", 2), nullptr, Newest,
-                             Common::TimePoint(200s))
-                 .RefusedContents.empty());
+                 .Refusals.size() == 1u);
+  Propose(Common::TimePoint(11s));
+  BOOST_TEST(Newest.refusals().size() == 1u);
+  // Every daemon meets it all the time.
+  std::size_t Probes = 0;
+  for (std::uint64_t Second = 12; Second < 14'400; ++Second) {
+    const Common::TimePoint Now{std::chrono::seconds(Second)};
+    Tracker.expire(Now);
+    for (const char *Entry : {"e1", "e2", "e3"}) {
+      State::EntryPoll Use = pollFrom(Entry, Second);
+      Use.UsedRefusals = {{77}};
+      const auto Answer = Tracker.handlePoll(Use, nullptr, Newest, Now);
+      BOOST_TEST(Answer.Refusals.size() == 1u);
+      Probes += Answer.Probes.size();
+    }
+    Propose(Now);
+    if (Second == 70)
+      BOOST_TEST(Probes == 0u);
+    if (Second == 100)
+      BOOST_TEST(Probes == 1u);
+  }
+  BOOST_TEST(Probes == 2u);
+  // An answer that went on ends the refusal.
+  State::EntryPoll Survived = pollFrom("e2", 99999);
+  Survived.Survivals = {{77, 100}};
+  const Common::TimePoint End{4h};
+  BOOST_TEST(
+      Tracker.handlePoll(Survived, nullptr, Newest, End).Refusals.empty());
+  Propose(End);
+  BOOST_TEST(Newest.refusals().empty());
 }
 
 BOOST_AUTO_TEST_CASE(AnsweredContentIsNotReported) {
@@ -105,9 +135,6 @@
   Tracker.recordCrash(6, Server, 1, Common::TimePoint(2s));
   BOOST_TEST(Tracker.recentReports(Common::TimePoint(2s)).size() == 1u);
   BOOST_TEST(Tracker.recentReports(Common::TimePoint(20s)).empty());
-  Tracker.refuse({5}, Common::TimePoint(3s));
-  BOOST_TEST(Tracker.isRefused(5, Common::TimePoint(4s)));
-  BOOST_TEST(!Tracker.isRefused(5, Common::TimePoint(40s)));
 }
 
 BOOST_AUTO_TEST_CASE(LoadsOfLiveEntryDaemonsAreSummed) {
