Routing: Crashes that a server survived are no evidence against a prompt part

Reports are compared as they were sent, and survivors are remembered; - a common part was blamed beside the harmful one while all servers crashed. A part is weighed by its crashes and by how many runs with it each of them ended.

--- a/Source/Core/Routing/CrashAttribution.cpp
+++ b/Source/Core/Routing/CrashAttribution.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <iterator>
 #include <map>
-#include <optional>
 #include <set>
 
 namespace Routing {
@@ -24,28 +23,45 @@
                                      Common::TimePoint CrashedAt) {
   if (Parts.empty())
     return false;
-  const auto Known =
+  auto Known =
       std::find_if(this->Crashes.begin(), this->Crashes.end(),
                    [&](const Crash &Each) { return Each.Server == Server; });
-  if (Known != this->Crashes.end()) {
-    if (Known->Runs.size() >= MaxRunsPerCrash ||
-        std::find(Known->Runs.begin(), Known->Runs.end(), Parts) !=
-            Known->Runs.end())
-      return false;
-    Known->Runs.push_back(std::move(Parts));
-    return true;
+  if (Known == this->Crashes.end()) {
+    const auto Next = std::find_if(
+        this->Crashes.begin(), this->Crashes.end(),
+        [CrashedAt](const Crash &Each) { return Each.At > CrashedAt; });
+    Known = this->Crashes.insert(Next, Crash{Server, CrashedAt, {}, {}});
   }
-  const auto Next = std::find_if(
-      this->Crashes.begin(), this->Crashes.end(),
-      [CrashedAt](const Crash &Each) { return Each.At > CrashedAt; });
-  this->Crashes.insert(Next, Crash{Server, CrashedAt, {std::move(Parts)}});
+  // Reports are repeated.
+  if (Known->ReportedRuns.size() >= MaxRunsPerCrash ||
+      std::find(Known->ReportedRuns.begin(), Known->ReportedRuns.end(),
+                Parts) != Known->ReportedRuns.end())
+    return false;
+  Known->Runs.push_back(this->unsurvivedParts(Parts, Known->At));
+  Known->ReportedRuns.push_back(std::move(Parts));
   if (this->Crashes.size() > MaxCrashes)
     this->Crashes.pop_front();
   return true;
 }
 
+Common::CauseSet
+CrashAttribution::unsurvivedParts(const Common::CauseSet &Parts,
+                                  Common::TimePoint CrashedAt) const {
+  Common::CauseSet Result;
+  std::copy_if(Parts.begin(), Parts.end(), std::back_inserter(Result),
+               [&](Common::CauseHash Each) {
+                 const auto Newest = this->Survivals.find(Each);
+                 return Newest == this->Survivals.end() ||
+                        Newest->second <= CrashedAt;
+               });
+  return Result;
+}
+
 void CrashAttribution::recordSurvival(Common::CauseHash Part,
                                       Common::TimePoint BegunAt) {
+  Common::TimePoint &Newest =
+      this->Survivals.try_emplace(Part, BegunAt).first->second;
+  Newest = std::max(Newest, BegunAt);
   for (Crash &Each : this->Crashes) {
     if (Each.At >= BegunAt)
       break;
@@ -54,6 +70,23 @@
   }
 }
 
+bool CrashAttribution::removeDisproved(
+    const std::function<
+        std::optional<Common::TimePoint>(const ServerIncarnation &)> &HeardAt) {
+  return std::erase_if(this->Crashes, [&](const Crash &Each) {
+           const auto LastHeardAt = HeardAt(Each.Server);
+           return LastHeardAt && *LastHeardAt > Each.At + MessageDelay;
+         }) != 0;
+}
+
+bool CrashAttribution::supports(const Common::CauseSet &Parts) const {
+  std::vector<const Crash *> With;
+  for (const Crash &Each : this->Crashes)
+    if (hasRunWith(Each.ReportedRuns, Parts))
+      With.push_back(&Each);
+  return static_cast<double>(countDistinct(With)) >= MinWeight;
+}
+
 std::vector<Common::CauseHash> CrashAttribution::suspects() const {
   std::map<Common::CauseHash, std::size_t> RunsWith;
   for (const Crash &Each : this->Crashes)
@@ -74,6 +107,9 @@
   while (!this->Crashes.empty() &&
          Now - this->Crashes.front().At > CrashRetention)
     this->Crashes.pop_front();
+  std::erase_if(this->Survivals, [Now](const auto &Each) {
+    return Now - Each.second > SurvivalRetention;
+  });
 }
 
 std::vector<const CrashAttribution::Crash *>
@@ -86,6 +122,18 @@
   return Result;
 }
 
+double CrashAttribution::weight(Common::CauseHash Part,
+                                const std::vector<const Crash *> &Crashes) {
+  std::ptrdiff_t Runs = 0;
+  for (const Crash *Each : Crashes)
+    Runs += std::count_if(Each->Runs.begin(), Each->Runs.end(),
+                          [Part](const Common::CauseSet &Run) {
+                            return Common::includesCauses(Run, {Part});
+                          });
+  return static_cast<double>(countDistinct(Crashes)) *
+         static_cast<double>(Crashes.size()) / static_cast<double>(Runs);
+}
+
 std::size_t
 CrashAttribution::countDistinct(const std::vector<const Crash *> &Crashes) {
   std::size_t Count = 0;
@@ -133,20 +181,22 @@
         }))
       Unexplained.push_back(&Each);
   std::vector<Cause> Result;
-  while (Unexplained.size() >= MinCrashes) {
+  while (true) {
     std::set<Common::CauseHash> Candidates;
     for (const Crash *Each : Unexplained)
       for (const Common::CauseSet &Run : Each->Runs)
         Candidates.insert(Run.begin(), Run.end());
     Cause Best;
+    double BestWeight = 0;
     std::vector<const Crash *> BestCrashes;
     for (const Common::CauseHash Part : Candidates) {
       std::vector<const Crash *> With = crashesWith(Part, Unexplained);
-      const std::size_t Count = countDistinct(With);
-      if (Count < MinCrashes || Count <= Best.Crashes ||
+      const double Weight = weight(Part, With);
+      if (Weight < MinWeight || Weight <= BestWeight ||
           Now - With.front()->At < MinEvidenceAge)
         continue;
-      Best = {{Part}, Count, With.front()->At};
+      BestWeight = Weight;
+      Best = {{Part}, countDistinct(With), With.front()->At};
       BestCrashes = std::move(With);
     }
     if (BestCrashes.empty())
--- a/Source/Core/Routing/CrashAttribution.h
+++ b/Source/Core/Routing/CrashAttribution.h
@@ -6,6 +6,9 @@
 #include "Routing/ServerIncarnation.h"
 
 #include <deque>
+#include <functional>
+#include <map>
+#include <optional>
 #include <vector>
 
 namespace Routing {
@@ -32,6 +35,12 @@
   /// Records that an answer of a request with this part began at BegunAt and
   /// went on.
   void recordSurvival(Common::CauseHash Part, Common::TimePoint BegunAt);
+  /// Forgets the crashes of servers that are still there. HeardAt returns when
+  /// a server was last heard of, if it was. Returns whether there were any.
+  bool removeDisproved(const std::function<std::optional<Common::TimePoint>(
+                           const ServerIncarnation &)> &HeardAt);
+  /// Whether there are still enough crashes to refuse Parts.
+  bool supports(const Common::CauseSet &Parts) const;
   /// The causes of the crashes that no set of Refused explains.
   std::vector<Cause> findCauses(const std::vector<Common::CauseSet> &Refused,
                                 Common::TimePoint Now) const;
@@ -41,8 +50,8 @@
   void removeExpired(Common::TimePoint Now);
 
 private:
-  /// Number of crashes after which a part is a cause.
-  static constexpr std::size_t MinCrashes = 3;
+  /// The weight from which on a part is a cause.
+  static constexpr double MinWeight = 3;
   /// Crashes that follow one another faster count once: what ends several
   /// servers in one moment is no request.
   static constexpr Common::Duration MinCrashDistance =
@@ -50,7 +59,13 @@
   /// Time for answers that began after a crash to go on and to be reported.
   static constexpr Common::Duration MinEvidenceAge =
       std::chrono::milliseconds(1500);
+  /// A message that arrives sooner after a server's crash may have been sent
+  /// before it.
+  static constexpr Common::Duration MessageDelay =
+      std::chrono::milliseconds(300);
   static constexpr Common::Duration CrashRetention = std::chrono::minutes(10);
+  /// Lost runs are reported for a shorter time.
+  static constexpr Common::Duration SurvivalRetention = std::chrono::minutes(1);
   static constexpr std::size_t MaxCrashes = 512;
   static constexpr std::size_t MaxRunsPerCrash = 32;
 
@@ -59,10 +74,21 @@
     Common::TimePoint At;
     /// The parts of each lost run, without those that survived later.
     std::vector<Common::CauseSet> Runs;
+    /// The same runs as they were reported.
+    std::vector<Common::CauseSet> ReportedRuns;
   };
+  /// Parts without those that have survived since the crash.
+  Common::CauseSet unsurvivedParts(const Common::CauseSet &Parts,
+                                   Common::TimePoint CrashedAt) const;
 
   static std::vector<const Crash *>
   crashesWith(Common::CauseHash Part, const std::vector<const Crash *> &In);
+  /// How strongly the crashes, all with Part, speak against it: their number,
+  /// divided by the mean number of runs with Part that one of them ended. What
+  /// is common among requests was under each crash several times, what causes
+  /// the crashes once.
+  static double weight(Common::CauseHash Part,
+                       const std::vector<const Crash *> &Crashes);
   /// Number of crashes, in ascending order of time, that count.
   static std::size_t countDistinct(const std::vector<const Crash *> &Crashes);
   /// The parts that were in one run with Part at each of the crashes.
@@ -72,6 +98,8 @@
 
   /// In ascending order of time.
   std::deque<Crash> Crashes;
+  /// When the newest surviving answer with a part began.
+  std::map<Common::CauseHash, Common::TimePoint> Survivals;
 };
 
 } // namespace Routing
--- a/Source/EntryDaemon/RefusalList.cpp
+++ b/Source/EntryDaemon/RefusalList.cpp
@@ -45,6 +45,7 @@
       Now - this->OwnEvidenceCheckedAt < OwnCheckPeriod)
     return;
   this->OwnEvidenceCheckedAt = Now;
+  this->OwnEvidence.removeExpired(Now);
   std::vector<Common::CauseSet> Found;
   for (const auto &Each : this->OwnEvidence.findCauses(this->FromLeader, Now))
     Found.push_back(Each.Parts);
--- a/Source/EntryDaemon/RoutedAttempt.cpp
+++ b/Source/EntryDaemon/RoutedAttempt.cpp
@@ -552,7 +552,7 @@
   const Common::TimePoint BegunAt = *Current.Progress.beganAt();
   this->Context.CrashingContents.recordSuccess(this->contentHash());
   this->Context.PromptCrashes.recordSurvival(this->Causes, BegunAt);
-  for (const Common::CauseHash Each : this->Causes)
+  for (const Common::CauseHash Each : this->SharedParts)
     this->Context.Refusals.ownEvidence().recordSurvival(Each, BegunAt);
 }
 
--- a/Source/FaultTests/RoutedCrashTest.cpp
+++ b/Source/FaultTests/RoutedCrashTest.cpp
@@ -173,6 +173,27 @@
              static_cast<int>(Sound) * 9);
 }
 
+// Guards against BUDGET: what is refused is forgotten with the leader, or with
+// the entry daemon that learnt it, and the servers are ended again.
+BOOST_AUTO_TEST_CASE(ARefusedPromptPartStaysRefusedWhenDaemonsAreKilled) {
+  RoutedCluster Fixture;
+  Fixture.startAll();
+  CrashingServers Servers(Fixture);
+  Servers.startRequests();
+  BOOST_REQUIRE(Servers.runUntil([&] { return Servers.Crashes >= 3; }));
+  Servers.runFor(ContactTime);
+  const int HarmfulArrivals = Servers.HarmfulArrivals;
+  const int SoundArrivals = Servers.SoundArrivals;
+  const std::string Leader = "state" + std::to_string(Fixture.leader());
+  Fixture.crash(Leader);
+  Servers.runFor(2s);
+  Fixture.crash("entry");
+  Fixture.startEntryDaemon();
+  Servers.runFor(ContactTime);
+  BOOST_TEST(Servers.HarmfulArrivals - HarmfulArrivals <= 3);
+  BOOST_TEST(Servers.SoundArrivals - SoundArrivals >= 20);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace FaultTests
--- a/Source/StateDaemon/Controller.cpp
+++ b/Source/StateDaemon/Controller.cpp
@@ -416,8 +416,8 @@
 void Controller::proposeRefusals() {
   if (!this->Tracker || !this->Driver->holdsLeadership())
     return;
-  for (const State::ControlCommand &Each :
-       this->Tracker->planRefusals(this->State, this->Loop.now()))
+  for (const State::ControlCommand &Each : this->Tracker->planRefusals(
+           this->State, this->Registry, this->Loop.now()))
     this->Driver->propose(Network::encode(Each), nullptr);
 }
 
--- a/Source/StateDaemon/EntryDaemonTracker.h
+++ b/Source/StateDaemon/EntryDaemonTracker.h
@@ -57,8 +57,10 @@
   /// Commands that change what is refused because it crashes servers. They are
   /// to be proposed.
   std::vector<State::ControlCommand>
-  planRefusals(const State::ControlState &State, Common::TimePoint Now) {
-    return this->Refusals.plan(State, Now);
+  planRefusals(const State::ControlState &State,
+               const Membership::ServerRegistry &Servers,
+               Common::TimePoint Now) {
+    return this->Refusals.plan(State, Servers, Now);
   }
 
 private:
--- a/Source/StateDaemon/RefusalPlanner.cpp
+++ b/Source/StateDaemon/RefusalPlanner.cpp
@@ -106,9 +106,40 @@
                    Report.AgeMilliseconds);
     if (!Narrowed.empty())
       this->refuse(Narrowed, this->since(Each));
-    this->ToRefuse.erase(Each);
-    if (findRefusal(State, Each))
-      this->ToEnd.insert(Each);
+    this->end(Each, State);
+  }
+}
+
+void RefusalPlanner::end(const Common::CauseSet &Causes,
+                         const State::ControlState &State) {
+  this->ToRefuse.erase(Causes);
+  if (findRefusal(State, Causes))
+    this->ToEnd.insert(Causes);
+}
+
+void RefusalPlanner::removeDisproved(const State::ControlState &State,
+                                     const Membership::ServerRegistry &Servers,
+                                     Common::TimePoint Now) {
+  const auto HeardAt = [&](const Routing::ServerIncarnation &Server)
+      -> std::optional<Common::TimePoint> {
+    const auto *Known = Servers.find(Server.BackendServer);
+    if (!Known || Known->Record.StartedAt != Server.Incarnation.Value ||
+        Known->Record.Phase == Membership::ServerPhase::Gone)
+      return std::nullopt;
+    return Known->HeardAt;
+  };
+  if (!this->PartCrashes.removeDisproved(HeardAt))
+    return;
+  this->SuspectsChanged = true;
+  for (const Common::CauseSet &Each : this->refusals(State)) {
+    const auto Decided = this->DecidedAt.find(Each);
+    if (Decided == this->DecidedAt.end() ||
+        this->ContentCrashes.count(Each.front()) != 0 ||
+        Now - Decided->second > ReconsiderTime ||
+        this->PartCrashes.supports(Each))
+      continue;
+    Telemetry::log(Events::RefusalEnded, hexCauses(Each), "", "");
+    this->end(Each, State);
   }
 }
 
@@ -133,7 +164,10 @@
 }
 
 std::vector<State::ControlCommand>
-RefusalPlanner::plan(const State::ControlState &State, Common::TimePoint Now) {
+RefusalPlanner::plan(const State::ControlState &State,
+                     const Membership::ServerRegistry &Servers,
+                     Common::TimePoint Now) {
+  this->removeDisproved(State, Servers, Now);
   for (const Routing::CrashAttribution::Cause &Each :
        this->PartCrashes.findCauses(this->refusals(State), Now)) {
     Telemetry::log(Events::PromptRefused, hexCauses(Each.Parts), Each.Crashes,
--- a/Source/StateDaemon/RefusalPlanner.h
+++ b/Source/StateDaemon/RefusalPlanner.h
@@ -1,6 +1,7 @@
 #ifndef SYCAMOREREACH_STATEDAEMON_REFUSALPLANNER_H
 #define SYCAMOREREACH_STATEDAEMON_REFUSALPLANNER_H
 
+#include "Membership/ServerRegistry.h"
 #include "Routing/CrashAttribution.h"
 #include "State/ControlProtocol.h"
 
@@ -36,8 +37,9 @@
                  const State::ControlState &State, Common::TimePoint Now);
   /// Finds new causes of crashes and returns the commands to propose. A command
   /// that did not take effect is returned again after ProposalTimeout.
-  std::vector<State::ControlCommand> plan(const State::ControlState &State,
-                                          Common::TimePoint Now);
+  std::vector<State::ControlCommand>
+  plan(const State::ControlState &State,
+       const Membership::ServerRegistry &Servers, Common::TimePoint Now);
 
   /// What is refused, including what is decided and not yet replicated.
   std::vector<Common::CauseSet>
@@ -56,6 +58,9 @@
   static constexpr Common::Duration CrashWindow = std::chrono::seconds(30);
   static constexpr std::size_t MaxTrackedContents = 20'000;
   static constexpr std::size_t MaxSuspects = 256;
+  /// A refusal that was decided longer ago is not reconsidered when a server
+  /// turns out to have survived; the crashes it rests on may be forgotten.
+  static constexpr Common::Duration ReconsiderTime = std::chrono::seconds(10);
   static constexpr Common::Duration ProposalTimeout = std::chrono::seconds(1);
   /// Time from the refusal, or from the probe before, until one request is let
   /// through as a probe. No others follow, as each may crash a server.
@@ -71,6 +76,12 @@
   };
 
   void refuse(const Common::CauseSet &Causes, Common::TimePoint Since);
+  void end(const Common::CauseSet &Causes, const State::ControlState &State);
+  /// Forgets the crashes of servers that have announced themselves since, and
+  /// ends the recent refusals that rest on them.
+  void removeDisproved(const State::ControlState &State,
+                       const Membership::ServerRegistry &Servers,
+                       Common::TimePoint Now);
   /// Forgets what concerns refusals that are not in force any more.
   void removeEnded(const State::ControlState &State);
   /// The refusal's survivals count from then on.
--- a/Source/UnitTests/State/ControlStateTest.cpp
+++ b/Source/UnitTests/State/ControlStateTest.cpp
@@ -1,5 +1,6 @@
 #include "State/ControlState.h"
 
+#include "Network/Codec.h"
 #include "State/ClockMedian.h"
 #include "State/UsageAggregator.h"
 
@@ -51,6 +52,48 @@
   BOOST_TEST(Current.usage().size() <= ControlState::RetainedWindows + 1);
 }
 
+BOOST_AUTO_TEST_CASE(ASmallerRefusalReplacesLargerOnes) {
+  ControlState Current;
+  Current.apply(RefuseCommand{{1, 2}});
+  Current.apply(ProbeRefusalCommand{{1, 2}, 0});
+  // A repeated proposal is no second probe.
+  Current.apply(ProbeRefusalCommand{{1, 2}, 0});
+  Current.apply(RefuseCommand{{1, 2, 3}});
+  BOOST_TEST(Current.refusals().size() == 1u);
+  Current.apply(RefuseCommand{{2}});
+  BOOST_REQUIRE(Current.refusals().size() == 1u);
+  BOOST_TEST((Current.refusals()[0].Causes == Common::CauseSet{2}));
+  BOOST_TEST(Current.refusals()[0].Probes == 1u);
+  const auto Restored = ControlState::restore(Current.snapshot());
+  BOOST_REQUIRE(Restored.ok());
+  BOOST_TEST(Restored->refusals().size() == 1u);
+  Current.apply(EndRefusalCommand{{1, 2}});
+  BOOST_TEST(Current.refusals().size() == 1u);
+  Current.apply(EndRefusalCommand{{2}});
+  BOOST_TEST(Current.refusals().empty());
+}
+
+BOOST_AUTO_TEST_CASE(TheOldestRefusalsAreDropped) {
+  ControlState Current;
+  for (Common::CauseHash I = 1; I <= 1000; ++I)
+    Current.apply(RefuseCommand{{I}});
+  BOOST_REQUIRE(Current.refusals().size() == ControlState::MaxRefusals);
+  BOOST_TEST((Current.refusals().back().Causes == Common::CauseSet{1000}));
+}
+
+// An upgraded daemon reads what its predecessor, without refusals, has stored.
+BOOST_AUTO_TEST_CASE(ASnapshotWithoutRefusalsIsRestored) {
+  ControlState Current;
+  Current.apply(DeclareCommand{{4}, "four"});
+  const std::string Snapshot = Current.snapshot();
+  const std::string NoRefusals = Network::encode(std::vector<Refusal>());
+  const auto Restored = ControlState::restore(
+      Snapshot.substr(0, Snapshot.size() - NoRefusals.size()));
+  BOOST_REQUIRE(Restored.ok());
+  BOOST_TEST(Restored->document() == "four");
+  BOOST_TEST(Restored->refusals().empty());
+}
+
 BOOST_AUTO_TEST_CASE(AnInvalidSnapshotIsRejected) {
   BOOST_TEST(!ControlState::restore("x").ok());
   BOOST_TEST(ControlState::restore("").ok());
--- a/Source/UnitTests/StateDaemon/EntryDaemonTrackerTest.cpp
+++ b/Source/UnitTests/StateDaemon/EntryDaemonTrackerTest.cpp
@@ -87,7 +87,7 @@
   EntryDaemonTracker Tracker({}, Common::TimePoint(10s));
   State::ControlState Newest = stateWith(1);
   const auto Propose = [&](Common::TimePoint Now) {
-    for (const auto &Each : Tracker.planRefusals(Newest, Now))
+    for (const auto &Each : Tracker.planRefusals(Newest, {}, Now))
       Newest.apply(Each);
   };
   State::EntryPoll Poll = pollFrom("e1", 1);
