Routing: Crashing prompt parts are refused on the second entry path too

Change: a chat message, or the start of a prompt that is one text, is a part. Not covered: a soak of this path over real processes.

--- a/Source/Core/Membership/Digest.h
+++ b/Source/Core/Membership/Digest.h
@@ -1,6 +1,7 @@
 #ifndef SYCAMOREREACH_MEMBERSHIP_DIGEST_H
 #define SYCAMOREREACH_MEMBERSHIP_DIGEST_H
 
+#include "Common/CauseSet.h"
 #include "Common/Ids.h"
 #include "Membership/Announcement.h"
 
@@ -109,10 +110,31 @@
   Common::Incarnation Incarnation;
   /// Fingerprints of the requests that the sender was running there.
   std::vector<std::uint64_t> RequestFingerprints;
+  /// The prompt parts of those whose answers had just begun.
+  std::vector<Common::CauseSet> LostRuns;
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(this->Service, this->BackendServer, this->Incarnation,
-       this->RequestFingerprints);
+       this->RequestFingerprints, this->LostRuns);
+  }
+};
+
+/// Sent to all daemons when answers went on although a part of their prompts is
+/// suspected to crash servers.
+struct SurvivalNotice {
+  struct Part {
+    Common::CauseHash Hash = 0;
+    /// Time since the answer began.
+    std::uint64_t AgeMicros = 0;
+    template <class Archive> void serialize(Archive &Ar) {
+      Ar(this->Hash, this->AgeMicros);
+    }
+  };
+  Common::ServiceName Service;
+  std::vector<Part> Parts;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(this->Service, this->Parts);
   }
 };
 
@@ -127,7 +149,7 @@
 };
 
 using Datagram = std::variant<Digest, Summary, LeavingNotice, CrashNotice,
-                              ConfigurationNotice>;
+                              ConfigurationNotice, SurvivalNotice>;
 
 } // namespace Membership
 
--- a/Source/Core/Routing/Dispatcher.cpp
+++ b/Source/Core/Routing/Dispatcher.cpp
@@ -50,7 +50,7 @@
 std::optional<RefusalReason>
 Dispatcher::checkAdmission(const DispatchRequest &Request,
                            Common::TimePoint Now) {
-  if (this->QuarantineState.isRefused(Request.Fingerprint, Now))
+  if (this->isRefused(Request, Now))
     return RefusalReason::Quarantined;
   if (this->waiting() >= this->Options.MaxWaiting)
     return RefusalReason::QueueFull;
@@ -217,6 +217,7 @@
       Chosen->MatchedBlocks * BlockTokens, State.Work.PromptTokens);
   State.Server = Chosen->Server;
   State.StartedAt = Now;
+  State.Progress = AnswerProgress();
   State.UncachedTokens = State.Work.PromptTokens - Cached;
   State.Cost = this->remainingCost(State);
   ++State.Attempts;
@@ -233,7 +234,7 @@
     const auto Found = this->Requests.find(Id);
     if (Found == this->Requests.end())
       continue;
-    if (this->QuarantineState.isRefused(Found->second.Work.Fingerprint, Now)) {
+    if (this->isRefused(Found->second.Work, Now)) {
       Actions.push_back(RefuseAction{Id, RefusalReason::Quarantined});
       this->Requests.erase(Found);
     } else if (Found->second.Deadline <= Now) {
@@ -254,7 +255,7 @@
   Admission::FairQueue &Queue = this->Queues[*Chosen];
   const Common::RequestId Id = Queue.front(Now)->Id;
   RequestState &State = this->Requests.at(Id);
-  if (this->QuarantineState.isRefused(State.Work.Fingerprint, Now)) {
+  if (this->isRefused(State.Work, Now)) {
     Queue.pop(Now);
     Actions.push_back(RefuseAction{Id, RefusalReason::Quarantined});
     this->Requests.erase(Id);
@@ -373,16 +374,49 @@
     return;
   RequestState &State = Found->second;
   State.FirstTokenReceived = true;
+  this->recordAnswerBytes(State, Now);
   this->Rate.recordFirstToken(Now - State.StartedAt);
   if (PooledServer *Server = this->Servers.find(State.Server))
     Server->Window.recordFirstToken(Now - State.StartedAt,
                                     State.UncachedTokens);
 }
 
-void Dispatcher::onProgress(Common::RequestId Id, std::uint64_t Tokens) {
+void Dispatcher::onProgress(Common::RequestId Id, std::uint64_t Tokens,
+                            Common::TimePoint Now) {
   const auto Found = this->Requests.find(Id);
-  if (Found != this->Requests.end())
-    Found->second.TokensReceived = Tokens;
+  if (Found == this->Requests.end())
+    return;
+  RequestState &State = Found->second;
+  const bool Grew = Tokens > State.TokensReceived;
+  State.TokensReceived = Tokens;
+  if (State.running() && Grew)
+    this->recordAnswerBytes(State, Now);
+}
+
+void Dispatcher::recordAnswerBytes(RequestState &State, Common::TimePoint Now) {
+  const bool WasProven = State.Progress.hasSurvived();
+  State.Progress.recordBytes(Now);
+  if (!WasProven && State.Progress.hasSurvived())
+    this->PromptQuarantineState.recordOwnSurvival(State.Work.Parts,
+                                                  *State.Progress.beganAt());
+}
+
+bool Dispatcher::isRefused(const DispatchRequest &Work,
+                           Common::TimePoint Now) const {
+  return this->QuarantineState.isRefused(Work.Fingerprint, Now) ||
+         this->PromptQuarantineState.isRefused(Work.Parts, Now);
+}
+
+std::vector<Common::CauseSet>
+Dispatcher::unprovenRunsAt(const Common::BackendServerId &Server) const {
+  std::vector<Common::CauseSet> Result;
+  for (const auto &Each : this->Requests) {
+    const RequestState &State = Each.second;
+    if (State.Server == Server && State.Progress.beganAt() &&
+        !State.Progress.hasSurvived() && !State.Work.Parts.empty())
+      Result.push_back(State.Work.Parts);
+  }
+  return Result;
 }
 
 void Dispatcher::onFinished(Common::RequestId Id, Common::TimePoint Now) {
@@ -393,6 +427,11 @@
   if (State.running())
     this->Rate.recordCompletion(State.Cost, Now - State.StartedAt);
   this->QuarantineState.recordSuccess(State.Work.Fingerprint);
+  if (State.running() && !State.Progress.hasSurvived()) {
+    State.Progress.recordFramedEnd(Now);
+    this->PromptQuarantineState.recordOwnSurvival(State.Work.Parts,
+                                                  *State.Progress.beganAt());
+  }
   this->releaseServer(State);
   this->Requests.erase(Found);
 }
@@ -409,7 +448,7 @@
   this->releaseServer(State);
   const bool MayRetry = State.Attempts < this->Options.MaxAttempts &&
                         this->RetryBudgets[State.Work.Priority].tryConsume();
-  if (this->QuarantineState.isRefused(State.Work.Fingerprint, Now)) {
+  if (this->isRefused(State.Work, Now)) {
     this->PendingRefusals.push_back({Id, RefusalReason::Quarantined});
     this->Requests.erase(Found);
     return;
--- a/Source/Core/Routing/Dispatcher.h
+++ b/Source/Core/Routing/Dispatcher.h
@@ -5,6 +5,8 @@
 #include "Admission/PriorityScheduler.h"
 #include "Admission/RateEstimator.h"
 #include "Common/Refusal.h"
+#include "Routing/AnswerProgress.h"
+#include "Routing/PromptQuarantine.h"
 #include "Routing/Quarantine.h"
 #include "Routing/RetryBudget.h"
 #include "Routing/ServerChoice.h"
@@ -29,6 +31,8 @@
   Common::Duration Target{};
   Routing::Fingerprint Fingerprint = 0;
   std::vector<BlockHash> Blocks;
+  /// The parts of the prompt that other requests may share.
+  Common::CauseSet Parts;
   std::uint64_t AffinityKey = 0;
   std::uint64_t PromptTokens = 0;
   std::uint64_t ExpectedTokens = 1;
@@ -114,7 +118,8 @@
 
   void onFirstToken(Common::RequestId Id, Common::TimePoint Now);
   /// Reports the total number of output tokens received so far.
-  void onProgress(Common::RequestId Id, std::uint64_t Tokens);
+  void onProgress(Common::RequestId Id, std::uint64_t Tokens,
+                  Common::TimePoint Now);
   void onFinished(Common::RequestId Id, Common::TimePoint Now);
   /// The request is queued for another server, or a RefuseAction follows.
   void onFailed(Common::RequestId Id, Failure Kind, Common::TimePoint Now);
@@ -130,6 +135,11 @@
   onServerFailed(const ServerIncarnation &Server,
                  const std::vector<Fingerprint> &Contents,
                  Common::TimePoint Now);
+  /// The parts of the prompts whose answers this daemon's requests on a server
+  /// have begun to receive, and that the server has not survived yet.
+  std::vector<Common::CauseSet>
+  unprovenRunsAt(const Common::BackendServerId &Server) const;
+  PromptQuarantine &promptQuarantine() { return this->PromptQuarantineState; }
   /// Fingerprints of the requests that this daemon runs on a server.
   std::vector<Fingerprint>
   runningAt(const Common::BackendServerId &Server) const;
@@ -164,10 +174,15 @@
     std::size_t Attempts = 0;
     bool WasPreempted = false;
     bool FirstTokenReceived = false;
+    /// Of the current attempt.
+    AnswerProgress Progress;
     std::set<Common::BackendServerId> FailedServers;
     bool running() const { return !this->Server.empty(); }
   };
 
+  /// Whether the content, or a part of the prompt, crashes servers.
+  bool isRefused(const DispatchRequest &Work, Common::TimePoint Now) const;
+  void recordAnswerBytes(RequestState &State, Common::TimePoint Now);
   /// Cost if no part of the prompt is cached.
   Admission::Cost costWithoutCache(const DispatchRequest &Work) const;
   RequestState &track(DispatchRequest Request, Common::TimePoint Now);
@@ -208,6 +223,7 @@
   /// content. They are tried before the queues.
   std::vector<Common::RequestId> Deferred;
   Quarantine QuarantineState;
+  PromptQuarantine PromptQuarantineState;
   std::map<Common::CallerId, Admission::Cost> UsageByCaller;
   std::vector<Common::RetryReason> RetryReasons;
   /// Refusals that the next poll returns.
--- a/Source/EntryDaemon/EntryDaemon.cpp
+++ b/Source/EntryDaemon/EntryDaemon.cpp
@@ -104,6 +104,10 @@
       [this](const Membership::CrashNotice &Notice) {
         this->PeerGossip->sendCrashNotice(Notice);
       });
+  this->Dispatchers->setSurvivalHandler(
+      [this](const Membership::SurvivalNotice &Notice) {
+        this->PeerGossip->sendSurvivalNotice(Notice);
+      });
   auto ConfigSync = ConfigurationSync::create(
       *this->Context, *this->Peers, [this] { this->configurationChanged(); });
   if (!ConfigSync.ok())
--- a/Source/EntryDaemon/Gossip.cpp
+++ b/Source/EntryDaemon/Gossip.cpp
@@ -208,6 +208,11 @@
   this->sendTo(this->Peers.remote(), Notice);
 }
 
+void Gossip::sendSurvivalNotice(const Membership::SurvivalNotice &Notice) {
+  this->sendTo(this->Peers.local(), Notice);
+  this->sendTo(this->Peers.remote(), Notice);
+}
+
 void Gossip::sendConfigurationNotice() {
   this->sendTo(this->Peers.local(), Membership::ConfigurationNotice{
                                         this->Context.Settings.Name,
@@ -289,6 +294,10 @@
   this->Dispatchers.onServerFailed(Message);
 }
 
+void Gossip::handle(const Membership::SurvivalNotice &Message) {
+  this->Dispatchers.onSurvivals(Message);
+}
+
 void Gossip::handle(const Membership::ConfigurationNotice &Message) {
   this->checkConfigurationVersion(Message.From, Message.Version);
 }
--- a/Source/EntryDaemon/Gossip.h
+++ b/Source/EntryDaemon/Gossip.h
@@ -41,6 +41,8 @@
   void sendReclaimNotice(const Common::HostId &Host);
   /// Notifies all daemons of a failed server.
   void sendCrashNotice(const Membership::CrashNotice &Notice);
+  /// Notifies all daemons of answers that went on.
+  void sendSurvivalNotice(const Membership::SurvivalNotice &Notice);
   /// Advertises the configuration's version within the data centre.
   void sendConfigurationNotice();
   /// Marks this daemon as leaving in all further digests.
@@ -66,6 +68,7 @@
   void handle(const Membership::LeavingNotice &Message);
   void handle(const Membership::CrashNotice &Message);
   void handle(const Membership::ConfigurationNotice &Message);
+  void handle(const Membership::SurvivalNotice &Message);
   void updateRegistry(const std::vector<Membership::AgedAnnouncement> &Servers);
   void checkConfigurationVersion(const Common::DaemonId &From,
                                  Common::ConfigurationVersion PeerVersion);
--- a/Source/EntryDaemon/ModelRequest.cpp
+++ b/Source/EntryDaemon/ModelRequest.cpp
@@ -40,6 +40,8 @@
 struct PromptText {
   std::string Text;
   std::string AffinityPrefix;
+  /// Each message, or the start of a prompt that is one text.
+  std::vector<Common::CauseHash> Parts;
 };
 
 std::variant<PromptText, Refusal> readMessages(const Json &Object) {
@@ -55,7 +57,9 @@
     const std::string Role = Message["role"].get<std::string>();
     const Json Content =
         Message.contains("content") ? Message["content"] : Json();
-    Prompt.Text += Role + "\n" + contentText(Content) + "\n";
+    const std::string MessageText = Role + "\n" + contentText(Content) + "\n";
+    Prompt.Parts.push_back(Common::hashBytes(MessageText));
+    Prompt.Text += MessageText;
     if (!UserSeen)
       Prompt.AffinityPrefix = Prompt.Text;
     UserSeen = UserSeen || Role == "user";
@@ -70,6 +74,9 @@
   PromptText Prompt;
   Prompt.Text = Found->get<std::string>();
   Prompt.AffinityPrefix = Prompt.Text.substr(0, AffinityPrefixBytes);
+  const std::string Rest = Prompt.Text.substr(Prompt.AffinityPrefix.size());
+  Prompt.Parts = {Common::hashBytes(Prompt.AffinityPrefix),
+                  Common::hashBytes(Rest)};
   return Prompt;
 }
 
@@ -85,6 +92,9 @@
   Work.Fingerprint =
       Common::hashBytes(Request.Service.str() + "\n" + Request.Body);
   Work.Blocks = Routing::hashPrefixBlocks(Prompt.Text);
+  // The last part belongs to this request only.
+  Work.Parts =
+      Common::makeCauseSet({Prompt.Parts.begin(), Prompt.Parts.end() - 1});
   // The lowest bit is set because 0 means no affinity.
   Work.AffinityKey = Common::hashBytes(Prompt.AffinityPrefix) | 1;
   Work.PromptTokens = Routing::estimateTokens(Prompt.Text.size());
--- a/Source/EntryDaemon/ServiceDispatchers.cpp
+++ b/Source/EntryDaemon/ServiceDispatchers.cpp
@@ -10,6 +10,8 @@
 
 /// Number of callers whose use one digest reports to the peers.
 constexpr std::size_t MaxReportedCallers = 8;
+/// Older answers are taken for as old as this, in microseconds.
+constexpr std::uint64_t MaxSurvivalAge = 60'000'000;
 
 Routing::ServerStatus statusOf(const Membership::Announcement &Announced) {
   Routing::ServerStatus Status;
@@ -60,10 +62,53 @@
 void ServiceDispatchers::refresh() {
   for (auto &[Service, Entry] : this->Services) {
     this->refreshPool(Service, Entry);
+    this->updatePromptQuarantine(Service, Entry);
     this->poll(Service);
   }
 }
 
+void ServiceDispatchers::updatePromptQuarantine(
+    const Common::ServiceName &Service, ServiceEntry &Entry) {
+  const Common::TimePoint Now = this->Context.Loop.now();
+  const auto &DeclaredServices = this->Context.Declared.services();
+  const auto Declaration = DeclaredServices.find(Service);
+  if (Declaration == DeclaredServices.end())
+    return;
+  Routing::PromptQuarantine &Quarantine = Entry.Dispatcher.promptQuarantine();
+  const auto HeardAt = [this](const Routing::ServerIncarnation &Server)
+      -> std::optional<Common::TimePoint> {
+    const auto *Known = this->Context.Registry.find(Server.BackendServer);
+    if (!Known || Known->Latest.Incarnation != Server.Incarnation)
+      return std::nullopt;
+    return Known->HeardAt;
+  };
+  Quarantine.update(HeardAt, Declaration->second.QuarantineDuration.duration(),
+                    Now);
+  Membership::SurvivalNotice Notice;
+  Notice.Service = Service;
+  for (const Routing::PromptQuarantine::Survival &Each :
+       Quarantine.takeSurvivals())
+    Notice.Parts.push_back(
+        {Each.Part,
+         static_cast<std::uint64_t>(
+             std::chrono::duration_cast<Common::Duration>(Now - Each.BegunAt)
+                 .count())});
+  if (!Notice.Parts.empty() && this->NotifySurvivals)
+    this->NotifySurvivals(Notice);
+}
+
+void ServiceDispatchers::onSurvivals(const Membership::SurvivalNotice &Notice) {
+  ServiceEntry *Entry = this->findEntry(Notice.Service);
+  if (!Entry)
+    return;
+  const Common::TimePoint Now = this->Context.Loop.now();
+  for (const Membership::SurvivalNotice::Part &Each : Notice.Parts)
+    Entry->Dispatcher.promptQuarantine().recordSurvival(
+        {Each.Hash,
+         Now - Common::Duration(static_cast<std::int64_t>(
+                   std::min<std::uint64_t>(Each.AgeMicros, MaxSurvivalAge)))});
+}
+
 void ServiceDispatchers::refreshPool(const Common::ServiceName &Service,
                                      ServiceEntry &Entry) {
   const auto &DeclaredServices = this->Context.Declared.services();
@@ -188,7 +233,7 @@
                                     Common::RequestId Id,
                                     std::uint64_t Tokens) {
   if (ServiceEntry *Entry = this->findEntry(Service))
-    Entry->Dispatcher.onProgress(Id, Tokens);
+    Entry->Dispatcher.onProgress(Id, Tokens, this->Context.Loop.now());
 }
 
 void ServiceDispatchers::onFinished(const Common::ServiceName &Service,
@@ -229,6 +274,7 @@
   Notice.BackendServer = Server;
   Notice.Incarnation = RegistryEntry->Latest.Incarnation;
   Notice.RequestFingerprints = Entry->Dispatcher.runningAt(Server);
+  Notice.LostRuns = Entry->Dispatcher.unprovenRunsAt(Server);
   this->onServerFailed(Notice);
   if (this->NotifyCrash)
     this->NotifyCrash(Notice);
@@ -240,6 +286,8 @@
     return;
   const Routing::ServerIncarnation Server{Notice.BackendServer,
                                           Notice.Incarnation};
+  Entry->Dispatcher.promptQuarantine().recordLostRuns(Server, Notice.LostRuns,
+                                                      this->Context.Loop.now());
   const auto Quarantined = Entry->Dispatcher.onServerFailed(
       Server, Notice.RequestFingerprints, this->Context.Loop.now());
   this->Context.Metrics.incrementCounter("quarantined_requests_total",
--- a/Source/EntryDaemon/ServiceDispatchers.h
+++ b/Source/EntryDaemon/ServiceDispatchers.h
@@ -26,6 +26,7 @@
 class ServiceDispatchers {
 public:
   using OnCrash = std::function<void(const Membership::CrashNotice &)>;
+  using OnSurvivals = std::function<void(const Membership::SurvivalNotice &)>;
 
   ServiceDispatchers(EntryContext &Context, const Membership::PeerTable &Peers);
   /// Sets the callback for servers that fail while they run a request of this
@@ -34,6 +35,12 @@
     this->NotifyCrash = std::move(NotifyCrash);
   }
 
+  /// Sets the callback for answers of this daemon that went on although a part
+  /// of their prompts is under suspicion.
+  void setSurvivalHandler(OnSurvivals NotifySurvivals) {
+    this->NotifySurvivals = std::move(NotifySurvivals);
+  }
+
   /// Applies a new configuration.
   void configure();
   /// Updates all dispatchers from the backend registry.
@@ -74,6 +81,8 @@
                    const Common::BackendServerId &Server);
   /// Processes a report of a failed server, of this or another daemon.
   void onServerFailed(const Membership::CrashNotice &Notice);
+  /// Processes a report of another daemon's answers that went on.
+  void onSurvivals(const Membership::SurvivalNotice &Notice);
   /// Applies the cache events of a server that announced itself to this daemon.
   void applyCacheEvents(const Membership::Announcement &Announced);
   /// Charges a caller for its use at another daemon.
@@ -103,6 +112,10 @@
   void schedulePoll(const Common::ServiceName &Service);
   void poll(const Common::ServiceName &Service);
   void execute(ServiceEntry &Entry, const Routing::Action &Action);
+  /// Refuses the prompt parts that are found to crash servers, and reports the
+  /// survivals of suspects.
+  void updatePromptQuarantine(const Common::ServiceName &Service,
+                              ServiceEntry &Entry);
   void refreshPool(const Common::ServiceName &Service, ServiceEntry &Entry);
 
   EntryContext &Context;
@@ -112,6 +125,7 @@
   /// differently.
   std::uint64_t DaemonSalt;
   OnCrash NotifyCrash;
+  OnSurvivals NotifySurvivals;
 };
 
 } // namespace EntryDaemon
--- a/Source/PolicyBench/BenchRun.cpp
+++ b/Source/PolicyBench/BenchRun.cpp
@@ -444,8 +444,10 @@
   for (const auto &[Id, Each] : this->Requests)
     if (Each.Engine < this->Engines.size())
       this->Daemons[Each.Daemon].Dispatcher->onProgress(
-          Id, Each.GeneratedTokens +
-                  this->Engines[Each.Engine].progress(Each.Daemon, Id));
+          Id,
+          Each.GeneratedTokens +
+              this->Engines[Each.Engine].progress(Each.Daemon, Id),
+          this->Now);
 }
 
 void BenchRun::broadcastDigests() {
--- a/Source/UnitTests/Routing/DispatcherTest.cpp
+++ b/Source/UnitTests/Routing/DispatcherTest.cpp
@@ -95,7 +95,7 @@
   const DispatchRequest RunningRequest = Test.request(Background);
   Test.Subject.submit(RunningRequest, Start);
   Test.poll(Start);
-  Test.Subject.onProgress(RunningRequest.Id, 5);
+  Test.Subject.onProgress(RunningRequest.Id, 5, Start);
   const DispatchRequest UrgentRequest = Test.request(Urgent);
   Test.Subject.submit(UrgentRequest, Start);
   BOOST_TEST(Test.poll(Start + 100ms).empty());
@@ -193,6 +193,70 @@
       !Test.Subject.quarantine().isRefused(CrashingContent, Now + 11min));
 }
 
+// Requests that share one part of their prompts, and are otherwise different,
+// end one server after another.
+BOOST_AUTO_TEST_CASE(crashingPromptPartStopsReachingServers) {
+  constexpr Common::CauseHash CommonPart = 1;
+  constexpr Common::CauseHash CrashingPart = 66;
+  constexpr Common::Duration AnswerTime = 700ms;
+  Fixture Test(40, 4);
+  std::map<std::uint64_t, std::pair<DispatchRequest, Common::TimePoint>> Runs;
+  std::set<std::string> FailedServers;
+  std::size_t SoundRefused = 0;
+  std::size_t LastFailure = 0;
+  const auto Refused = [&](const DispatchRequest &Work, Common::TimePoint Now) {
+    return Test.Subject.submit(Work, Now).has_value();
+  };
+  constexpr std::size_t Steps = 200;
+  std::map<std::uint64_t, DispatchRequest> Submitted;
+  for (std::size_t Step = 0; Step < Steps; ++Step) {
+    const Common::TimePoint Now = Start + Step * 50ms;
+    DispatchRequest Sound = Test.request(Background);
+    Sound.Parts = {CommonPart, 100 + Step % 5};
+    SoundRefused += Refused(Sound, Now) ? 1 : 0;
+    Submitted[Sound.Id.Value] = Sound;
+    if (Step % 6 == 0) {
+      DispatchRequest Crashing = Test.request(Background);
+      Crashing.Parts = {CommonPart, CrashingPart};
+      Refused(Crashing, Now);
+      Submitted[Crashing.Id.Value] = Crashing;
+    }
+    std::vector<std::uint64_t> Ended;
+    for (const StartAction &Each : actionsOfType<StartAction>(Test.poll(Now))) {
+      const DispatchRequest &Work = Submitted.at(Each.Id.Value);
+      Test.Subject.onFirstToken(Each.Id, Now);
+      if (!Common::includesCauses(Work.Parts, {CrashingPart})) {
+        Runs[Each.Id.Value] = {Work, Now};
+        continue;
+      }
+      FailedServers.insert(Each.Server.str());
+      LastFailure = Step;
+      const Routing::ServerIncarnation Server{Each.Server,
+                                              Common::Incarnation{1}};
+      Test.Subject.promptQuarantine().recordLostRuns(
+          Server, Test.Subject.unprovenRunsAt(Each.Server), Now);
+      Test.Subject.onServerFailed(Server, Test.Subject.runningAt(Each.Server),
+                                  Now);
+      Test.Subject.remove(Each.Id);
+    }
+    for (const auto &[Id, Run] : Runs) {
+      Test.Subject.onProgress(Common::RequestId{Id}, Step, Now);
+      if (Now - Run.second < AnswerTime)
+        continue;
+      Test.Subject.onFinished(Common::RequestId{Id}, Now);
+      Ended.push_back(Id);
+    }
+    for (const std::uint64_t Id : Ended)
+      Runs.erase(Id);
+    Test.Subject.promptQuarantine().update(
+        [](const auto &) { return std::nullopt; }, 10min, Now);
+  }
+  BOOST_TEST(FailedServers.size() >= 3u);
+  BOOST_TEST(FailedServers.size() <= 8u);
+  BOOST_TEST(LastFailure < Steps / 3);
+  BOOST_TEST(SoundRefused <= Steps / 10);
+}
+
 BOOST_AUTO_TEST_CASE(suspectsRunOnSeparateServers) {
   Fixture Test(3, 4);
   Test.Subject.onServerFailed({Common::BackendServerId("gone"), {}}, {1, 2, 3},
