StateDaemon: Contents lost with servers that live on are acquitted too

As for prompt parts: a content that is lost with three servers which announce themselves afterwards was refused; the leader takes such crashes back. Reported ages are bounded. runs_lost_total by how far the answer had come, refusals_in_force; the refusal's status and Retry-After are part of the RoutedCrash test. The crashes with each part are collected in one pass.

--- a/Source/Core/Routing/CrashAttribution.cpp
+++ b/Source/Core/Routing/CrashAttribution.cpp
@@ -70,12 +70,9 @@
   }
 }
 
-bool CrashAttribution::removeDisproved(
-    const std::function<
-        std::optional<Common::TimePoint>(const ServerIncarnation &)> &HeardAt) {
+bool CrashAttribution::removeDisproved(const LastHeardOf &HeardAt) {
   return std::erase_if(this->Crashes, [&](const Crash &Each) {
-           const auto LastHeardAt = HeardAt(Each.Server);
-           return LastHeardAt && *LastHeardAt > Each.At + MessageDelay;
+           return isDisproved(Each.Server, Each.At, HeardAt);
          }) != 0;
 }
 
@@ -112,13 +109,16 @@
   });
 }
 
-std::vector<const CrashAttribution::Crash *>
-CrashAttribution::crashesWith(Common::CauseHash Part,
-                              const std::vector<const Crash *> &In) {
-  std::vector<const Crash *> Result;
-  std::copy_if(
-      In.begin(), In.end(), std::back_inserter(Result),
-      [Part](const Crash *Each) { return hasRunWith(Each->Runs, {Part}); });
+std::map<Common::CauseHash, std::vector<const CrashAttribution::Crash *>>
+CrashAttribution::crashesByPart(const std::vector<const Crash *> &Crashes) {
+  std::map<Common::CauseHash, std::vector<const Crash *>> Result;
+  for (const Crash *Each : Crashes)
+    for (const Common::CauseSet &Run : Each->Runs)
+      for (const Common::CauseHash Part : Run) {
+        std::vector<const Crash *> &With = Result[Part];
+        if (With.empty() || With.back() != Each)
+          With.push_back(Each);
+      }
   return Result;
 }
 
@@ -182,15 +182,10 @@
       Unexplained.push_back(&Each);
   std::vector<Cause> Result;
   while (true) {
-    std::set<Common::CauseHash> Candidates;
-    for (const Crash *Each : Unexplained)
-      for (const Common::CauseSet &Run : Each->Runs)
-        Candidates.insert(Run.begin(), Run.end());
     Cause Best;
     double BestWeight = 0;
     std::vector<const Crash *> BestCrashes;
-    for (const Common::CauseHash Part : Candidates) {
-      std::vector<const Crash *> With = crashesWith(Part, Unexplained);
+    for (auto &[Part, With] : crashesByPart(Unexplained)) {
       const double Weight = weight(Part, With);
       if (Weight < MinWeight || Weight <= BestWeight ||
           Now - With.front()->At < MinEvidenceAge)
--- a/Source/Core/Routing/CrashAttribution.h
+++ b/Source/Core/Routing/CrashAttribution.h
@@ -35,10 +35,18 @@
   /// Records that an answer of a request with this part began at BegunAt and
   /// went on.
   void recordSurvival(Common::CauseHash Part, Common::TimePoint BegunAt);
-  /// Forgets the crashes of servers that are still there. HeardAt returns when
-  /// a server was last heard of, if it was. Returns whether there were any.
-  bool removeDisproved(const std::function<std::optional<Common::TimePoint>(
-                           const ServerIncarnation &)> &HeardAt);
+  /// Returns when a server process was last heard of, if it is known.
+  using LastHeardOf = std::function<std::optional<Common::TimePoint>(
+      const ServerIncarnation &)>;
+  /// Whether the server was heard of so long after the crash that it was none.
+  static bool isDisproved(const ServerIncarnation &Server,
+                          Common::TimePoint CrashedAt,
+                          const LastHeardOf &HeardAt) {
+    const auto Last = HeardAt(Server);
+    return Last && *Last > CrashedAt + MessageDelay;
+  }
+  /// Forgets the crashes that are disproved. Returns whether there were any.
+  bool removeDisproved(const LastHeardOf &HeardAt);
   /// Whether there are still enough crashes to refuse Parts.
   bool supports(const Common::CauseSet &Parts) const;
   /// The causes of the crashes that no set of Refused explains.
@@ -81,8 +89,9 @@
   Common::CauseSet unsurvivedParts(const Common::CauseSet &Parts,
                                    Common::TimePoint CrashedAt) const;
 
-  static std::vector<const Crash *>
-  crashesWith(Common::CauseHash Part, const std::vector<const Crash *> &In);
+  /// The crashes with a run with each part, in ascending order of time.
+  static std::map<Common::CauseHash, std::vector<const Crash *>>
+  crashesByPart(const std::vector<const Crash *> &Crashes);
   /// How strongly the crashes, all with Part, speak against it: their number,
   /// divided by the mean number of runs with Part that one of them ended. What
   /// is common among requests was under each crash several times, what causes
--- a/Source/Core/Routing/PromptQuarantine.cpp
+++ b/Source/Core/Routing/PromptQuarantine.cpp
@@ -42,10 +42,9 @@
   return Result;
 }
 
-void PromptQuarantine::update(
-    const std::function<
-        std::optional<Common::TimePoint>(const ServerIncarnation &)> &HeardAt,
-    Common::Duration RefuseFor, Common::TimePoint Now) {
+void PromptQuarantine::update(const CrashAttribution::LastHeardOf &HeardAt,
+                              Common::Duration RefuseFor,
+                              Common::TimePoint Now) {
   this->Evidence.removeExpired(Now);
   if (this->Evidence.removeDisproved(HeardAt))
     std::erase_if(this->Refusals, [&](const auto &Each) {
--- a/Source/Core/Routing/PromptQuarantine.h
+++ b/Source/Core/Routing/PromptQuarantine.h
@@ -3,9 +3,7 @@
 
 #include "Routing/CrashAttribution.h"
 
-#include <functional>
 #include <map>
-#include <optional>
 #include <vector>
 
 namespace Routing {
@@ -35,8 +33,7 @@
   std::vector<Survival> takeSurvivals();
   /// Forgets the crashes of servers that are still there, by when they were
   /// last heard of, and refuses the causes of the others.
-  void update(const std::function<std::optional<Common::TimePoint>(
-                  const ServerIncarnation &)> &HeardAt,
+  void update(const CrashAttribution::LastHeardOf &HeardAt,
               Common::Duration RefuseFor, Common::TimePoint Now);
   bool isRefused(const Common::CauseSet &Parts, Common::TimePoint Now) const;
 
--- a/Source/EntryDaemon/RoutedAttempt.cpp
+++ b/Source/EntryDaemon/RoutedAttempt.cpp
@@ -529,6 +529,11 @@
       this->contentHash(), this->CurrentAttempt->Server.Id,
       this->CurrentAttempt->Server.ServerStartedAt, this->Context.Loop.now());
   const Routing::AnswerProgress &Progress = this->CurrentAttempt->Progress;
+  this->Context.Metrics.incrementLabelledCounter(
+      "runs_lost_total", "answer",
+      !Progress.beganAt()      ? "not_begun"
+      : Progress.hasSurvived() ? "going_on"
+                               : "begun");
   if (!Progress.beganAt() || Progress.hasSurvived())
     return;
   const PromptCrashReporter::Run Lost = this->currentRun();
--- a/Source/FaultTests/RoutedCrashTest.cpp
+++ b/Source/FaultTests/RoutedCrashTest.cpp
@@ -166,6 +166,14 @@
   Servers.runFor(ContactTime);
   BOOST_TEST(Servers.HarmfulArrivals - HarmfulArrivals <= 3);
   BOOST_TEST(Servers.HarmfulCalls.size() - HarmfulBefore >= 10u);
+  // A refusal says that the request was not run, and that it is no use to
+  // repeat it soon.
+  const RoutedResponse &Refused =
+      **std::find_if(Servers.HarmfulCalls.rbegin(), Servers.HarmfulCalls.rend(),
+                     [](const auto &Each) { return Each->Done; });
+  BOOST_TEST(Refused.Status == 503);
+  BOOST_TEST(Network::findHeader(Refused.Headers, "Retry-After").value_or("") ==
+             "30.000");
   // Sound requests with the same key and first part are served.
   const std::size_t Sound = Servers.SoundCalls.size() - SoundBefore;
   BOOST_TEST(Sound >= 20u);
--- a/Source/StateDaemon/Controller.cpp
+++ b/Source/StateDaemon/Controller.cpp
@@ -525,6 +525,8 @@
   this->Metrics.setGauge(
       "declaration_version",
       static_cast<double>(this->State.declarationVersion().Value));
+  this->Metrics.setGauge("refusals_in_force",
+                         static_cast<double>(this->State.refusals().size()));
   this->Metrics.setGauge("entries_connected",
                          static_cast<double>(this->Entries.size()));
   this->Metrics.setGauge("leading", this->Driver->holdsLeadership() ? 1 : 0);
--- a/Source/StateDaemon/RefusalPlanner.cpp
+++ b/Source/StateDaemon/RefusalPlanner.cpp
@@ -12,6 +12,9 @@
 
 namespace Events = Telemetry::Events;
 
+/// In milliseconds; reports are not repeated for that long.
+constexpr std::uint64_t MaxReportedAge = 60'000;
+
 std::string hexCauses(const Common::CauseSet &Causes) {
   return absl::StrJoin(Causes, ",",
                        [](std::string *Out, Common::CauseHash Each) {
@@ -35,6 +38,12 @@
                      });
 }
 
+/// The time of something that was reported with its age.
+Common::TimePoint timeOf(std::uint64_t AgeMilliseconds, Common::TimePoint Now) {
+  return Now - std::chrono::milliseconds(
+                   std::min<std::uint64_t>(AgeMilliseconds, MaxReportedAge));
+}
+
 } // namespace
 
 void RefusalPlanner::recordCrash(const Common::DaemonId &Reporter,
@@ -70,8 +79,7 @@
 void RefusalPlanner::recordLostRun(const Common::DaemonId &Reporter,
                                    const State::LostRun &Report,
                                    Common::TimePoint Now) {
-  const Common::TimePoint CrashedAt =
-      Now - std::chrono::milliseconds(Report.AgeMilliseconds);
+  const Common::TimePoint CrashedAt = timeOf(Report.AgeMilliseconds, Now);
   if (!this->PartCrashes.recordLostRun({Report.Server, {Report.StartedAt}},
                                        Report.Parts, CrashedAt))
     return;
@@ -84,8 +92,7 @@
 void RefusalPlanner::recordSurvival(const State::Survival &Report,
                                     const State::ControlState &State,
                                     Common::TimePoint Now) {
-  const Common::TimePoint BegunAt =
-      Now - std::chrono::milliseconds(Report.AgeMilliseconds);
+  const Common::TimePoint BegunAt = timeOf(Report.AgeMilliseconds, Now);
   this->PartCrashes.recordSurvival(Report.Cause, BegunAt);
   this->SuspectsChanged = true;
   const auto Content = this->ContentCrashes.find(Report.Cause);
@@ -128,21 +135,33 @@
       return std::nullopt;
     return Known->HeardAt;
   };
-  if (!this->PartCrashes.removeDisproved(HeardAt))
+  bool AnyDisproved = this->PartCrashes.removeDisproved(HeardAt);
+  for (auto &Each : this->ContentCrashes)
+    if (std::erase_if(Each.second, [&](const auto &Failure) {
+          return Routing::CrashAttribution::isDisproved(
+              Failure.first, Failure.second, HeardAt);
+        }) != 0)
+      AnyDisproved = true;
+  if (!AnyDisproved)
     return;
   this->SuspectsChanged = true;
   for (const Common::CauseSet &Each : this->refusals(State)) {
     const auto Decided = this->DecidedAt.find(Each);
     if (Decided == this->DecidedAt.end() ||
-        this->ContentCrashes.count(Each.front()) != 0 ||
-        Now - Decided->second > ReconsiderTime ||
-        this->PartCrashes.supports(Each))
+        Now - Decided->second > ReconsiderTime || this->isSupported(Each))
       continue;
     Telemetry::log(Events::RefusalEnded, hexCauses(Each), "", "");
     this->end(Each, State);
   }
 }
 
+bool RefusalPlanner::isSupported(const Common::CauseSet &Causes) const {
+  const auto Content = this->ContentCrashes.find(Causes.front());
+  return Content != this->ContentCrashes.end()
+             ? Content->second.size() >= MinCrashesToRefuse
+             : this->PartCrashes.supports(Causes);
+}
+
 void RefusalPlanner::recordUse(const Common::DaemonId &Entry,
                                const Common::CauseSet &Causes,
                                const State::ControlState &State,
--- a/Source/StateDaemon/RefusalPlanner.h
+++ b/Source/StateDaemon/RefusalPlanner.h
@@ -82,6 +82,8 @@
   void removeDisproved(const State::ControlState &State,
                        const Membership::ServerRegistry &Servers,
                        Common::TimePoint Now);
+  /// Whether there are still enough crashes for the refusal.
+  bool isSupported(const Common::CauseSet &Causes) const;
   /// Forgets what concerns refusals that are not in force any more.
   void removeEnded(const State::ControlState &State);
   /// The refusal's survivals count from then on.
