StateDaemon: Reports of survivals cost the leader less

Each entry daemon repeats the newest survival of each suspect with each poll. The leader went over all crashes for each of them and sorted the suspects for each poll, 735 times a second with 294 entry daemons. It now skips what is not newer than what it knows, and sorts with each plan, every 100 ms.

--- a/Source/Core/Routing/CrashAttribution.cpp
+++ b/Source/Core/Routing/CrashAttribution.cpp
@@ -57,17 +57,19 @@
   return Result;
 }
 
-void CrashAttribution::recordSurvival(Common::CauseHash Part,
+bool CrashAttribution::recordSurvival(Common::CauseHash Part,
                                       Common::TimePoint BegunAt) {
-  Common::TimePoint &Newest =
-      this->Survivals.try_emplace(Part, BegunAt).first->second;
-  Newest = std::max(Newest, BegunAt);
+  const auto [Newest, IsNew] = this->Survivals.try_emplace(Part, BegunAt);
+  if (!IsNew && Newest->second >= BegunAt)
+    return false;
+  Newest->second = BegunAt;
   for (Crash &Each : this->Crashes) {
     if (Each.At >= BegunAt)
       break;
     for (Common::CauseSet &Run : Each.Runs)
       std::erase(Run, Part);
   }
+  return true;
 }
 
 bool CrashAttribution::removeDisproved(const LastHeardOf &HeardAt) {
--- a/Source/Core/Routing/CrashAttribution.h
+++ b/Source/Core/Routing/CrashAttribution.h
@@ -33,8 +33,8 @@
   bool recordLostRun(const ServerIncarnation &Server, Common::CauseSet Parts,
                      Common::TimePoint CrashedAt);
   /// Records that an answer of a request with this part began at BegunAt and
-  /// went on.
-  void recordSurvival(Common::CauseHash Part, Common::TimePoint BegunAt);
+  /// went on. Returns false if a later one is known.
+  bool recordSurvival(Common::CauseHash Part, Common::TimePoint BegunAt);
   /// Returns when a server process was last heard of, if it is known.
   using LastHeardOf = std::function<std::optional<Common::TimePoint>(
       const ServerIncarnation &)>;
--- a/Source/StateDaemon/RefusalPlanner.cpp
+++ b/Source/StateDaemon/RefusalPlanner.cpp
@@ -93,7 +93,9 @@
                                     const State::ControlState &State,
                                     Common::TimePoint Now) {
   const Common::TimePoint BegunAt = timeOf(Report.AgeMilliseconds, Now);
-  this->PartCrashes.recordSurvival(Report.Cause, BegunAt);
+  // All daemons report a common cause again and again.
+  if (!this->PartCrashes.recordSurvival(Report.Cause, BegunAt))
+    return;
   this->SuspectsChanged = true;
   const auto Content = this->ContentCrashes.find(Report.Cause);
   if (Content != this->ContentCrashes.end()) {
@@ -187,6 +189,9 @@
                      const Membership::ServerRegistry &Servers,
                      Common::TimePoint Now) {
   this->removeDisproved(State, Servers, Now);
+  if (this->SuspectsChanged)
+    this->PartSuspects = this->PartCrashes.suspects();
+  this->SuspectsChanged = false;
   for (const Routing::CrashAttribution::Cause &Each :
        this->PartCrashes.findCauses(this->refusals(State), Now)) {
     Telemetry::log(Events::PromptRefused, hexCauses(Each.Parts), Each.Crashes,
@@ -248,10 +253,7 @@
 }
 
 std::vector<Common::CauseHash>
-RefusalPlanner::suspects(const State::ControlState &State) {
-  if (this->SuspectsChanged)
-    this->PartSuspects = this->PartCrashes.suspects();
-  this->SuspectsChanged = false;
+RefusalPlanner::suspects(const State::ControlState &State) const {
   std::set<Common::CauseHash> Refused;
   for (const Common::CauseSet &Each : this->refusals(State))
     Refused.insert(Each.begin(), Each.end());
--- a/Source/StateDaemon/RefusalPlanner.h
+++ b/Source/StateDaemon/RefusalPlanner.h
@@ -44,8 +44,10 @@
   /// What is refused, including what is decided and not yet replicated.
   std::vector<Common::CauseSet>
   refusals(const State::ControlState &State) const;
-  /// At most MaxSuspects causes whose surviving answers are to be reported.
-  std::vector<Common::CauseHash> suspects(const State::ControlState &State);
+  /// At most MaxSuspects causes whose surviving answers are to be reported, as
+  /// of the last plan.
+  std::vector<Common::CauseHash>
+  suspects(const State::ControlState &State) const;
   /// The probes granted to the entry daemon since the last call.
   std::vector<Common::CauseSet> takeProbes(const Common::DaemonId &Entry,
                                            const State::ControlState &State);
