StateDaemon: Repeated reports do not restore crashes that were taken back

After a server had announced itself again, the next repetition counted its crash once more, for a content even with a new time, so that the refusal came and went. Crash reports carry their age, and crashes that are taken back stay known as such. EntryDaemonTracker_/AContentIsAcquittedByServersThatLiveOn, CrashAttribution_/AServerThatIsHeardOfDidNotCrash.

--- a/Source/Core/Routing/CrashAttribution.cpp
+++ b/Source/Core/Routing/CrashAttribution.cpp
@@ -30,14 +30,15 @@
     const auto Next = std::find_if(
         this->Crashes.begin(), this->Crashes.end(),
         [CrashedAt](const Crash &Each) { return Each.At > CrashedAt; });
-    Known = this->Crashes.insert(Next, Crash{Server, CrashedAt, {}, {}});
+    Known = this->Crashes.insert(Next, Crash{Server, CrashedAt, {}, {}, false});
   }
   // Reports are repeated.
   if (Known->ReportedRuns.size() >= MaxRunsPerCrash ||
       std::find(Known->ReportedRuns.begin(), Known->ReportedRuns.end(),
                 Parts) != Known->ReportedRuns.end())
     return false;
-  Known->Runs.push_back(this->unsurvivedParts(Parts, Known->At));
+  if (!Known->Disproved)
+    Known->Runs.push_back(this->unsurvivedParts(Parts, Known->At));
   Known->ReportedRuns.push_back(std::move(Parts));
   if (this->Crashes.size() > MaxCrashes)
     this->Crashes.pop_front();
@@ -72,16 +73,22 @@
   return true;
 }
 
-bool CrashAttribution::removeDisproved(const LastHeardOf &HeardAt) {
-  return std::erase_if(this->Crashes, [&](const Crash &Each) {
-           return isDisproved(Each.Server, Each.At, HeardAt);
-         }) != 0;
+bool CrashAttribution::discardDisproved(const LastHeardOf &HeardAt) {
+  bool Any = false;
+  for (Crash &Each : this->Crashes) {
+    if (Each.Disproved || !isDisproved(Each.Server, Each.At, HeardAt))
+      continue;
+    Each.Disproved = true;
+    Each.Runs.clear();
+    Any = true;
+  }
+  return Any;
 }
 
 bool CrashAttribution::supports(const Common::CauseSet &Parts) const {
   std::vector<const Crash *> With;
   for (const Crash &Each : this->Crashes)
-    if (hasRunWith(Each.ReportedRuns, Parts))
+    if (!Each.Disproved && hasRunWith(Each.ReportedRuns, Parts))
       With.push_back(&Each);
   return static_cast<double>(countDistinct(With)) >= MinWeight;
 }
--- a/Source/Core/Routing/CrashAttribution.h
+++ b/Source/Core/Routing/CrashAttribution.h
@@ -45,8 +45,9 @@
     const auto Last = HeardAt(Server);
     return Last && *Last > CrashedAt + MessageDelay;
   }
-  /// Forgets the crashes that are disproved. Returns whether there were any.
-  bool removeDisproved(const LastHeardOf &HeardAt);
+  /// Discards the crashes that are disproved. Returns whether there were new
+  /// ones.
+  bool discardDisproved(const LastHeardOf &HeardAt);
   /// Whether there are still enough crashes to refuse Parts.
   bool supports(const Common::CauseSet &Parts) const;
   /// The causes of the crashes that no set of Refused explains.
@@ -84,6 +85,8 @@
     std::vector<Common::CauseSet> Runs;
     /// The same runs as they were reported.
     std::vector<Common::CauseSet> ReportedRuns;
+    /// Kept, as its reports are repeated.
+    bool Disproved = false;
   };
   /// Parts without those that have survived since the crash.
   Common::CauseSet unsurvivedParts(const Common::CauseSet &Parts,
--- a/Source/Core/Routing/PromptQuarantine.cpp
+++ b/Source/Core/Routing/PromptQuarantine.cpp
@@ -46,7 +46,7 @@
                               Common::Duration RefuseFor,
                               Common::TimePoint Now) {
   this->Evidence.removeExpired(Now);
-  if (this->Evidence.removeDisproved(HeardAt))
+  if (this->Evidence.discardDisproved(HeardAt))
     std::erase_if(this->Refusals, [&](const auto &Each) {
       return !this->Evidence.supports(Each.first);
     });
--- a/Source/Core/State/ControlProtocol.h
+++ b/Source/Core/State/ControlProtocol.h
@@ -238,8 +238,10 @@
   std::uint64_t Content = 0;
   Common::BackendServerId Server;
   std::uint64_t StartedAt = 0;
+  /// Time since the server failed.
+  std::uint64_t AgeMilliseconds = 0;
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(this->Content, this->Server, this->StartedAt);
+    Ar(this->Content, this->Server, this->StartedAt, this->AgeMilliseconds);
   }
 };
 
--- a/Source/EntryDaemon/CrashingContentTracker.h
+++ b/Source/EntryDaemon/CrashingContentTracker.h
@@ -22,7 +22,7 @@
                    std::uint64_t StartedAt, Common::TimePoint Now) {
     if (this->Harmless.count(Content) != 0)
       return;
-    this->Reports.push_back({{Content, Server, StartedAt}, Now});
+    this->Reports.push_back({{Content, Server, StartedAt, 0}, Now});
     if (this->Reports.size() > MaxReports)
       this->Reports.pop_front();
   }
@@ -43,8 +43,12 @@
            Now - this->Reports.front().RecordedAt > ReportRetention)
       this->Reports.pop_front();
     std::vector<State::CrashReport> Result;
-    for (const Report &Each : this->Reports)
+    for (const Report &Each : this->Reports) {
       Result.push_back(Each.Crash);
+      Result.back().AgeMilliseconds = static_cast<std::uint64_t>(
+          Common::toMilliseconds(std::chrono::duration_cast<Common::Duration>(
+              Now - Each.RecordedAt)));
+    }
     return Result;
   }
 
--- a/Source/StateDaemon/RefusalPlanner.cpp
+++ b/Source/StateDaemon/RefusalPlanner.cpp
@@ -58,7 +58,7 @@
       Servers
           .emplace(
               Routing::ServerIncarnation{Report.Server, {Report.StartedAt}},
-              Now)
+              timeOf(Report.AgeMilliseconds, Now))
           .second;
   if (!IsNew)
     return;
@@ -137,7 +137,7 @@
       return std::nullopt;
     return Known->HeardAt;
   };
-  bool AnyDisproved = this->PartCrashes.removeDisproved(HeardAt);
+  bool AnyDisproved = this->PartCrashes.discardDisproved(HeardAt);
   for (auto &Each : this->ContentCrashes)
     if (std::erase_if(Each.second, [&](const auto &Failure) {
           return Routing::CrashAttribution::isDisproved(
--- a/Source/UnitTests/Routing/CrashAttributionTest.cpp
+++ b/Source/UnitTests/Routing/CrashAttributionTest.cpp
@@ -75,6 +75,25 @@
   BOOST_TEST(found(Evidence).empty());
 }
 
+BOOST_AUTO_TEST_CASE(AServerThatIsHeardOfDidNotCrash) {
+  CrashAttribution Evidence;
+  const auto HeardAt = [](const Routing::ServerIncarnation &Server)
+      -> std::optional<Common::TimePoint> {
+    if (Server.Incarnation.Value == 2)
+      return Common::TimePoint(5s);
+    return Common::TimePoint(0s);
+  };
+  for (int Repeat = 0; Repeat < 2; ++Repeat) {
+    for (std::uint64_t I = 1; I <= 3; ++I)
+      Evidence.recordLostRun(server(I), {1}, Common::TimePoint(I * 1s));
+    BOOST_TEST(Evidence.discardDisproved(HeardAt) == (Repeat == 0));
+  }
+  BOOST_TEST(found(Evidence).empty());
+  BOOST_TEST(!Evidence.supports({1}));
+  Evidence.recordLostRun(server(4), {1}, Common::TimePoint(4s));
+  BOOST_TEST((found(Evidence) == Sets{{1}}));
+}
+
 BOOST_AUTO_TEST_CASE(RecentCrashesAreNoVerdictYet) {
   CrashAttribution Evidence;
   for (std::uint64_t I = 1; I <= 3; ++I)
--- a/Source/UnitTests/StateDaemon/EntryDaemonTrackerTest.cpp
+++ b/Source/UnitTests/StateDaemon/EntryDaemonTrackerTest.cpp
@@ -57,7 +57,7 @@
   const State::ControlState Newest = stateWith(1);
   for (std::uint64_t Server = 1; Server <= 3; ++Server) {
     State::EntryPoll Poll = pollFrom("e1", Server);
-    Poll.Crashes = {{77, Common::BackendServerId("s"), Server}};
+    Poll.Crashes = {{77, Common::BackendServerId("s"), Server, 0}};
     // A repeated report counts once.
     Tracker.handlePoll(Poll, nullptr, Newest, Common::TimePoint(11s));
     const auto Answer =
@@ -73,7 +73,7 @@
   const State::ControlState Newest = stateWith(1);
   for (std::uint64_t Server = 1; Server <= 6; ++Server) {
     State::EntryPoll Poll = pollFrom("e1", Server);
-    Poll.Crashes = {{77, Common::BackendServerId("s"), Server}};
+    Poll.Crashes = {{77, Common::BackendServerId("s"), Server, 0}};
     Tracker.expire(Common::TimePoint(Server * 20s));
     const auto Answer = Tracker.handlePoll(Poll, nullptr, Newest,
                                            Common::TimePoint(Server * 20s));
@@ -92,7 +92,7 @@
   };
   State::EntryPoll Poll = pollFrom("e1", 1);
   for (std::uint64_t Server = 1; Server <= 3; ++Server)
-    Poll.Crashes.push_back({77, Common::BackendServerId("s"), Server});
+    Poll.Crashes.push_back({77, Common::BackendServerId("s"), Server, 0});
   BOOST_TEST(Tracker.handlePoll(Poll, nullptr, Newest, Common::TimePoint(11s))
                  .Refusals.size() == 1u);
   Propose(Common::TimePoint(11s));
@@ -126,6 +126,36 @@
   BOOST_TEST(Newest.refusals().empty());
 }
 
+// A content whose answers were lost at servers that live on was refused.
+BOOST_AUTO_TEST_CASE(AContentIsAcquittedByServersThatLiveOn) {
+  EntryDaemonTracker Tracker({}, Common::TimePoint(10s));
+  State::ControlState Newest = stateWith(1);
+  Membership::ServerRegistry Servers;
+  Membership::ServerRecord Record;
+  Record.Id = Common::BackendServerId("s");
+  Record.StartedAt = 3;
+  const auto PollAt = [&](Common::TimePoint Now) {
+    State::EntryPoll Poll = pollFrom("e1", 1);
+    for (std::uint64_t Server = 1; Server <= 3; ++Server)
+      Poll.Crashes.push_back(
+          {77, Common::BackendServerId("s"), Server,
+           static_cast<std::uint64_t>((Now - Common::TimePoint(11s)) / 1ms)});
+    return Tracker.handlePoll(Poll, nullptr, Newest, Now).Refusals.size();
+  };
+  BOOST_TEST(PollAt(Common::TimePoint(11s)) == 1u);
+  Record.Sequence = 1;
+  Servers.update(Record, Common::TimePoint(12s));
+  for (const auto &Each :
+       Tracker.planRefusals(Newest, Servers, Common::TimePoint(12s)))
+    Newest.apply(Each);
+  // The report is repeated.
+  PollAt(Common::TimePoint(13s));
+  for (const auto &Each :
+       Tracker.planRefusals(Newest, Servers, Common::TimePoint(13s)))
+    Newest.apply(Each);
+  BOOST_TEST(Newest.refusals().empty());
+}
+
 BOOST_AUTO_TEST_CASE(AnsweredContentIsNotReported) {
   EntryDaemon::CrashingContentTracker Tracker;
   const Common::BackendServerId Server("s");
