Telemetry: A server's Retry-After and late writes are logged

Platform::ResponseHeaders decodes the Retry-After of a rejection (503 or 429); every value has a defined reading, Platform_/ReadsTheRetryAfterOfRejections. New lines rest_requested, retry_after_invalid and request_written_late tell apart whether the wish was stated, whether the server was chosen after it, and whether the request was chosen before it and written after it. Nothing acts on them yet.

--- a/Source/Core/Telemetry/LogEvents.h
+++ b/Source/Core/Telemetry/LogEvents.h
@@ -77,6 +77,15 @@
     {"entry", "number", "team", "tokens", "retry_after_ms"}};
 inline constexpr LogEvent<3> ServerSilent{
     LogLevel::Warning, "server_silent", {"request", "server", "silent_ms"}};
+inline constexpr LogEvent<7> RestRequested{LogLevel::Info,
+                                           "rest_requested",
+                                           {"request", "server", "started",
+                                            "status", "not_executed",
+                                            "asked_ms", "sent_ms_ago"}};
+inline constexpr LogEvent<3> RetryAfterInvalid{
+    LogLevel::Warning, "retry_after_invalid", {"request", "server", "detail"}};
+inline constexpr LogEvent<3> RequestWrittenLate{
+    LogLevel::Info, "request_written_late", {"request", "server", "waited_ms"}};
 inline constexpr LogEvent<2> StreamBroken{
     LogLevel::Warning, "stream_broken", {"request", "last_event"}};
 inline constexpr LogEvent<1> StreamOutOfTime{
--- a/Source/EntryDaemon/RoutedAttempt.cpp
+++ b/Source/EntryDaemon/RoutedAttempt.cpp
@@ -68,6 +68,8 @@
 /// Weight of the newest response in a route's moving average of output tokens.
 constexpr double MeanOutputWeight = 0.1;
 
+/// Requests that waited longer for a connection are logged.
+constexpr Common::Duration MinLoggedWriteDelay = std::chrono::milliseconds(50);
 /// The prompt parts in a log line are cut off at this length.
 constexpr std::size_t MaxLoggedPartsLength = 160;
 
@@ -183,6 +185,7 @@
                                  : MaxReuseIdleNonIdempotent;
   const auto Self = this->shared_from_this();
   Network::Http1CallHandlers Handlers;
+  Handlers.OnSent = [Self] { Self->logLateWrite(); };
   Handlers.OnHead = [Self](const Network::Http1Head &Head) {
     return Self->handleHead(Head);
   };
@@ -286,11 +289,43 @@
       CallFailure::ServerSilent, Routing::ServerOutcome::Unreachable);
 }
 
+void RoutedCall::logLateWrite() const {
+  if (!this->CurrentAttempt)
+    return;
+  const auto Waited = this->Context.Loop.now() - this->CurrentAttempt->SentAt;
+  if (Waited > MinLoggedWriteDelay)
+    Telemetry::log(Events::RequestWrittenLate, this->CallerHeaders.RequestId,
+                   this->CurrentAttempt->Server.Id.str(),
+                   Common::toMilliseconds(Waited));
+}
+
+void RoutedCall::noteRetryAfter(int Status,
+                                const Platform::ResponseHeaders &Decoded) {
+  const Routing::PlacementChoice &From = this->CurrentAttempt->Server;
+  if (!Decoded.RetryAfter.ok()) {
+    this->Context.Metrics.incrementCounter("retry_after_invalid_total");
+    Telemetry::log(Events::RetryAfterInvalid, this->CallerHeaders.RequestId,
+                   From.Id.str(), Decoded.RetryAfter.status().message());
+    return;
+  }
+  if (!*Decoded.RetryAfter)
+    return;
+  this->Context.Metrics.incrementLabelledCounter(
+      "rests_requested_total", "status", std::to_string(Status));
+  Telemetry::log(Events::RestRequested, this->CallerHeaders.RequestId,
+                 From.Id.str(), From.ServerStartedAt, Status,
+                 Decoded.NotExecuted ? "1" : "0",
+                 Common::toMilliseconds(**Decoded.RetryAfter),
+                 Common::toMilliseconds(this->Context.Loop.now() -
+                                        this->CurrentAttempt->SentAt));
+}
+
 bool RoutedCall::handleHead(const Network::Http1Head &Head) {
   if (this->Done)
     return true;
   const Platform::ResponseHeaders Decoded =
       Platform::decodeResponseHeaders(Head.Status, Head.Headers);
+  this->noteRetryAfter(Head.Status, Decoded);
   // A response with another request's id is a late response to that request.
   if (!Decoded.RequestId.empty() &&
       Decoded.RequestId != this->CallerHeaders.RequestId) {
--- a/Source/EntryDaemon/RoutedCall.h
+++ b/Source/EntryDaemon/RoutedCall.h
@@ -91,6 +91,9 @@
   /// Pause after which callers abandon a stream.
   Common::Duration abandonPause() const;
   void sendTo(const Routing::PlacementChoice &To);
+  void logLateWrite() const;
+  /// Records that a server that rejects requests states when to ask it again.
+  void noteRetryAfter(int Status, const Platform::ResponseHeaders &Decoded);
   /// Returns false to skip a response that belongs to another request.
   bool handleHead(const Network::Http1Head &Head);
   void handleBody(const std::string &Bytes);
--- a/Source/UnitTests/Platform/PlatformTest.cpp
+++ b/Source/UnitTests/Platform/PlatformTest.cpp
@@ -237,6 +237,53 @@
   BOOST_TEST(Json::parse(Usage.Body)["window-id"] == 9);
 }
 
+// A server's Retry-After decides how long it gets nothing, so every value has a
+// defined reading.
+BOOST_AUTO_TEST_CASE(ReadsTheRetryAfterOfRejections) {
+  struct Case {
+    const char *Description;
+    int Status;
+    std::vector<std::string> Values;
+    /// Milliseconds; -1 if there is none, -2 if it is invalid.
+    std::int64_t Expected;
+  };
+  const std::vector<Case> Cases = {
+      {"seconds", 503, {"5"}, 5000},
+      {"on 429 too", 429, {"2"}, 2000},
+      {"a fraction", 503, {"0.25"}, 250},
+      {"spaces around it", 503, {" 1 "}, 1000},
+      {"zero", 503, {"0"}, 0},
+      {"absent", 503, {}, -1},
+      {"on a success", 200, {"5"}, -1},
+      {"on a failure that is no rejection", 500, {"5"}, -1},
+      {"at another server", 421, {"5"}, -1},
+      {"empty", 503, {""}, -2},
+      {"negative", 503, {"-1"}, -2},
+      {"infinite", 503, {"inf"}, -2},
+      {"not a number", 503, {"nan"}, -2},
+      {"an exponent", 503, {"1e3"}, -2},
+      {"two points", 503, {"1.2.3"}, -2},
+      {"an HTTP date", 503, {"Sat, 05 Dec 2026 08:00:00 GMT"}, -2},
+      {"ten digits are limited to an hour", 503, {"9999999999"}, 3'600'000},
+      {"400 digits are limited too", 503, {std::string(400, '9')}, 3'600'000},
+      {"the longer of two", 503, {"1", "3"}, 3000},
+      {"the valid one of two", 503, {"soon", "3"}, 3000},
+      {"two invalid ones", 503, {"soon", "later"}, -2},
+  };
+  for (const Case &Current : Cases) {
+    Network::HttpHeaders Headers;
+    for (const std::string &Value : Current.Values)
+      Headers.push_back({"retry-after", Value});
+    const auto Decoded =
+        Platform::decodeResponseHeaders(Current.Status, Headers);
+    const std::int64_t Milliseconds =
+        !Decoded.RetryAfter.ok() ? -2
+        : !*Decoded.RetryAfter   ? -1
+                                 : Common::toMilliseconds(**Decoded.RetryAfter);
+    BOOST_TEST(Milliseconds == Current.Expected, Current.Description);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace UnitTests
