FaultTests: Servers that asked for rest get requests, reproduced

Fake servers count the requests of each entry daemon that reach them between half a second after they answered 503 with Retry-After and the end of that time, while callers repeat at once: 1 and 8 entry daemons, one of two servers, both of them, beside a prompt part that crashes servers, and the second entry path with engines, plain and journaled calls.

--- a/Source/Fakes/FakeEngine.cpp
+++ b/Source/Fakes/FakeEngine.cpp
@@ -55,7 +55,7 @@
 
 FakeEngine::FakeEngine(Network::EventLoop &Loop, Network::HttpClient &Http,
                        FakeEngineOptions Options)
-    : Loop(Loop), Options(std::move(Options)),
+    : Loop(Loop), Options(std::move(Options)), Rest(Loop),
       BackendAnnouncer(Loop, Http, this->Options.Entries,
                        this->Options.BackendToken, this->Options.Announcement,
                        [this](Membership::Announcement &Announcement) {
@@ -92,6 +92,8 @@
 
 void FakeEngine::handle(const ExchangePtr &Exchange) {
   const std::string Path = Exchange->request().path();
+  if (Path != "/stats" && this->Rest.handle(Exchange))
+    return;
   if (Path == "/v1/chat/completions") {
     this->handleGeneration(Exchange, true);
   } else if (Path == "/v1/completions") {
--- a/Source/Fakes/FakeEngine.h
+++ b/Source/Fakes/FakeEngine.h
@@ -2,6 +2,7 @@
 #define SYCAMOREREACH_FAKES_FAKEENGINE_H
 
 #include "Fakes/Announcer.h"
+#include "Fakes/RestSwitch.h"
 #include "Network/HttpServer.h"
 #include "Routing/PrefixBlocks.h"
 
@@ -64,6 +65,7 @@
 
   Network::EventLoop &Loop;
   FakeEngineOptions Options;
+  RestSwitch Rest;
   Announcer BackendAnnouncer;
   std::unique_ptr<Network::HttpServer> Server;
   std::deque<RequestPtr> QueuedRequests;
--- a/Source/Fakes/FakeService.cpp
+++ b/Source/Fakes/FakeService.cpp
@@ -19,7 +19,7 @@
 
 FakeService::FakeService(Network::EventLoop &Loop, Network::HttpClient &Http,
                          FakeServiceOptions Options)
-    : Loop(Loop), Options(std::move(Options)),
+    : Loop(Loop), Options(std::move(Options)), Rest(Loop),
       BackendAnnouncer(Loop, Http, this->Options.Entries,
                        this->Options.BackendToken, this->Options.Announcement,
                        [this](Membership::Announcement &Announcement) {
@@ -48,6 +48,8 @@
     Exchange->reply(jsonResponse(this->Runs));
     return;
   }
+  if (this->Rest.handle(Exchange))
+    return;
   if (this->Options.Delay.count() == 0) {
     this->run(Exchange);
     return;
--- a/Source/Fakes/FakeService.h
+++ b/Source/Fakes/FakeService.h
@@ -2,6 +2,7 @@
 #define SYCAMOREREACH_FAKES_FAKESERVICE_H
 
 #include "Fakes/Announcer.h"
+#include "Fakes/RestSwitch.h"
 #include "Network/HttpServer.h"
 
 #include <map>
@@ -48,6 +49,7 @@
 
   Network::EventLoop &Loop;
   FakeServiceOptions Options;
+  RestSwitch Rest;
   Announcer BackendAnnouncer;
   std::unique_ptr<Network::HttpServer> Server;
   /// Number of runs by caller and idempotency key.
--- a/Source/FaultTests/RoutedCluster.cpp
+++ b/Source/FaultTests/RoutedCluster.cpp
@@ -20,7 +20,8 @@
 constexpr std::uint16_t ServerPort = 21'604;
 constexpr std::uint16_t MetricsPort = 21'606;
 constexpr const char *LinkPort = "21605";
-constexpr const char *EntryIp = "127.0.8.10";
+/// Last byte of the first entry daemon's address.
+constexpr int FirstEntryByte = 10;
 /// Nothing listens on the last address.
 constexpr std::array ServerIps = {"127.0.8.20", "127.0.8.21", "127.0.8.22"};
 /// Generous for a loaded machine; only a failing test waits this long.
@@ -30,6 +31,10 @@
   return "127.0.8." + std::to_string(Number);
 }
 
+std::string entryIp(int Number) {
+  return "127.0.8." + std::to_string(FirstEntryByte - 1 + Number);
+}
+
 std::string seedAddresses() {
   std::string Result;
   for (int I = 1; I <= 3; ++I)
@@ -97,6 +102,15 @@
           Exchange.header("X-Sycamorereach-Tenant").value_or("nobody"));
 }
 
+void RoutedCluster::rejectAndAskForRest(Network::Http1Exchange &Exchange,
+                                        Common::Duration RetryAfter) {
+  Network::HttpHeaders Headers = signedHeaders(Exchange);
+  Headers.push_back({"X-Sycamorereach-Not-Executed", "1"});
+  Headers.push_back(
+      {"Retry-After", std::to_string(Common::toSeconds(RetryAfter))});
+  Exchange.reply(503, Headers, "full");
+}
+
 void RoutedCluster::startStateDaemon(int Number, bool FirstStart) {
   const std::string Name = "state" + std::to_string(Number);
   this->Processes[Name] = std::make_unique<Process>(
@@ -112,17 +126,19 @@
       this->newLogPath(Name));
 }
 
-void RoutedCluster::startEntryDaemon() {
-  this->Processes["entry"] = std::make_unique<Process>(
+void RoutedCluster::startEntryDaemon(int Number) {
+  const std::string Name =
+      Number == 1 ? "entry" : "entry" + std::to_string(Number);
+  this->Processes[Name] = std::make_unique<Process>(
       programPath("sycamore-entry"),
       std::vector<std::string>{
-          "gateway", "--name=entry", "--datacentre=dcstate1",
-          "--http=" + this->entryAddress().str(),
-          "--ready=" + this->readinessAddress().str(),
+          "gateway", "--name=" + Name, "--datacentre=dcstate1",
+          "--http=" + this->entryAddress(Number).str(),
+          "--ready=" + Network::Address{entryIp(Number), ReadyPort}.str(),
           std::string("--link-port=") + LinkPort, "--seeds=" + seedAddresses(),
           "--revoke-time=5000",
           "--shutdown-time=" + std::to_string(this->ShutdownSeconds)},
-      this->newLogPath("entry"));
+      this->newLogPath(Name));
 }
 
 std::string RoutedCluster::newLogPath(const std::string &Name) {
@@ -150,11 +166,11 @@
   std::filesystem::remove_all(this->Folder + "/state" + std::to_string(Number));
 }
 
-Network::Address RoutedCluster::entryAddress() const {
-  return {EntryIp, EntryPort};
+Network::Address RoutedCluster::entryAddress(int Number) const {
+  return {entryIp(Number), EntryPort};
 }
 Network::Address RoutedCluster::readinessAddress() const {
-  return {EntryIp, ReadyPort};
+  return {entryIp(1), ReadyPort};
 }
 Network::Address RoutedCluster::controlAddress(int Number) const {
   return {stateDaemonIp(Number), ControlPort};
--- a/Source/FaultTests/RoutedCluster.h
+++ b/Source/FaultTests/RoutedCluster.h
@@ -25,8 +25,8 @@
   std::string Body;
 };
 
-/// Four state daemons and one entry daemon of routed serving, each on its own
-/// loopback address, with fake backend servers inside the test process.
+/// Four state daemons and one or more entry daemons of routed serving, each on
+/// its own loopback address, with fake backend servers inside the test process.
 class RoutedCluster {
 public:
   static constexpr int StateDaemons = 4;
@@ -39,7 +39,8 @@
   void startAll();
   /// FirstStart allows the daemon to found the group.
   void startStateDaemon(int Number, bool FirstStart);
-  void startEntryDaemon();
+  /// Entry daemon 1 is the process "entry", entry daemon 2 "entry2", and so on.
+  void startEntryDaemon(int Number = 1);
   /// Ends a process with SIGKILL.
   void crash(const std::string &Name) { this->Processes.erase(Name); }
   /// Deletes a state daemon's data folder.
@@ -93,7 +94,7 @@
   /// Number of commands that a state daemon has proposed since its start.
   int proposals(int Number);
 
-  Network::Address entryAddress() const;
+  Network::Address entryAddress(int Number = 1) const;
   Network::Address readinessAddress() const;
   Network::Address controlAddress(int Number) const;
   /// Handles the requests that reach a fake server; by default it responds
@@ -106,6 +107,10 @@
   Network::EventLoop &loop() { return *this->Loop; }
   /// Sends the response of a fake server, signed as a replica's.
   static void respond(Network::Http1Exchange &Exchange, int Status = 200);
+  /// Rejects the request as a fake server that did not execute it, and asks for
+  /// no requests for RetryAfter.
+  static void rejectAndAskForRest(Network::Http1Exchange &Exchange,
+                                  Common::Duration RetryAfter);
   /// The headers of a fake server's stream of events, signed as a replica's.
   static Network::HttpHeaders
   eventStreamHeaders(const Network::Http1Exchange &Exchange);
