Routing: A server's rest forbids requests to it

Cause: what a server says of itself was replaced by a constant of this system. The Retry-After of a rejection was not read; a rejected request marked its server as full for 400 ms, and the mark was a cost: with all servers marked, the best of them got the request. Callers were told to return after 250 ms.

Change: ServerCondition holds what one lifetime of a server said and how requests to it ended (rest, full, backoff, formerly marks of ServerTable). A rest counts from the head of any answer of that lifetime, is raised and never shortened, outlives the registry's record, and ends with the lifetime. Choice, retries and later retries exclude resting servers, and Http1Client asks again before it writes. After a rest one request at a time is sent until one is not rejected. An answer that asks for over a minute is limited to that; further probes within the time asked for come at eight times the distance, so that two at most fall into an hour. If all servers rest, calls are refused at once with servers_resting and a Retry-After after the first rest, spread by ReturnSchedule.

Ruled out: requests written late. The check stays, Http1Contract/AWithheldRequest*.

Evidence: RoutedRest, 11 failed checks before (212 to 325 arrivals where 2 are allowed), none after.

--- a/Source/Core/Network/Http1Client.cpp
+++ b/Source/Core/Network/Http1Client.cpp
@@ -106,7 +106,16 @@
   return Call;
 }
 
+bool Http1Client::withhold(ActiveCall &Call) {
+  if (!Call.Handlers.MayWrite || Call.Handlers.MayWrite())
+    return false;
+  this->finishCall(Call, Http1CallResult::Withheld);
+  return true;
+}
+
 void Http1Client::connect(const CallPtr &Call) {
+  if (this->withhold(*Call))
+    return;
   Call->ActiveConnection =
       this->acquireIdle(Call->Request.To, Call->Request.MaxReuseIdleTime);
   if (Call->ActiveConnection) {
@@ -275,7 +284,7 @@
     setsockopt(Descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &Limit,
                sizeof(Limit));
     Source.Connected = true;
-    if (Source.CurrentCall)
+    if (Source.CurrentCall && !this->withhold(*Source.CurrentCall))
       this->writeRequest(*Source.CurrentCall);
     return;
   }
--- a/Source/Core/Network/Http1Client.h
+++ b/Source/Core/Network/Http1Client.h
@@ -22,6 +22,8 @@
   /// No byte of the request was written to a connection, so the server did not
   /// execute it.
   NotSent,
+  /// The same, because MayWrite withheld the request.
+  Withheld,
   /// The request was sent, at least in part, but no response started. The
   /// server may have executed it.
   NoResponse,
@@ -44,6 +46,9 @@
 };
 
 struct Http1CallHandlers {
+  /// Asked immediately before the request is written, as a call may have waited
+  /// for its connection. If it returns false, the call ends as Withheld.
+  std::function<bool()> MayWrite;
   /// The request was handed to an open connection.
   std::function<void()> OnSent;
   /// The head of a response arrived. Returns false to skip a response that
@@ -85,6 +90,8 @@
   /// Null when connecting fails immediately.
   std::unique_ptr<Connection> open(const Address &To);
   void connect(const CallPtr &Call);
+  /// Ends the call unless its request may be written. Returns whether it did.
+  bool withhold(ActiveCall &Call);
   void writeRequest(ActiveCall &Call);
   void handleInput(Connection &Source);
   void handleEvent(Connection &Source, short Events);
--- a/Source/Core/Routing/ServerTable.cpp
+++ b/Source/Core/Routing/ServerTable.cpp
@@ -62,12 +62,6 @@
 /// Part of that penalty for the ring's first server with room, so that all
 /// daemons overflow to the same server.
 constexpr double OverflowPenaltyShare = 0.5;
-/// Initial and maximum time for which an unreachable server is avoided.
-constexpr Common::Duration InitialBackoff = std::chrono::milliseconds(400);
-constexpr Common::Duration MaxBackoff = std::chrono::milliseconds(3200);
-/// How long a server counts as full after it rejected a request; about the time
-/// after which the loads of the other daemons are known.
-constexpr Common::Duration FullDuration = std::chrono::milliseconds(400);
 /// Silence that is considered normal, in addition to twice the estimated
 /// prefill time of the pending prompts.
 constexpr double ToleratedSilenceMilliseconds = 100;
@@ -83,6 +77,14 @@
 constexpr double StalePenaltyMilliseconds = 40'000;
 constexpr Common::Duration RecordRetention = std::chrono::minutes(5);
 
+ServerIncarnation incarnationOf(const Membership::ServerRecord &Record) {
+  return {Record.Id, Common::Incarnation{Record.StartedAt}};
+}
+
+ServerIncarnation incarnationOf(const PlacementChoice &Choice) {
+  return {Choice.Id, Common::Incarnation{Choice.ServerStartedAt}};
+}
+
 /// Identifier of the last shared part, which precedes the part that belongs to
 /// the request alone.
 std::string sharedPartId(const ModelPrompt &Prompt) {
@@ -122,9 +124,7 @@
     ServerState &State = this->States[Announced.Id];
     State.PartsSentAt.clear();
     State.FailureRate = 0;
-    State.ConsecutiveFailures = 0;
-    State.BackoffUntil = {};
-    State.FullUntil = {};
+    this->Conditions.record(incarnationOf(Announced));
   }
   this->updateRing(Announced.Id);
   if (!AddressOwner.empty())
@@ -145,6 +145,10 @@
   std::erase_if(this->States, [this](const auto &Each) {
     return Each.second.Running == 0 && !this->Registry.find(Each.first);
   });
+  this->Conditions.removeExpired(Now,
+                                 [this](const Common::BackendServerId &Id) {
+                                   return this->Registry.find(Id) != nullptr;
+                                 });
   std::vector<Common::BackendServerId> Removed;
   for (const auto &Each : this->RingServices)
     if (!this->Registry.find(Each.first))
@@ -253,12 +257,16 @@
   if (!Entry || Request.Excluded.count(Id) != 0 ||
       Now - Entry->HeardAt > this->Options.StaleAfter)
     return false;
+  const ServerCondition *Condition =
+      this->Conditions.find(incarnationOf(Entry->Record));
+  if (Condition && (!Condition->acceptsRequests(Now) ||
+                    Condition->isInBackoff(Now) || Condition->isFull(Now)))
+    return false;
   const auto Found = this->States.find(Id);
   if (Found == this->States.end())
     return true;
   const ServerState &State = Found->second;
-  return Now >= State.BackoffUntil && Now >= State.FullUntil &&
-         State.Running + State.RemoteRunning + 1 <=
+  return State.Running + State.RemoteRunning + 1 <=
              Entry->Record.Slots * SlotLoadBound &&
          queuedPrefillMilliseconds(State, this->prefillRate(Request.Service)) <=
              maxQueuedMilliseconds(Request);
@@ -355,6 +363,10 @@
   const auto *Entry = this->Registry.find(Id);
   if (!Entry || Request.Excluded.count(Id) != 0)
     return std::nullopt;
+  const ServerCondition *Condition =
+      this->Conditions.find(incarnationOf(Entry->Record));
+  if (Condition && !Condition->acceptsRequests(Now))
+    return std::nullopt;
   const ServerState &State = this->States[Id];
   const double PrefillRate = this->prefillRate(Request.Service);
   std::uint64_t Uncached = 0;
@@ -381,9 +393,9 @@
                      std::max(0.0, Excess) * QueuedOverloadPenaltyWeight);
     Result.Overloaded = SlotLoad > SlotLoadBound || Excess > 0;
   }
-  if (Now < State.BackoffUntil)
+  if (Condition && Condition->isInBackoff(Now))
     Result.Cost += BackoffPenaltyMilliseconds;
-  if (Now < State.FullUntil) {
+  if (Condition && Condition->isFull(Now)) {
     Result.Cost += FullPenaltyMilliseconds;
     Result.Overloaded = true;
   }
@@ -443,7 +455,29 @@
   return Best->Choice;
 }
 
-void ServerTable::recordStart(const PlacementChoice &At,
+std::optional<Common::TimePoint>
+ServerTable::restEnd(const Common::ServiceName &Service,
+                     Common::TimePoint Now) const {
+  const auto Found = this->Rings.find(Service);
+  if (Found == this->Rings.end())
+    return std::nullopt;
+  std::optional<Common::TimePoint> Soonest;
+  for (const Common::BackendServerId &Id : Found->second.Servers) {
+    const auto *Entry = this->Registry.find(Id);
+    if (!Entry)
+      continue;
+    const ServerCondition *Condition =
+        this->Conditions.find(incarnationOf(Entry->Record));
+    if (!Condition || Condition->acceptsRequests(Now))
+      return std::nullopt;
+    const Common::TimePoint End = std::max(Condition->restEnd(), Now);
+    if (!Soonest || End < *Soonest)
+      Soonest = End;
+  }
+  return Soonest;
+}
+
+bool ServerTable::recordStart(const PlacementChoice &At,
                               const ModelPrompt *Prompt,
                               Common::TimePoint Now) {
   ServerState &State = this->States[At.Id];
@@ -451,14 +485,17 @@
     State.LastActivityAt = Now;
   ++State.Running;
   State.PendingPrefillTokens += At.UncachedTokens;
+  ServerCondition *Condition = this->Conditions.record(incarnationOf(At));
+  const bool IsProbe = Condition && Condition->recordSent(At.ChosenAt);
   if (!Prompt)
-    return;
+    return IsProbe;
   if (State.PartsSentAt.size() > MaxTrackedParts)
     std::erase_if(State.PartsSentAt, [Now](const auto &Each) {
       return Now - Each.second > PartCacheLifetime;
     });
   for (std::size_t I = 0; I + 1 < Prompt->Parts.size(); ++I)
     State.PartsSentAt[Prompt->Parts[I].Id] = Now;
+  return IsProbe;
 }
 
 void ServerTable::recordActivity(const PlacementChoice &At,
@@ -482,31 +519,48 @@
       std::min(State.PendingPrefillTokens, At.UncachedTokens);
 }
 
+bool ServerTable::mayWrite(const PlacementChoice &At,
+                           Common::TimePoint Now) const {
+  const ServerCondition *Condition = this->Conditions.find(incarnationOf(At));
+  return !Condition || Condition->mayWrite(At.ChosenAt, Now);
+}
+
+std::optional<Common::TimePoint>
+ServerTable::recordRetryAfter(const PlacementChoice &At, Common::Duration Asked,
+                              Common::TimePoint Now) {
+  ServerCondition *Condition = this->Conditions.record(incarnationOf(At));
+  if (!Condition)
+    return std::nullopt;
+  return Condition->recordRetryAfter(Asked, Now);
+}
+
+bool ServerTable::recordAnswerBegun(const PlacementChoice &At) {
+  ServerCondition *Condition = this->Conditions.record(incarnationOf(At));
+  return Condition && Condition->recordAnswer(At.ChosenAt);
+}
+
 void ServerTable::recordEnd(const PlacementChoice &At, ServerOutcome Outcome,
                             Common::TimePoint Now) {
   ServerState &State = this->States[At.Id];
   State.Running -= std::min<std::uint32_t>(State.Running, 1);
-  const auto *Entry = this->Registry.find(At.Id);
-  if (!Entry || Entry->Record.StartedAt != At.ServerStartedAt)
+  ServerCondition *Condition = this->Conditions.record(incarnationOf(At));
+  if (!Condition)
     return;
+  Condition->recordEnd(At.ChosenAt);
   switch (Outcome) {
   case ServerOutcome::Answered:
     State.FailureRate *= 1 - OutcomeWeight;
-    State.ConsecutiveFailures = 0;
+    Condition->recordCompleteAnswer();
     return;
   case ServerOutcome::Abandoned:
     return;
   case ServerOutcome::Rejected:
-    State.FullUntil = Now + FullDuration;
+    Condition->recordRejection(Now);
     break;
   case ServerOutcome::Failed:
     break;
   case ServerOutcome::Unreachable:
-    ++State.ConsecutiveFailures;
-    State.BackoffUntil =
-        Now + std::min(MaxBackoff,
-                       InitialBackoff *
-                           (1 << std::min(State.ConsecutiveFailures - 1, 3u)));
+    Condition->recordUnreachable(Now);
     break;
   }
   const double Rate = currentFailureRate(State, Now);
--- a/Source/Core/Routing/ServerTable.h
+++ b/Source/Core/Routing/ServerTable.h
@@ -7,6 +7,7 @@
 #include "Membership/ServerRegistry.h"
 #include "Routing/ModelPrompt.h"
 #include "Routing/PrefillRate.h"
+#include "Routing/ServerConditions.h"
 
 #include <map>
 #include <optional>
@@ -103,14 +104,33 @@
   void setTotalLoads(const std::vector<Load> &Totals);
 
   /// Chooses the server with the lowest expected cost; nothing if no server of
-  /// the service serves or all candidates are excluded.
+  /// the service serves and takes requests or all candidates are excluded.
   std::optional<PlacementChoice> choose(const PlacementRequest &Request,
                                         Common::TimePoint Now);
+  /// When the first of the service's servers takes requests again; nothing
+  /// unless all of them rest or are being probed after a rest.
+  std::optional<Common::TimePoint> restEnd(const Common::ServiceName &Service,
+                                           Common::TimePoint Now) const;
   /// Whether the service has any server that accepts requests.
   bool hasServing(const Common::ServiceName &Service) const;
 
-  void recordStart(const PlacementChoice &At, const ModelPrompt *Prompt,
+  /// Returns whether the request is the first one after a rest of the server.
+  bool recordStart(const PlacementChoice &At, const ModelPrompt *Prompt,
                    Common::TimePoint Now);
+  /// Whether the request may be written to the server that was chosen for it:
+  /// false if the server has asked for rest since.
+  bool mayWrite(const PlacementChoice &At, Common::TimePoint Now) const;
+  /// Records the Retry-After of an answer. Returns the end of the server's rest
+  /// if this changed it, and nothing if another lifetime of it is known.
+  std::optional<Common::TimePoint> recordRetryAfter(const PlacementChoice &At,
+                                                    Common::Duration Asked,
+                                                    Common::TimePoint Now);
+  /// Records that an answer that is no rejection has begun. Returns whether
+  /// the server takes requests again after a rest.
+  bool recordAnswerBegun(const PlacementChoice &At);
+  std::size_t countResting(Common::TimePoint Now) const {
+    return this->Conditions.countResting(Now);
+  }
   /// Records that bytes arrived from the server.
   void recordActivity(const PlacementChoice &At, Common::TimePoint Now);
   /// While this daemon has requests on the server: time since it last received
@@ -150,10 +170,6 @@
     /// Smoothed fraction of recent requests that failed.
     double FailureRate = 0;
     Common::TimePoint FailedAt;
-    Common::TimePoint BackoffUntil;
-    /// Until when the server counts as full after it rejected a request.
-    Common::TimePoint FullUntil;
-    std::uint32_t ConsecutiveFailures = 0;
     /// When this daemon last sent each prompt part to the server.
     std::unordered_map<std::string, Common::TimePoint> PartsSentAt;
   };
@@ -213,6 +229,7 @@
   Common::Random Randomness;
   Membership::ServerRegistry Registry;
   std::map<Common::BackendServerId, ServerState> States;
+  ServerConditions Conditions;
   std::map<Common::ServiceName, HashRing> Rings;
   std::map<Common::ServiceName, PrefillRate> PrefillRates;
   /// The service whose ring lists the server.
--- a/Source/Core/Telemetry/LogEvents.h
+++ b/Source/Core/Telemetry/LogEvents.h
@@ -82,6 +82,10 @@
                                            {"request", "server", "started",
                                             "status", "not_executed",
                                             "asked_ms", "sent_ms_ago"}};
+inline constexpr LogEvent<6> ServerCondition{
+    LogLevel::Info,
+    "server_condition",
+    {"server", "started", "condition", "source", "request", "for_ms"}};
 inline constexpr LogEvent<3> RetryAfterInvalid{
     LogLevel::Warning, "retry_after_invalid", {"request", "server", "detail"}};
 inline constexpr LogEvent<3> RequestWrittenLate{
--- a/Source/EntryDaemon/CallFailure.h
+++ b/Source/EntryDaemon/CallFailure.h
@@ -15,6 +15,7 @@
   ContentRefused,
   NoServer,
   Overloaded,
+  ServersResting,
   ServerRejected,
   ServerLost,
   ServerSilent,
--- a/Source/EntryDaemon/GatewayContext.h
+++ b/Source/EntryDaemon/GatewayContext.h
@@ -12,6 +12,7 @@
 #include "Fleet/DemandMeter.h"
 #include "Network/Http1Client.h"
 #include "Routing/RetryShare.h"
+#include "Routing/ReturnSchedule.h"
 #include "Routing/ServerTable.h"
 #include "State/ControlProtocol.h"
 #include "Telemetry/Metrics.h"
@@ -40,6 +41,7 @@
   Network::Http1Client Client;
   Routing::ServerTable Servers;
   Routing::RetryShare Retries;
+  Routing::ReturnSchedule Returns;
   Admission::GrantHistory Grants;
   UsageCounter Usage;
   Fleet::DemandMeter Demand;
--- a/Source/EntryDaemon/RoutedAttempt.cpp
+++ b/Source/EntryDaemon/RoutedAttempt.cpp
@@ -124,6 +124,9 @@
       return;
     if (this->MayHaveExecuted)
       this->fail(CallFailure::ServerLost, HttpStatus::BadGateway);
+    else if (this->Context.Servers.restEnd(this->Service, Now))
+      this->fail(CallFailure::ServersResting, HttpStatus::Unavailable,
+                 this->retryAfterRejection());
     else
       this->fail(CallFailure::NoServer, HttpStatus::Unavailable,
                  RetryAfterNoServer);
@@ -185,6 +188,9 @@
                                  : MaxReuseIdleNonIdempotent;
   const auto Self = this->shared_from_this();
   Network::Http1CallHandlers Handlers;
+  Handlers.MayWrite = [Self, To] {
+    return Self->Context.Servers.mayWrite(To, Self->Context.Loop.now());
+  };
   Handlers.OnSent = [Self] { Self->logLateWrite(); };
   Handlers.OnHead = [Self](const Network::Http1Head &Head) {
     return Self->handleHead(Head);
@@ -203,9 +209,12 @@
                  To.LocalRequests, To.RemoteRequests,
                  Common::toMilliseconds(To.AnnouncementAge),
                  Common::toMilliseconds(this->timeLeft()));
-  this->Context.Servers.recordStart(
+  const bool IsProbe = this->Context.Servers.recordStart(
       To, this->CallerHeaders.Prompt ? &*this->CallerHeaders.Prompt : nullptr,
       this->Context.Loop.now());
+  if (IsProbe)
+    Telemetry::log(Events::ServerCondition, To.Id.str(), To.ServerStartedAt,
+                   "probed", "rest_over", this->CallerHeaders.RequestId, "");
   this->CurrentAttempt->Call =
       this->Context.Client.start(std::move(Request), std::move(Handlers));
   this->checkServerSilence();
@@ -318,6 +327,20 @@
                  Common::toMilliseconds(**Decoded.RetryAfter),
                  Common::toMilliseconds(this->Context.Loop.now() -
                                         this->CurrentAttempt->SentAt));
+  const Common::TimePoint Now = this->Context.Loop.now();
+  const auto RestEnd =
+      this->Context.Servers.recordRetryAfter(From, **Decoded.RetryAfter, Now);
+  if (RestEnd)
+    Telemetry::log(Events::ServerCondition, From.Id.str(), From.ServerStartedAt,
+                   "resting", "retry_after", this->CallerHeaders.RequestId,
+                   Common::toMilliseconds(*RestEnd - Now));
+}
+
+void RoutedCall::noteAcceptance() {
+  const Routing::PlacementChoice &From = this->CurrentAttempt->Server;
+  if (this->Context.Servers.recordAnswerBegun(From))
+    Telemetry::log(Events::ServerCondition, From.Id.str(), From.ServerStartedAt,
+                   "accepting", "answer", this->CallerHeaders.RequestId, "");
 }
 
 bool RoutedCall::handleHead(const Network::Http1Head &Head) {
@@ -333,6 +356,8 @@
     return false;
   }
   this->noteServerActivity();
+  if (!Decoded.NotExecuted && !HttpStatus::impliesNotExecuted(Head.Status))
+    this->noteAcceptance();
   this->CurrentAttempt->ResponseHead = Head;
   this->CurrentAttempt->HeadAt = this->Context.Loop.now();
   if (isSuccess(Head.Status))
@@ -430,6 +455,13 @@
                                Routing::ServerOutcome::Unreachable);
     return;
   }
+  if (End == Network::Http1CallResult::Withheld) {
+    this->Context.Metrics.incrementCounter("requests_withheld_total");
+    this->handleAttemptFailure(AttemptResult::NotSent,
+                               CallFailure::ServersResting,
+                               Routing::ServerOutcome::Abandoned);
+    return;
+  }
   if (End == Network::Http1CallResult::NoResponse) {
     this->reportCrash();
     this->handleAttemptFailure(AttemptResult::MayHaveExecuted,
@@ -663,6 +695,9 @@
     End = std::max(End, this->LastEventAt + this->abandonPause());
   if (Now > End)
     return false;
+  const auto RestEnd = this->Context.Servers.restEnd(this->Service, Now);
+  if (!this->Streaming && RestEnd && *RestEnd > std::min(End, this->Deadline))
+    return false;
   this->RetryTimer = this->Context.Loop.callAfter(
       Now < ReducedFrom ? LaterRetryDelay : ReducedLaterRetryDelay,
       [Self = this->shared_from_this()] {
@@ -713,9 +748,22 @@
   const bool NeverExecuted =
       !this->MayHaveExecuted && (Result == AttemptResult::NotSent ||
                                  Result == AttemptResult::NotExecuted);
-  this->fail(Failure,
-             NeverExecuted ? HttpStatus::Unavailable : HttpStatus::BadGateway,
-             NeverExecuted ? std::optional(RetryAfterRejected) : std::nullopt);
+  if (NeverExecuted)
+    this->fail(Failure, HttpStatus::Unavailable, this->retryAfterRejection());
+  else
+    this->fail(Failure, HttpStatus::BadGateway);
+}
+
+Common::Duration RoutedCall::retryAfterRejection() {
+  const Common::TimePoint Now = this->Context.Loop.now();
+  const auto RestEnd = this->Context.Servers.restEnd(this->Service, Now);
+  if (!RestEnd)
+    return RetryAfterRejected;
+  const double Timeout = Common::toSeconds(this->route().Timeout);
+  const double TimeLeftShare =
+      Timeout > 0 ? Common::toSeconds(this->timeLeft()) / Timeout : 1;
+  return this->Context.Returns.add(
+      this->Service, {this->priority(), TimeLeftShare}, *RestEnd, Now);
 }
 
 } // namespace EntryDaemon
--- a/Source/EntryDaemon/RoutedCall.h
+++ b/Source/EntryDaemon/RoutedCall.h
@@ -92,8 +92,10 @@
   Common::Duration abandonPause() const;
   void sendTo(const Routing::PlacementChoice &To);
   void logLateWrite() const;
-  /// Records that a server that rejects requests states when to ask it again.
+  /// Records for how long a server that rejects requests wants none.
   void noteRetryAfter(int Status, const Platform::ResponseHeaders &Decoded);
+  /// Records that the server takes requests.
+  void noteAcceptance();
   /// Returns false to skip a response that belongs to another request.
   bool handleHead(const Network::Http1Head &Head);
   void handleBody(const std::string &Bytes);
@@ -110,6 +112,8 @@
   void handleAttemptFailure(AttemptResult Result, CallFailure Failure,
                             Routing::ServerOutcome Outcome);
   bool canRetry(AttemptResult Result) const;
+  /// When a caller whose request no server has taken should repeat it.
+  Common::Duration retryAfterRejection();
   /// Makes another attempt after a short delay, if the request can still be
   /// taken over by a server although an earlier one may have executed it.
   /// Returns false if it cannot.
--- a/Source/FaultTests/RoutedRestTest.cpp
+++ b/Source/FaultTests/RoutedRestTest.cpp
@@ -73,6 +73,12 @@
       return Condition();
     });
   }
+  /// Runs the event loop until Count more requests are served; false if they
+  /// never are.
+  bool runUntilServed(int Count) {
+    const int Expected = this->Served + Count;
+    return this->runUntil([&] { return this->Served >= Expected; });
+  }
   void runFor(Common::Duration Time) {
     const Common::TimePoint End = this->Cluster.loop().now() + Time;
     BOOST_REQUIRE(
@@ -266,8 +272,7 @@
   BOOST_TEST(Common::toMilliseconds(Servers.MinRetryAfter) >= 400);
   BOOST_TEST(Servers.maxArrivalsDuringRest() <= MaxArrivalsDuringRest);
   Servers.runFor(500ms);
-  BOOST_TEST(Servers.runUntil(
-      [&] { return Servers.Served >= ServedMeanwhile + 20 * Entries; }));
+  BOOST_TEST(Servers.runUntilServed(20 * Entries));
   BOOST_TEST(Servers.maxArrivalsDuringRest() <= MaxArrivalsDuringRest);
 }
 
@@ -287,8 +292,7 @@
     BOOST_TEST(Servers.maxArrivalsDuringRest() <= MaxArrivalsDuringRest);
   }
   BOOST_TEST(Servers.Crashes >= 1);
-  const int Served = Servers.Served;
-  BOOST_TEST(Servers.runUntil([&] { return Servers.Served >= Served + 100; }));
+  BOOST_TEST(Servers.runUntilServed(100));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Network/Http1ContractTest.cpp
+++ b/Source/UnitTests/Network/Http1ContractTest.cpp
@@ -30,7 +30,8 @@
 /// Starts a call that skips responses whose Id header differs from Id.
 std::shared_ptr<Outcome> call(Http1Client &Client, const Address &To,
                               std::string Body = "",
-                              const std::string &Id = "1") {
+                              const std::string &Id = "1",
+                              std::function<bool()> MayWrite = nullptr) {
   auto Result = std::make_shared<Outcome>();
   Http1Call Request;
   Request.To = To;
@@ -40,6 +41,7 @@
   Request.Body = std::move(Body);
   Request.IdleTimeout = 400ms;
   Http1CallHandlers Handlers;
+  Handlers.MayWrite = std::move(MayWrite);
   Handlers.OnSent = [Result] { Result->Sent = true; };
   Handlers.OnHead = [Result, Id](const Http1Head &Head) {
     if (findHeader(Head.Headers, "Id").value_or(Id) != Id)
@@ -175,6 +177,36 @@
   BOOST_TEST(Server.connections() == 2u);
 }
 
+// Guards against BUDGET: a server asks for rest while a request for it waits
+// for its connection.
+BOOST_AUTO_TEST_CASE(AWithheldRequestIsNotWritten) {
+  const auto Loop = createLoop();
+  RawServer Server(*Loop, {{CompleteResponse}, {CompleteResponse}});
+  Http1Client Client(*Loop);
+  int Asked = 0;
+  // Allowed when the connection is opened, and no more when it is open.
+  const auto First = call(Client, Server.address(), "a", "1",
+                          [&Asked] { return ++Asked == 1; });
+  BOOST_REQUIRE(runUntil(*Loop, [&] { return First->CallResult.has_value(); }));
+  BOOST_CHECK(*First->CallResult == Http1CallResult::Withheld);
+  BOOST_TEST(!First->Sent);
+  BOOST_TEST(Asked == 2);
+  // On an idle connection, which stays usable.
+  const auto Second = call(Client, Server.address(), "b");
+  BOOST_REQUIRE(
+      runUntil(*Loop, [&] { return Second->CallResult.has_value(); }));
+  const std::size_t Connections = Server.connections();
+  const auto Third =
+      call(Client, Server.address(), "c", "1", [] { return false; });
+  BOOST_REQUIRE(runUntil(*Loop, [&] { return Third->CallResult.has_value(); }));
+  BOOST_CHECK(*Third->CallResult == Http1CallResult::Withheld);
+  const auto Fourth = call(Client, Server.address(), "d");
+  BOOST_REQUIRE(
+      runUntil(*Loop, [&] { return Fourth->CallResult.has_value(); }));
+  BOOST_CHECK(*Fourth->CallResult == Http1CallResult::Complete);
+  BOOST_TEST(Server.connections() == Connections);
+}
+
 BOOST_AUTO_TEST_CASE(DoesNotReuseConnectionAfterTrailingBytes) {
   const auto Loop = createLoop();
   RawServer Server(*Loop, {{CompleteResponse + "junk"}, {CompleteResponse}});
