Routing: A server's rest forbids requests on the second entry path too

What callers saw: while one server rejected all calls, all of them were refused although another one was free, and the resting server got each of them.

Cause: as on the first path, Retry-After was dropped; besides, a server that rejects at once looks idle, so that it was chosen first.

Change: ServerPool holds the same ServerConditions; Dispatcher chooses only servers that accept requests, probes one at a time after a rest, refuses at once what cannot wait for the first rest to end (servers_resting), lets the rest wait, and cancels no stream of a resting server for an urgent call. The Retry-After of refusals is the end of the first rest, spread. 'show backends' has the condition.

DispatcherTest has four new cases.

--- a/Source/Core/Common/Refusal.cpp
+++ b/Source/Core/Common/Refusal.cpp
@@ -73,6 +73,10 @@
     {RefusalReason::NoBackendServer, "no_backend_server", 503,
      Outcome::NotExecuted, seconds(2),
      "retry; no backend server announces this service now"},
+    {RefusalReason::ServersResting, "servers_resting", 503,
+     Outcome::NotExecuted, seconds(2),
+     "retry after the given time; until then, all backend servers of the "
+     "service have asked for no requests"},
     {RefusalReason::NotAccepted, "not_accepted", 503, Outcome::NotExecuted,
      seconds(1),
      "retry with the same key; no quorum of state hosts is "
--- a/Source/Core/Common/Refusal.h
+++ b/Source/Core/Common/Refusal.h
@@ -4,6 +4,7 @@
 #include "Common/Time.h"
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -36,6 +37,7 @@
   TargetUnreachable,
   WaitedTooLong,
   NoBackendServer,
+  ServersResting,
   NotAccepted,
   AcceptanceUnknown,
   JournalFull,
@@ -90,6 +92,8 @@
   RefusalReason Reason = RefusalReason::UnknownRoute;
   /// Specific to this refusal; may be empty.
   std::string Details;
+  /// When to retry, if more is known than the reason's RetryAfter.
+  std::optional<Common::Duration> RetryAfter = std::nullopt;
 
   /// The details, if any, followed by the remedy.
   std::string detail() const;
--- a/Source/Core/Network/HttpClient.cpp
+++ b/Source/Core/Network/HttpClient.cpp
@@ -218,6 +218,14 @@
   return Attempt;
 }
 
+bool HttpAttempt::cancelIfUnsent() {
+  const State &Attempt = *this->SharedState;
+  if (!Attempt.Client || !Attempt.RawRequest || Attempt.Connection->ByteQueued)
+    return false;
+  this->cancel();
+  return true;
+}
+
 void HttpAttempt::cancel() {
   State &Attempt = *this->SharedState;
   if (!Attempt.Client || !Attempt.RawRequest)
--- a/Source/Core/Network/HttpClient.h
+++ b/Source/Core/Network/HttpClient.h
@@ -56,6 +56,9 @@
 public:
   /// Closes the connection; OnDone does not run.
   void cancel();
+  /// The same, if no byte of the request was written. Returns whether that was
+  /// so.
+  bool cancelIfUnsent();
 
 private:
   friend class HttpClient;
--- a/Source/Core/Network/Problem.cpp
+++ b/Source/Core/Network/Problem.cpp
@@ -22,9 +22,13 @@
   HttpResponse Response;
   Response.Status = Info.HttpStatus;
   Response.Headers.push_back({"Content-Type", "application/problem+json"});
-  if (Info.RetryAfter.count() > 0)
+  const auto RetryAfter =
+      Refusal.RetryAfter
+          ? std::chrono::ceil<std::chrono::seconds>(*Refusal.RetryAfter)
+          : Info.RetryAfter;
+  if (RetryAfter.count() > 0)
     Response.Headers.push_back(
-        {"Retry-After", std::to_string(Info.RetryAfter.count())});
+        {"Retry-After", std::to_string(RetryAfter.count())});
   Response.Body = problemJson(Refusal);
   return Response;
 }
--- a/Source/Core/Network/RetryAfter.cpp
+++ b/Source/Core/Network/RetryAfter.cpp
@@ -44,11 +44,15 @@
   return Longest;
 }
 
-absl::StatusOr<std::optional<Common::Duration>>
-parseRejectionRetryAfter(int Status, const HttpHeaders &Headers) {
+bool isRejection(int Status) {
   constexpr int TooManyRequests = 429;
   constexpr int Unavailable = 503;
-  if (Status != TooManyRequests && Status != Unavailable)
+  return Status == TooManyRequests || Status == Unavailable;
+}
+
+absl::StatusOr<std::optional<Common::Duration>>
+parseRejectionRetryAfter(int Status, const HttpHeaders &Headers) {
+  if (!isRejection(Status))
     return std::nullopt;
   return parseRetryAfter(Headers);
 }
--- a/Source/Core/Network/RetryAfter.h
+++ b/Source/Core/Network/RetryAfter.h
@@ -21,8 +21,11 @@
 absl::StatusOr<std::optional<Common::Duration>>
 parseRetryAfter(const HttpHeaders &Headers);
 
-/// The Retry-After with which a server rejects requests: of a response with
-/// status 503 or 429. Other responses do not ask for it.
+/// Whether a response with this status turns its request away: 503 or 429.
+bool isRejection(int Status);
+
+/// The Retry-After of a rejection; nothing for other responses, which do not
+/// ask for it.
 absl::StatusOr<std::optional<Common::Duration>>
 parseRejectionRetryAfter(int Status, const HttpHeaders &Headers);
 
--- a/Source/Core/Routing/Dispatcher.cpp
+++ b/Source/Core/Routing/Dispatcher.cpp
@@ -54,6 +54,9 @@
     return RefusalReason::Quarantined;
   if (this->waiting() >= this->Options.MaxWaiting)
     return RefusalReason::QueueFull;
+  const auto RestEnd = this->Servers.restEnd(Now);
+  if (RestEnd && *RestEnd > Now + Request.Target)
+    return RefusalReason::ServersResting;
   if (this->Options.RefuseEarly && !this->canMeetTarget(Request, Now))
     return RefusalReason::TargetUnreachable;
   return std::nullopt;
@@ -142,6 +145,7 @@
   for (const RefuseAction &Each : this->PendingRefusals)
     Actions.push_back(Each);
   this->PendingRefusals.clear();
+  this->Servers.updateConditions(Now);
   this->Servers.updateLimits(Share, DaemonSalt);
   this->refuseExpired(Actions, Now);
   this->startDeferred(Actions, Now);
@@ -154,12 +158,15 @@
 
 void Dispatcher::refuseExpired(std::vector<Action> &Actions,
                                Common::TimePoint Now) {
-  const bool NoServers = !this->Servers.anyUsable();
+  const auto RestEnd = this->Servers.restEnd(Now);
+  RefusalReason Reason = RefusalReason::WaitedTooLong;
+  if (!this->Servers.anyUsable())
+    Reason = RefusalReason::NoBackendServer;
+  else if (RestEnd)
+    Reason = RefusalReason::ServersResting;
   for (auto &Each : this->Queues)
-    for (const auto &Expired : Each.second.takeExpired(Now)) {
-      Actions.push_back(
-          RefuseAction{Expired.Id, NoServers ? RefusalReason::NoBackendServer
-                                             : RefusalReason::WaitedTooLong});
+    for (const auto &Expired : Each.second.takeExpired(RestEnd.value_or(Now))) {
+      Actions.push_back(RefuseAction{Expired.Id, Reason});
       this->Requests.erase(Expired.Id);
     }
 }
@@ -216,7 +223,13 @@
   const std::uint64_t Cached = std::min<std::uint64_t>(
       Chosen->MatchedBlocks * BlockTokens, State.Work.PromptTokens);
   State.Server = Chosen->Server;
+  State.ServerLifetime = Server.Status.Incarnation;
   State.StartedAt = Now;
+  if (ServerCondition *Condition =
+          this->Servers.recordCondition(State.incarnation()))
+    Condition->recordSent(Now);
+  Server.AcceptsRequests =
+      this->Servers.conditions().acceptsRequests(State.incarnation(), Now);
   State.Progress = AnswerProgress();
   State.UncachedTokens = State.Work.PromptTokens - Cached;
   State.Cost = this->remainingCost(State);
@@ -229,6 +242,7 @@
 
 void Dispatcher::startDeferred(std::vector<Action> &Actions,
                                Common::TimePoint Now) {
+  const auto RestEnd = this->Servers.restEnd(Now);
   std::vector<Common::RequestId> StillDeferred;
   for (const Common::RequestId Id : this->Deferred) {
     const auto Found = this->Requests.find(Id);
@@ -237,8 +251,10 @@
     if (this->isRefused(Found->second.Work, Now)) {
       Actions.push_back(RefuseAction{Id, RefusalReason::Quarantined});
       this->Requests.erase(Found);
-    } else if (Found->second.Deadline <= Now) {
-      Actions.push_back(RefuseAction{Id, RefusalReason::WaitedTooLong});
+    } else if (Found->second.Deadline <= RestEnd.value_or(Now)) {
+      Actions.push_back(RefuseAction{Id, RestEnd
+                                             ? RefusalReason::ServersResting
+                                             : RefusalReason::WaitedTooLong});
       this->Requests.erase(Found);
     } else if (!this->start(Found->second, Actions, Now)) {
       StillDeferred.push_back(Id);
@@ -292,8 +308,9 @@
     const bool AboveFloor = Rule && this->Scheduler.recentShare(
                                         Each.Work.Priority, Now) > Rule->Floor;
     const PooledServer *Server = this->Servers.find(Each.Server);
+    // The place of a stream on a resting server would stay empty.
     if (!Rule || Rule->Rank <= UrgentRank || !AboveFloor || !Server ||
-        !Server->Status.Usable)
+        !Server->Status.Usable || !Server->AcceptsRequests)
       continue;
     const bool IsBetter = !Victim || Rule->Rank > VictimRank ||
                           (Rule->Rank == VictimRank &&
@@ -364,9 +381,60 @@
       this->RunningContents.erase(Copy);
       break;
     }
+  if (ServerCondition *Condition =
+          this->Servers.recordCondition(State.incarnation()))
+    Condition->recordEnd(State.StartedAt);
   State.Server = Common::BackendServerId();
 }
 
+std::optional<Common::TimePoint>
+Dispatcher::onRetryAfter(Common::RequestId Id, Common::Duration Asked,
+                         Common::TimePoint Now) {
+  const auto Server = this->serverOf(Id);
+  if (!Server)
+    return std::nullopt;
+  ServerCondition *Condition = this->Servers.recordCondition(*Server);
+  if (!Condition)
+    return std::nullopt;
+  const auto RestEnd = Condition->recordRetryAfter(Asked, Now);
+  this->Servers.updateConditions(Now);
+  return RestEnd;
+}
+
+bool Dispatcher::onAccepted(Common::RequestId Id) {
+  const auto Server = this->serverOf(Id);
+  if (!Server)
+    return false;
+  ServerCondition *Condition = this->Servers.recordCondition(*Server);
+  return Condition && Condition->recordAnswer(this->Requests.at(Id).StartedAt);
+}
+
+bool Dispatcher::mayWrite(Common::RequestId Id, Common::TimePoint Now) const {
+  const auto Server = this->serverOf(Id);
+  if (!Server)
+    return true;
+  const ServerCondition *Condition = this->Servers.conditions().find(*Server);
+  return !Condition ||
+         Condition->mayWrite(this->Requests.at(Id).StartedAt, Now);
+}
+
+std::optional<ServerIncarnation>
+Dispatcher::serverOf(Common::RequestId Id) const {
+  const auto Found = this->Requests.find(Id);
+  if (Found == this->Requests.end() || !Found->second.running())
+    return std::nullopt;
+  return Found->second.incarnation();
+}
+
+std::vector<Common::RequestId>
+Dispatcher::requestsAt(const Common::BackendServerId &Server) const {
+  std::vector<Common::RequestId> Result;
+  for (const auto &[Id, Each] : this->Requests)
+    if (Each.Server == Server)
+      Result.push_back(Id);
+  return Result;
+}
+
 void Dispatcher::onFirstToken(Common::RequestId Id, Common::TimePoint Now) {
   const auto Found = this->Requests.find(Id);
   if (Found == this->Requests.end() || !Found->second.running() ||
--- a/Source/Core/Routing/Dispatcher.h
+++ b/Source/Core/Routing/Dispatcher.h
@@ -123,6 +123,19 @@
   void onFinished(Common::RequestId Id, Common::TimePoint Now);
   /// The request is queued for another server, or a RefuseAction follows.
   void onFailed(Common::RequestId Id, Failure Kind, Common::TimePoint Now);
+  /// Records that a server answers a request with a rejection and asks for no
+  /// requests for Asked. Returns the end of its rest if this changed it.
+  std::optional<Common::TimePoint> onRetryAfter(Common::RequestId Id,
+                                                Common::Duration Asked,
+                                                Common::TimePoint Now);
+  /// Records that a server begins to answer and did not reject the request.
+  /// Returns whether it takes requests again after a rest.
+  bool onAccepted(Common::RequestId Id);
+  /// Whether a request may be written to the server that was chosen for it:
+  /// false if the server has asked for rest since.
+  bool mayWrite(Common::RequestId Id, Common::TimePoint Now) const;
+  /// The server that runs a request; nothing while it waits.
+  std::optional<ServerIncarnation> serverOf(Common::RequestId Id) const;
   /// Queues a request again that was not sent, for a reason unrelated to the
   /// server's health.
   void requeue(Common::RequestId Id);
@@ -140,6 +153,9 @@
   std::vector<Common::CauseSet>
   unprovenRunsAt(const Common::BackendServerId &Server) const;
   PromptQuarantine &promptQuarantine() { return this->PromptQuarantineState; }
+  /// The requests that this daemon runs on a server.
+  std::vector<Common::RequestId>
+  requestsAt(const Common::BackendServerId &Server) const;
   /// Fingerprints of the requests that this daemon runs on a server.
   std::vector<Fingerprint>
   runningAt(const Common::BackendServerId &Server) const;
@@ -168,6 +184,7 @@
     Common::TimePoint StartedAt;
     /// Empty while the request waits.
     Common::BackendServerId Server;
+    Common::Incarnation ServerLifetime;
     Admission::Cost Cost;
     std::uint64_t UncachedTokens = 0;
     std::uint64_t TokensReceived = 0;
@@ -178,6 +195,9 @@
     AnswerProgress Progress;
     std::set<Common::BackendServerId> FailedServers;
     bool running() const { return !this->Server.empty(); }
+    ServerIncarnation incarnation() const {
+      return {this->Server, this->ServerLifetime};
+    }
   };
 
   /// Whether the content, or a part of the prompt, crashes servers.
--- a/Source/Core/Routing/ServerPool.cpp
+++ b/Source/Core/Routing/ServerPool.cpp
@@ -33,6 +33,8 @@
     Known.Cache = PrefixIndex(Status.Capacity.CacheBlocks);
     Known.Window = DispatchWindow(Status.Capacity.Slots);
     Known.FailedAtSequence.reset();
+    this->Conditions.record({Status.Id, Status.Incarnation});
+    Known.AcceptsRequests = true;
   }
   const bool Recovered =
       Known.FailedAtSequence && Status.Sequence > *Known.FailedAtSequence;
@@ -59,6 +61,33 @@
     Found->FailedAtSequence = Found->Status.Sequence;
 }
 
+void ServerPool::updateConditions(Common::TimePoint Now) {
+  for (auto &[Id, Each] : this->Servers)
+    Each.AcceptsRequests =
+        this->Conditions.acceptsRequests(Each.incarnation(), Now);
+  this->Conditions.removeExpired(Now,
+                                 [this](const Common::BackendServerId &Id) {
+                                   return this->Servers.count(Id) != 0;
+                                 });
+}
+
+std::optional<Common::TimePoint>
+ServerPool::restEnd(Common::TimePoint Now) const {
+  std::optional<Common::TimePoint> Soonest;
+  for (const auto &[Id, Each] : this->Servers) {
+    if (!Each.Status.Usable || Each.FailedAtSequence)
+      continue;
+    const ServerCondition *Condition =
+        this->Conditions.find(Each.incarnation());
+    if (!Condition || Condition->acceptsRequests(Now))
+      return std::nullopt;
+    const Common::TimePoint End = std::max(Condition->restEnd(), Now);
+    if (!Soonest || End < *Soonest)
+      Soonest = End;
+  }
+  return Soonest;
+}
+
 void ServerPool::removeUnused() {
   std::erase_if(this->Servers, [](const auto &Each) {
     return !Each.second.Status.Usable && Each.second.Running.empty();
@@ -87,7 +116,7 @@
   std::size_t LocalLimit = 0;
   for (auto &[Id, Each] : this->Servers) {
     Each.ConcurrencyLimit = this->concurrencyLimitOf(Each, Share, DaemonSalt);
-    if (!Each.Status.Usable || Each.FailedAtSequence)
+    if (!Each.isAvailable())
       continue;
     if (Each.Status.Local)
       LocalLimit += Each.ConcurrencyLimit;
@@ -115,7 +144,7 @@
 std::size_t ServerPool::totalConcurrencyLimit() const {
   std::size_t Total = 0;
   for (const auto &[Id, Each] : this->Servers)
-    if (Each.Status.Usable && !Each.FailedAtSequence)
+    if (Each.isAvailable())
       Total += Each.ConcurrencyLimit;
   return Total;
 }
--- a/Source/Core/Routing/ServerPool.h
+++ b/Source/Core/Routing/ServerPool.h
@@ -5,6 +5,7 @@
 #include "Routing/DispatchWindow.h"
 #include "Routing/PrefixIndex.h"
 #include "Routing/Quarantine.h"
+#include "Routing/ServerConditions.h"
 
 #include <cstdint>
 #include <map>
@@ -42,10 +43,19 @@
   std::optional<std::uint64_t> FailedAtSequence;
   /// This daemon's share of the window, in whole requests.
   std::size_t ConcurrencyLimit = 0;
+  /// False while the server rests, as it asked for, and while it is probed
+  /// after that.
+  bool AcceptsRequests = true;
 
-  bool hasCapacity() const {
+  bool isAvailable() const {
     return this->Status.Usable && !this->FailedAtSequence &&
-           this->Running.size() < this->ConcurrencyLimit;
+           this->AcceptsRequests;
+  }
+  bool hasCapacity() const {
+    return this->isAvailable() && this->Running.size() < this->ConcurrencyLimit;
+  }
+  ServerIncarnation incarnation() const {
+    return {this->Status.Id, this->Status.Incarnation};
   }
   bool idle() const { return this->Running.empty(); }
 };
@@ -60,6 +70,16 @@
   void setUsable(const Common::BackendServerId &Id, bool Usable);
   /// Sends no new requests to the server until its next announcement.
   void markFailed(const Common::BackendServerId &Id);
+  /// The condition to record into; null if the server has restarted since.
+  ServerCondition *recordCondition(const ServerIncarnation &Server) {
+    return this->Conditions.record(Server);
+  }
+  const ServerConditions &conditions() const { return this->Conditions; }
+  /// Sets AcceptsRequests of all servers.
+  void updateConditions(Common::TimePoint Now);
+  /// When the first usable server takes requests again; nothing unless all of
+  /// them rest or are being probed after a rest.
+  std::optional<Common::TimePoint> restEnd(Common::TimePoint Now) const;
   /// Removes idle servers whose Status.Usable is false.
   void removeUnused();
 
@@ -83,6 +103,7 @@
                                  std::uint64_t Salt) const;
 
   std::map<Common::BackendServerId, PooledServer> Servers;
+  ServerConditions Conditions;
 };
 
 } // namespace Routing
--- a/Source/EntryDaemon/EntryViews.cpp
+++ b/Source/EntryDaemon/EntryViews.cpp
@@ -44,14 +44,37 @@
   return Result;
 }
 
-Table backendTable(const EntryContext &Context) {
+/// Whether a server takes requests, and why not.
+std::string serverCondition(const EntryContext &Context,
+                            const ServiceDispatchers &Dispatchers,
+                            const Membership::Announcement &Latest) {
+  const Routing::Dispatcher *Dispatcher =
+      Dispatchers.findDispatcher(Latest.Service);
+  const Routing::ServerCondition *Known =
+      Dispatcher ? Dispatcher->pool().conditions().find(
+                       {Latest.BackendServer, Latest.Incarnation})
+                 : nullptr;
+  const Common::TimePoint Now = Context.Loop.now();
+  if (!Known || Known->acceptsRequests(Now))
+    return "accepting";
+  if (!Known->isResting(Now))
+    return "probed";
+  return absl::StrCat("resting for ",
+                      Common::toMilliseconds(Known->restEnd() - Now),
+                      " ms (Retry-After)");
+}
+
+Table backendTable(const EntryContext &Context,
+                   const ServiceDispatchers &Dispatchers) {
   Table Result({"backend", "service", "version", "datacentre", "host", "state",
-                "slots", "running"});
+                "condition", "slots", "running"});
   for (const auto &[Id, Each] : Context.Registry.entries()) {
     const Membership::Announcement &Latest = Each.Latest;
     Result.add({Id.str(), Latest.Service.str(), Latest.ModelVersion,
                 Latest.DataCentre.str(), Latest.Host.str(),
-                serverState(Context, Each), absl::StrCat(Latest.Capacity.Slots),
+                serverState(Context, Each),
+                serverCondition(Context, Dispatchers, Latest),
+                absl::StrCat(Latest.Capacity.Slots),
                 absl::StrCat(Latest.Load.Running)});
   }
   return Result;
@@ -107,7 +130,7 @@
   case Operator::View::Services:
     return serviceTable(Context, Dispatchers);
   case Operator::View::Backends:
-    return backendTable(Context);
+    return backendTable(Context, Dispatchers);
   case Operator::View::Hosts:
   case Operator::View::Cost:
     return hostTable(Context);
--- a/Source/EntryDaemon/Gateway.cpp
+++ b/Source/EntryDaemon/Gateway.cpp
@@ -99,7 +99,13 @@
       this->Loop,
       Network::Address{this->Context.Settings.Http.Ip,
                        this->Context.Settings.MetricsPort},
-      [this] { return this->Context.Metrics.render(); });
+      [this] {
+        this->Context.Metrics.setGauge(
+            "servers_resting",
+            static_cast<double>(
+                this->Context.Servers.countResting(this->Loop.now())));
+        return this->Context.Metrics.render();
+      });
   if (!MetricsListener.ok())
     return MetricsListener.status();
   this->MetricsServer = std::move(*MetricsListener);
--- a/Source/EntryDaemon/JournaledCall.cpp
+++ b/Source/EntryDaemon/JournaledCall.cpp
@@ -187,6 +187,12 @@
   Handlers.OnStart = [Self](const Common::BackendServerId &Chosen) {
     Self->claim(Chosen);
   };
+  Handlers.OnServerRests = [Self] {
+    if (!Self->Sending || !Self->Sending->cancelIfUnsent())
+      return;
+    Self->Sending.reset();
+    Self->release(false);
+  };
   Handlers.OnRefuse = [Self](RefusalReason Reason) {
     Self->dispatchRefused(Reason);
   };
@@ -265,7 +271,13 @@
 void JournaledCall::send() {
   // The server may have left while the claim was being committed.
   if (!this->Dispatchers.isUsable(this->Request.Service, this->Server)) {
-    this->release();
+    this->release(true);
+    return;
+  }
+  // It may also have asked for rest.
+  if (!this->Dispatchers.mayWrite(this->Request.Service,
+                                  this->Request.Work.Id)) {
+    this->release(false);
     return;
   }
   Network::HttpCall Call;
@@ -275,17 +287,23 @@
   Call.Request = this->Request.Content;
   const auto Self = this->shared_from_this();
   Network::HttpCallHandlers Handlers;
+  Handlers.OnHead = [Self](const Network::HttpResponse &Head) {
+    Self->Dispatchers.onResponseHead(Self->Request.Service,
+                                     Self->Request.Work.Id, Head);
+  };
   Handlers.OnDone = [Self](Network::HttpCallResult Result,
                            Network::HttpResponse Answer) {
     Self->attemptEnded(Result, std::move(Answer));
   };
-  this->Context.Http.start(std::move(Call), std::move(Handlers));
+  this->Sending =
+      this->Context.Http.start(std::move(Call), std::move(Handlers));
 }
 
 void JournaledCall::attemptEnded(Network::HttpCallResult Result,
                                  Network::HttpResponse Answer) {
+  this->Sending.reset();
   if (Result == Network::HttpCallResult::NotSent) {
-    this->release();
+    this->release(true);
     return;
   }
   const auto &Service = this->Request.Service;
@@ -301,19 +319,23 @@
   this->complete(Answer);
 }
 
-void JournaledCall::release() {
+void JournaledCall::release(bool ServerFailed) {
   const auto Self = this->shared_from_this();
   this->submitCommand(
       Journal::ReleaseCommand{this->Key, this->Context.Self, this->Attempt},
-      [Self](const Journal::JournalResult &Result) {
+      [Self, ServerFailed](const Journal::JournalResult &Result) {
         const auto &Service = Self->Request.Service;
         if (Result.Status != Journal::JournalStatus::Done) {
           Self->Dispatchers.remove(Service, Self->Request.Work.Id);
           Self->pollOutcome();
           return;
         }
-        Self->Dispatchers.onFailed(Service, Self->Request.Work.Id, Self->Server,
-                                   Routing::Failure::ConnectFailed);
+        if (ServerFailed)
+          Self->Dispatchers.onFailed(Service, Self->Request.Work.Id,
+                                     Self->Server,
+                                     Routing::Failure::ConnectFailed);
+        else
+          Self->Dispatchers.requeue(Service, Self->Request.Work.Id);
       });
 }
 
@@ -410,8 +432,13 @@
   this->Context.Metrics.recordRefusal(Reason);
   Telemetry::log(Events::JournaledCallRefused, Common::refusalInfo(Reason).Name,
                  this->Key.Key.str(), this->Key.Caller.str());
-  if (this->Exchange)
-    this->Exchange->reply(Network::problemResponse({Reason, Detail}));
+  if (!this->Exchange)
+    return;
+  Common::Refusal Refusal{Reason, Detail};
+  if (Reason == RefusalReason::ServersResting)
+    Refusal.RetryAfter = this->Dispatchers.retryAfter(
+        this->Request.Service, this->Request.Work.Priority);
+  this->Exchange->reply(Network::problemResponse(Refusal));
 }
 
 void JournaledCall::replyAnswer(const Network::HttpResponse &Answer) {
--- a/Source/EntryDaemon/JournaledCall.h
+++ b/Source/EntryDaemon/JournaledCall.h
@@ -53,7 +53,9 @@
   void send();
   void attemptEnded(Network::HttpCallResult Result,
                     Network::HttpResponse Answer);
-  void release();
+  /// Releases the claim of a request that was not sent. The request is then
+  /// queued again, for another server if this one failed.
+  void release(bool ServerFailed);
   void complete(const Network::HttpResponse &Answer);
   void markUnknown();
   /// Polls the journal for the outcome of a request that another daemon runs.
@@ -82,6 +84,8 @@
   std::uint64_t KeepMilliseconds = 0;
   Journal::Attempt Attempt;
   Common::BackendServerId Server;
+  /// While the request is sent and answered.
+  std::optional<Network::HttpAttempt> Sending;
   Common::TimePoint ArrivedAt;
   bool Finished = false;
   Network::EventHandle RetryTimer;
--- a/Source/EntryDaemon/ModelCall.cpp
+++ b/Source/EntryDaemon/ModelCall.cpp
@@ -46,6 +46,12 @@
     Self->Attempt.reset();
     Self->MayHaveRun = true;
   };
+  Handlers.OnServerRests = [Self] {
+    if (!Self->Attempt || !Self->Attempt->cancelIfUnsent())
+      return;
+    Self->Attempt.reset();
+    Self->Dispatchers.requeue(Self->Request.Service, Self->Request.Work.Id);
+  };
   Handlers.OnRefuse = [Self](RefusalReason Reason) {
     Self->refuse(Reason, "");
   };
@@ -106,6 +112,8 @@
 
 void ModelCall::answerStarted(const Network::HttpResponse &Head) {
   this->Status = Head.Status;
+  this->Dispatchers.onResponseHead(this->Request.Service, this->Request.Work.Id,
+                                   Head);
 }
 
 void ModelCall::receiveChunk(const std::string &Bytes) {
@@ -219,7 +227,10 @@
   if (this->MayHaveRun)
     Reason = reasonAfterRun(Reason);
   this->Context.Metrics.recordRefusal(Reason);
-  const Common::Refusal Refusal{Reason, Detail};
+  Common::Refusal Refusal{Reason, Detail};
+  if (Refusal.outcome() == Common::Outcome::NotExecuted)
+    Refusal.RetryAfter = this->Dispatchers.retryAfter(
+        this->Request.Service, this->Request.Work.Priority);
   Telemetry::log(Events::ModelCallRefused, Common::refusalInfo(Reason).Name,
                  this->Request.Work.Id.Value, this->Request.Work.Caller.str());
   if (!this->Exchange->isStreaming()) {
--- a/Source/EntryDaemon/PlainCall.cpp
+++ b/Source/EntryDaemon/PlainCall.cpp
@@ -98,6 +98,12 @@
   Handlers.OnStart = [Self](const Common::BackendServerId &Chosen) {
     Self->send(Chosen);
   };
+  Handlers.OnServerRests = [Self] {
+    if (!Self->Attempt || !Self->Attempt->cancelIfUnsent())
+      return;
+    Self->Attempt.reset();
+    Self->Dispatchers.requeue(Self->Request.Service, Self->Request.Work.Id);
+  };
   Handlers.OnRefuse = [Self](RefusalReason Reason) { Self->refuse(Reason); };
   const auto Refused = this->Dispatchers.submit(
       this->Request.Service, this->Request.Work, std::move(Handlers));
@@ -131,6 +137,10 @@
   Call.Request = this->Request.Content;
   const auto Self = this->shared_from_this();
   Network::HttpCallHandlers Handlers;
+  Handlers.OnHead = [Self](const Network::HttpResponse &Head) {
+    Self->Dispatchers.onResponseHead(Self->Request.Service,
+                                     Self->Request.Work.Id, Head);
+  };
   Handlers.OnDone = [Self](Network::HttpCallResult Result,
                            Network::HttpResponse Answer) {
     Self->attemptEnded(Result, std::move(Answer));
@@ -180,7 +190,11 @@
   if (this->MayHaveRun)
     Reason = reasonAfterRun(Reason);
   this->Context.Metrics.recordRefusal(Reason);
-  this->Exchange->reply(Network::problemResponse({Reason, ""}));
+  Common::Refusal Refusal{Reason, ""};
+  if (Refusal.outcome() == Common::Outcome::NotExecuted)
+    Refusal.RetryAfter = this->Dispatchers.retryAfter(
+        this->Request.Service, this->Request.Work.Priority);
+  this->Exchange->reply(Network::problemResponse(Refusal));
 }
 
 void PlainCall::interrupt() {
--- a/Source/EntryDaemon/ServiceDispatchers.cpp
+++ b/Source/EntryDaemon/ServiceDispatchers.cpp
@@ -1,6 +1,8 @@
 #include "EntryDaemon/ServiceDispatchers.h"
 
 #include "Common/Hash.h"
+#include "Network/RetryAfter.h"
+#include "Telemetry/LogEvents.h"
 
 #include <algorithm>
 
@@ -307,6 +309,76 @@
                                         this->Context.Loop.now());
 }
 
+void ServiceDispatchers::onResponseHead(const Common::ServiceName &Service,
+                                        Common::RequestId Id,
+                                        const Network::HttpResponse &Head) {
+  namespace Events = Telemetry::Events;
+  ServiceEntry *Entry = this->findEntry(Service);
+  const auto From = Entry ? Entry->Dispatcher.serverOf(Id) : std::nullopt;
+  if (!From)
+    return;
+  const std::string Server = From->BackendServer.str();
+  const std::uint64_t Lifetime = From->Incarnation.Value;
+  if (!Network::isRejection(Head.Status)) {
+    if (Entry->Dispatcher.onAccepted(Id))
+      Telemetry::log(Events::ServerCondition, Server, Lifetime, "accepting",
+                     "answer", Id.Value, "");
+    return;
+  }
+  const auto Asked =
+      Network::parseRejectionRetryAfter(Head.Status, Head.Headers);
+  if (!Asked.ok()) {
+    this->Context.Metrics.incrementCounter("retry_after_invalid_total");
+    Telemetry::log(Events::RetryAfterInvalid, Id.Value, Server,
+                   Asked.status().message());
+    return;
+  }
+  if (!*Asked)
+    return;
+  const Common::TimePoint Now = this->Context.Loop.now();
+  this->Context.Metrics.incrementCounter("rests_requested_total");
+  const auto RestEnd = Entry->Dispatcher.onRetryAfter(Id, **Asked, Now);
+  if (!RestEnd)
+    return;
+  Telemetry::log(Events::ServerCondition, Server, Lifetime, "resting",
+                 "retry_after", Id.Value,
+                 Common::toMilliseconds(*RestEnd - Now));
+  // Calls that still wait for their connections go elsewhere.
+  for (const Common::RequestId Waiting :
+       Entry->Dispatcher.requestsAt(From->BackendServer)) {
+    const auto Found = Entry->Calls.find(Waiting);
+    if (Waiting == Id || Found == Entry->Calls.end() ||
+        !Found->second.OnServerRests)
+      continue;
+    // Copied, as the handler may change the table of calls.
+    const auto OnServerRests = Found->second.OnServerRests;
+    OnServerRests();
+  }
+}
+
+bool ServiceDispatchers::mayWrite(const Common::ServiceName &Service,
+                                  Common::RequestId Id) const {
+  const Routing::Dispatcher *Dispatcher = this->findDispatcher(Service);
+  return !Dispatcher || Dispatcher->mayWrite(Id, this->Context.Loop.now());
+}
+
+std::optional<Common::Duration>
+ServiceDispatchers::retryAfter(const Common::ServiceName &Service,
+                               const Common::PriorityName &Priority) {
+  const Common::TimePoint Now = this->Context.Loop.now();
+  const Routing::Dispatcher *Dispatcher = this->findDispatcher(Service);
+  const auto RestEnd =
+      Dispatcher ? Dispatcher->pool().restEnd(Now) : std::nullopt;
+  if (!RestEnd)
+    return std::nullopt;
+  const auto &Priorities = this->Context.Declared.priorities();
+  const auto Declared = Priorities.find(Priority);
+  Routing::RefusedCaller Caller;
+  if (Declared != Priorities.end())
+    Caller.Priority = static_cast<std::uint32_t>(Declared->second.Rank);
+  return this->Returns.add(Service, Caller, *RestEnd, Now);
+}
+
 void ServiceDispatchers::requeue(const Common::ServiceName &Service,
                                  Common::RequestId Id) {
   if (ServiceEntry *Entry = this->findEntry(Service))
--- a/Source/EntryDaemon/ServiceDispatchers.h
+++ b/Source/EntryDaemon/ServiceDispatchers.h
@@ -5,6 +5,7 @@
 #include "Membership/Digest.h"
 #include "Membership/PeerTable.h"
 #include "Routing/Dispatcher.h"
+#include "Routing/ReturnSchedule.h"
 
 #include <functional>
 #include <map>
@@ -17,6 +18,9 @@
   std::function<void(const Common::BackendServerId &)> OnStart;
   /// Cancel the attempt; the request is queued again.
   std::function<void()> OnPreempt;
+  /// The server has asked for rest: call requeue() if the request has not been
+  /// written to it.
+  std::function<void()> OnServerRests;
   /// The request is refused and no longer in the dispatcher.
   std::function<void(Common::RefusalReason)> OnRefuse;
 };
@@ -69,6 +73,17 @@
   void onFailed(const Common::ServiceName &Service, Common::RequestId Id,
                 const Common::BackendServerId &Server,
                 Routing::Failure Failure);
+  /// Processes the head of a server's response, which may say that the server
+  /// wants no requests for a time.
+  void onResponseHead(const Common::ServiceName &Service, Common::RequestId Id,
+                      const Network::HttpResponse &Head);
+  /// Whether the request may be written to the server that was chosen for it.
+  bool mayWrite(const Common::ServiceName &Service, Common::RequestId Id) const;
+  /// When a caller that is refused should return; nothing unless all servers of
+  /// the service rest.
+  std::optional<Common::Duration>
+  retryAfter(const Common::ServiceName &Service,
+             const Common::PriorityName &Priority);
   /// The attempt was not sent, for a reason unrelated to the server; the
   /// request is queued again.
   void requeue(const Common::ServiceName &Service, Common::RequestId Id);
@@ -126,6 +141,7 @@
   std::uint64_t DaemonSalt;
   OnCrash NotifyCrash;
   OnSurvivals NotifySurvivals;
+  Routing::ReturnSchedule Returns;
 };
 
 } // namespace EntryDaemon
--- a/Source/Fakes/FakeEngine.h
+++ b/Source/Fakes/FakeEngine.h
@@ -27,7 +27,7 @@
 /// A fake model engine: it streams generated tokens that depend on the prompt
 /// only, runs a limited number of requests concurrently, caches prompt prefixes
 /// and resumes streams. A prompt containing CRASH-THE-ENGINE calls the crash
-/// handler.
+/// handler. RestSwitch makes the engine ask for rest.
 class FakeEngine {
 public:
   static absl::StatusOr<std::unique_ptr<FakeEngine>>
--- a/Source/Fakes/FakeService.h
+++ b/Source/Fakes/FakeService.h
@@ -25,7 +25,7 @@
 /// POST requests that it runs for each caller and idempotency key; GET /runs
 /// returns the counts, and GET /large an answer of 32 MiB. After running a
 /// request whose body contains CLOSE-AFTER-RUN it calls the crash handler
-/// instead of sending a response.
+/// instead of sending a response. RestSwitch makes it ask for rest.
 class FakeService {
 public:
   static absl::StatusOr<std::unique_ptr<FakeService>>
--- a/Source/UnitTests/Routing/DispatcherTest.cpp
+++ b/Source/UnitTests/Routing/DispatcherTest.cpp
@@ -335,6 +335,92 @@
       1u);
 }
 
+// Guards against BUDGET on the second entry path: a server that has asked for
+// rest looks idle and gets everything.
+BOOST_AUTO_TEST_CASE(aRestingServerGetsNothingUntilItsRestIsOver) {
+  Fixture Test(2, 4);
+  const DispatchRequest Rejected = Test.request(Background);
+  Test.Subject.submit(Rejected, Start);
+  const auto First = actionsOfType<StartAction>(Test.poll(Start));
+  BOOST_REQUIRE(First.size() == 1u);
+  const Common::BackendServerId Resting = First[0].Server;
+  BOOST_TEST(
+      Test.Subject.onRetryAfter(Rejected.Id, 5s, Start + 10ms).has_value());
+  Test.Subject.remove(Rejected.Id);
+  for (int I = 0; I < 12; ++I)
+    BOOST_REQUIRE(!Test.Subject.submit(Test.request(Background), Start + 20ms));
+  for (Common::Duration Time = 20ms; Time < 5s; Time += 100ms)
+    for (const StartAction &Each :
+         actionsOfType<StartAction>(Test.poll(Start + Time)))
+      BOOST_TEST(Each.Server.str() != Resting.str());
+  // Then it is probed with one request until that is not rejected.
+  const Common::TimePoint After = Start + 5100ms;
+  const auto Probes = actionsOfType<StartAction>(Test.poll(After));
+  BOOST_REQUIRE(Probes.size() == 1u);
+  BOOST_TEST(Probes[0].Server.str() == Resting.str());
+  BOOST_TEST(Test.poll(After + 50ms).empty());
+  BOOST_TEST(Test.Subject.onAccepted(Probes[0].Id));
+  BOOST_TEST(actionsOfType<StartAction>(Test.poll(After + 60ms)).size() == 3u);
+}
+
+// Guards against calls that wait until their deadline for servers that are
+// known to rest for longer.
+BOOST_AUTO_TEST_CASE(callsAreRefusedAtOnceIfAllServersRestForTooLong) {
+  Fixture Test(2, 2);
+  std::vector<DispatchRequest> Running;
+  for (int I = 0; I < 4; ++I) {
+    Running.push_back(Test.request(Background));
+    Test.Subject.submit(Running.back(), Start);
+  }
+  BOOST_REQUIRE(actionsOfType<StartAction>(Test.poll(Start)).size() == 4u);
+  const DispatchRequest Waiting = Test.request(Urgent);
+  const DispatchRequest Patient = Test.request(Background);
+  BOOST_REQUIRE(!Test.Subject.submit(Waiting, Start + 10ms));
+  BOOST_REQUIRE(!Test.Subject.submit(Patient, Start + 10ms));
+  for (const DispatchRequest &Each : Running)
+    Test.Subject.onRetryAfter(Each.Id, 5s, Start + 20ms);
+  const auto Actions = Test.poll(Start + 30ms);
+  const auto Refused = actionsOfType<RefuseAction>(Actions);
+  BOOST_REQUIRE(Refused.size() == 1u);
+  BOOST_TEST(Refused[0].Id.Value == Waiting.Id.Value);
+  BOOST_CHECK(Refused[0].Reason == RefusalReason::ServersResting);
+  BOOST_CHECK(Test.Subject.submit(Test.request(Urgent), Start + 40ms) ==
+              RefusalReason::ServersResting);
+  BOOST_CHECK(!Test.Subject.submit(Test.request(Background), Start + 40ms));
+}
+
+// Guards against streams that are cancelled for an urgent request that their
+// server does not take.
+BOOST_AUTO_TEST_CASE(noStreamOfARestingServerIsPreempted) {
+  Fixture Test(1);
+  const DispatchRequest RunningRequest = Test.request(Background);
+  Test.Subject.submit(RunningRequest, Start);
+  BOOST_REQUIRE(Test.poll(Start).size() == 1u);
+  Test.Subject.onProgress(RunningRequest.Id, 5, Start);
+  BOOST_REQUIRE(!Test.Subject.submit(Test.request(Urgent), Start));
+  Test.Subject.onRetryAfter(RunningRequest.Id, 500ms, Start + 10ms);
+  BOOST_TEST(Test.poll(Start + 300ms).empty());
+  BOOST_TEST(actionsOfType<PreemptAction>(Test.poll(Start + 520ms)).size() ==
+             1u);
+}
+
+BOOST_AUTO_TEST_CASE(aRestEndsWithTheLifetimeOfItsServer) {
+  Fixture Test(1, 2);
+  const DispatchRequest Rejected = Test.request(Background);
+  Test.Subject.submit(Rejected, Start);
+  Test.poll(Start);
+  Test.Subject.onRetryAfter(Rejected.Id, 20s, Start);
+  Test.Subject.submit(Test.request(Background), Start);
+  BOOST_TEST(Test.poll(Start + 1s).empty());
+  ServerStatus Restarted = Test.Subject.pool().servers().begin()->second.Status;
+  Restarted.Incarnation = Common::Incarnation{2};
+  Test.Subject.pool().update(Restarted);
+  BOOST_TEST(actionsOfType<StartAction>(Test.poll(Start + 1s)).size() == 1u);
+  // A late answer of the earlier lifetime.
+  BOOST_TEST(
+      !Test.Subject.onRetryAfter(Rejected.Id, 20s, Start + 2s).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace UnitTests
