Routing: The end of the first rest is computed in one place

ServerTable and ServerPool had the same loop, the three calls of the second entry path the same lines for the Retry-After of a refusal, which was also set for reasons that do not end with a rest. Calls taken back unsent are counted on the second path too. RestFaultTest, RoutedRest, DispatcherTest, RestingServers_ pass.

--- a/Source/Core/Routing/ReturnSchedule.cpp
+++ b/Source/Core/Routing/ReturnSchedule.cpp
@@ -11,8 +11,8 @@
 /// over which returns are spread.
 constexpr Common::Duration ReturnInterval = std::chrono::milliseconds(5);
 constexpr Common::Duration MaxSpread = std::chrono::seconds(1);
-/// Callers that return earlier than this would find the same servers.
-constexpr Common::Duration MinRetryAfter = std::chrono::milliseconds(50);
+/// Callers that return earlier would find the servers as they are.
+constexpr Common::Duration MinRetryAfter = std::chrono::milliseconds(250);
 constexpr double PriorityLevels = 10;
 /// Multiples of it, modulo 1, are spread evenly however many there are.
 constexpr double GoldenRatio = 0.618033988749895;
--- a/Source/Core/Routing/ServerConditions.cpp
+++ b/Source/Core/Routing/ServerConditions.cpp
@@ -35,6 +35,20 @@
   return Known && Known->isResting(Now);
 }
 
+std::optional<Common::TimePoint>
+ServerConditions::restEnd(const std::vector<ServerIncarnation> &Servers,
+                          Common::TimePoint Now) const {
+  std::optional<Common::TimePoint> Soonest;
+  for (const ServerIncarnation &Each : Servers) {
+    const ServerCondition *Known = this->find(Each);
+    if (!Known || Known->acceptsRequests(Now))
+      return std::nullopt;
+    const Common::TimePoint End = std::max(Known->restEnd(), Now);
+    Soonest = std::min(Soonest.value_or(End), End);
+  }
+  return Soonest;
+}
+
 std::size_t ServerConditions::countResting(Common::TimePoint Now) const {
   return static_cast<std::size_t>(std::count_if(
       this->Conditions.begin(), this->Conditions.end(),
--- a/Source/Core/Routing/ServerConditions.h
+++ b/Source/Core/Routing/ServerConditions.h
@@ -5,6 +5,7 @@
 #include "Routing/ServerIncarnation.h"
 
 #include <map>
+#include <vector>
 
 namespace Routing {
 
@@ -24,6 +25,11 @@
                        Common::TimePoint Now) const;
   bool isResting(const ServerIncarnation &Server, Common::TimePoint Now) const;
   std::size_t countResting(Common::TimePoint Now) const;
+  /// When the first of Servers takes requests again; nothing unless all of them
+  /// rest or are being probed after a rest.
+  std::optional<Common::TimePoint>
+  restEnd(const std::vector<ServerIncarnation> &Servers,
+          Common::TimePoint Now) const;
   /// Removes the conditions of servers that IsKnown does not list, once their
   /// rests are over.
   template <typename Predicate>
--- a/Source/Core/Routing/ServerPool.cpp
+++ b/Source/Core/Routing/ServerPool.cpp
@@ -73,19 +73,11 @@
 
 std::optional<Common::TimePoint>
 ServerPool::restEnd(Common::TimePoint Now) const {
-  std::optional<Common::TimePoint> Soonest;
-  for (const auto &[Id, Each] : this->Servers) {
-    if (!Each.Status.Usable || Each.FailedAtSequence)
-      continue;
-    const ServerCondition *Condition =
-        this->Conditions.find(Each.incarnation());
-    if (!Condition || Condition->acceptsRequests(Now))
-      return std::nullopt;
-    const Common::TimePoint End = std::max(Condition->restEnd(), Now);
-    if (!Soonest || End < *Soonest)
-      Soonest = End;
-  }
-  return Soonest;
+  std::vector<ServerIncarnation> Usable;
+  for (const auto &Each : this->Servers)
+    if (Each.second.Status.Usable && !Each.second.FailedAtSequence)
+      Usable.push_back(Each.second.incarnation());
+  return this->Conditions.restEnd(Usable, Now);
 }
 
 void ServerPool::removeUnused() {
--- a/Source/Core/Routing/ServerTable.cpp
+++ b/Source/Core/Routing/ServerTable.cpp
@@ -461,20 +461,11 @@
   const auto Found = this->Rings.find(Service);
   if (Found == this->Rings.end())
     return std::nullopt;
-  std::optional<Common::TimePoint> Soonest;
-  for (const Common::BackendServerId &Id : Found->second.Servers) {
-    const auto *Entry = this->Registry.find(Id);
-    if (!Entry)
-      continue;
-    const ServerCondition *Condition =
-        this->Conditions.find(incarnationOf(Entry->Record));
-    if (!Condition || Condition->acceptsRequests(Now))
-      return std::nullopt;
-    const Common::TimePoint End = std::max(Condition->restEnd(), Now);
-    if (!Soonest || End < *Soonest)
-      Soonest = End;
-  }
-  return Soonest;
+  std::vector<ServerIncarnation> Servers;
+  for (const Common::BackendServerId &Id : Found->second.Servers)
+    if (const auto *Entry = this->Registry.find(Id))
+      Servers.push_back(incarnationOf(Entry->Record));
+  return this->Conditions.restEnd(Servers, Now);
 }
 
 bool ServerTable::recordStart(const PlacementChoice &At,
--- a/Source/EntryDaemon/JournaledCall.cpp
+++ b/Source/EntryDaemon/JournaledCall.cpp
@@ -187,11 +187,13 @@
   Handlers.OnStart = [Self](const Common::BackendServerId &Chosen) {
     Self->claim(Chosen);
   };
-  Handlers.OnServerRests = [Self] {
-    if (!Self->Sending || !Self->Sending->cancelIfUnsent())
-      return;
-    Self->Sending.reset();
-    Self->release(false);
+  Handlers.CancelIfUnsent = [Self] {
+    if (Self->Sending && Self->Sending->cancelIfUnsent()) {
+      Self->Sending.reset();
+      Self->release(false);
+    }
+    // The request is queued again once its claim is released.
+    return false;
   };
   Handlers.OnRefuse = [Self](RefusalReason Reason) {
     Self->dispatchRefused(Reason);
@@ -432,13 +434,9 @@
   this->Context.Metrics.recordRefusal(Reason);
   Telemetry::log(Events::JournaledCallRefused, Common::refusalInfo(Reason).Name,
                  this->Key.Key.str(), this->Key.Caller.str());
-  if (!this->Exchange)
-    return;
-  Common::Refusal Refusal{Reason, Detail};
-  if (Reason == RefusalReason::ServersResting)
-    Refusal.RetryAfter = this->Dispatchers.retryAfter(
-        this->Request.Service, this->Request.Work.Priority);
-  this->Exchange->reply(Network::problemResponse(Refusal));
+  if (this->Exchange)
+    this->Exchange->reply(Network::problemResponse(this->Dispatchers.refusal(
+        this->Request.Service, this->Request.Work.Priority, Reason, Detail)));
 }
 
 void JournaledCall::replyAnswer(const Network::HttpResponse &Answer) {
--- a/Source/EntryDaemon/ModelCall.cpp
+++ b/Source/EntryDaemon/ModelCall.cpp
@@ -2,6 +2,7 @@
 
 #include "EntryDaemon/PlainCall.h"
 #include "Network/Problem.h"
+#include "Network/RetryAfter.h"
 #include "Telemetry/LogEvents.h"
 
 #include <absl/strings/str_cat.h>
@@ -16,8 +17,6 @@
 /// The stream counts as broken if the engine sends nothing for this long.
 constexpr Common::Duration EngineIdleTimeout = std::chrono::seconds(30);
 constexpr int StatusOk = 200;
-constexpr int StatusTooManyRequests = 429;
-constexpr int StatusUnavailable = 503;
 constexpr int FirstServerError = 500;
 
 } // namespace
@@ -46,11 +45,11 @@
     Self->Attempt.reset();
     Self->MayHaveRun = true;
   };
-  Handlers.OnServerRests = [Self] {
+  Handlers.CancelIfUnsent = [Self] {
     if (!Self->Attempt || !Self->Attempt->cancelIfUnsent())
-      return;
+      return false;
     Self->Attempt.reset();
-    Self->Dispatchers.requeue(Self->Request.Service, Self->Request.Work.Id);
+    return true;
   };
   Handlers.OnRefuse = [Self](RefusalReason Reason) {
     Self->refuse(Reason, "");
@@ -165,10 +164,8 @@
                                Routing::Failure::ConnectFailed);
     return;
   }
-  const bool Busy = Result == Network::HttpCallResult::Complete &&
-                    (Answer.Status == StatusTooManyRequests ||
-                     Answer.Status == StatusUnavailable);
-  if (Busy) {
+  if (Result == Network::HttpCallResult::Complete &&
+      Network::isRejection(Answer.Status)) {
     // Not retried, since retries would add to the overload.
     this->Dispatchers.remove(Service, Id);
     this->refuse(RefusalReason::QueueFull,
@@ -227,10 +224,8 @@
   if (this->MayHaveRun)
     Reason = reasonAfterRun(Reason);
   this->Context.Metrics.recordRefusal(Reason);
-  Common::Refusal Refusal{Reason, Detail};
-  if (Refusal.outcome() == Common::Outcome::NotExecuted)
-    Refusal.RetryAfter = this->Dispatchers.retryAfter(
-        this->Request.Service, this->Request.Work.Priority);
+  const Common::Refusal Refusal = this->Dispatchers.refusal(
+      this->Request.Service, this->Request.Work.Priority, Reason, Detail);
   Telemetry::log(Events::ModelCallRefused, Common::refusalInfo(Reason).Name,
                  this->Request.Work.Id.Value, this->Request.Work.Caller.str());
   if (!this->Exchange->isStreaming()) {
--- a/Source/EntryDaemon/PlainCall.cpp
+++ b/Source/EntryDaemon/PlainCall.cpp
@@ -98,11 +98,11 @@
   Handlers.OnStart = [Self](const Common::BackendServerId &Chosen) {
     Self->send(Chosen);
   };
-  Handlers.OnServerRests = [Self] {
+  Handlers.CancelIfUnsent = [Self] {
     if (!Self->Attempt || !Self->Attempt->cancelIfUnsent())
-      return;
+      return false;
     Self->Attempt.reset();
-    Self->Dispatchers.requeue(Self->Request.Service, Self->Request.Work.Id);
+    return true;
   };
   Handlers.OnRefuse = [Self](RefusalReason Reason) { Self->refuse(Reason); };
   const auto Refused = this->Dispatchers.submit(
@@ -190,11 +190,8 @@
   if (this->MayHaveRun)
     Reason = reasonAfterRun(Reason);
   this->Context.Metrics.recordRefusal(Reason);
-  Common::Refusal Refusal{Reason, ""};
-  if (Refusal.outcome() == Common::Outcome::NotExecuted)
-    Refusal.RetryAfter = this->Dispatchers.retryAfter(
-        this->Request.Service, this->Request.Work.Priority);
-  this->Exchange->reply(Network::problemResponse(Refusal));
+  this->Exchange->reply(Network::problemResponse(this->Dispatchers.refusal(
+      this->Request.Service, this->Request.Work.Priority, Reason, "")));
 }
 
 void PlainCall::interrupt() {
--- a/Source/EntryDaemon/ServiceDispatchers.cpp
+++ b/Source/EntryDaemon/ServiceDispatchers.cpp
@@ -336,7 +336,8 @@
   if (!*Asked)
     return;
   const Common::TimePoint Now = this->Context.Loop.now();
-  this->Context.Metrics.incrementCounter("rests_requested_total");
+  this->Context.Metrics.incrementLabelledCounter(
+      "rests_requested_total", "status", std::to_string(Head.Status));
   const auto RestEnd = Entry->Dispatcher.onRetryAfter(Id, **Asked, Now);
   if (!RestEnd)
     return;
@@ -348,11 +349,10 @@
        Entry->Dispatcher.requestsAt(From->BackendServer)) {
     const auto Found = Entry->Calls.find(Waiting);
     if (Waiting == Id || Found == Entry->Calls.end() ||
-        !Found->second.OnServerRests)
+        !Found->second.CancelIfUnsent || !Found->second.CancelIfUnsent())
       continue;
-    // Copied, as the handler may change the table of calls.
-    const auto OnServerRests = Found->second.OnServerRests;
-    OnServerRests();
+    this->Context.Metrics.incrementCounter("requests_withheld_total");
+    this->requeue(Service, Waiting);
   }
 }
 
@@ -362,21 +362,25 @@
   return !Dispatcher || Dispatcher->mayWrite(Id, this->Context.Loop.now());
 }
 
-std::optional<Common::Duration>
-ServiceDispatchers::retryAfter(const Common::ServiceName &Service,
-                               const Common::PriorityName &Priority) {
+Common::Refusal ServiceDispatchers::refusal(
+    const Common::ServiceName &Service, const Common::PriorityName &Priority,
+    Common::RefusalReason Reason, const std::string &Details) {
+  Common::Refusal Result{Reason, Details};
   const Common::TimePoint Now = this->Context.Loop.now();
   const Routing::Dispatcher *Dispatcher = this->findDispatcher(Service);
   const auto RestEnd =
       Dispatcher ? Dispatcher->pool().restEnd(Now) : std::nullopt;
-  if (!RestEnd)
-    return std::nullopt;
+  const bool Depends = Reason == Common::RefusalReason::ServersResting ||
+                       Reason == Common::RefusalReason::QueueFull;
+  if (!RestEnd || !Depends)
+    return Result;
   const auto &Priorities = this->Context.Declared.priorities();
   const auto Declared = Priorities.find(Priority);
   Routing::RefusedCaller Caller;
   if (Declared != Priorities.end())
     Caller.Priority = static_cast<std::uint32_t>(Declared->second.Rank);
-  return this->Returns.add(Service, Caller, *RestEnd, Now);
+  Result.RetryAfter = this->Returns.add(Service, Caller, *RestEnd, Now);
+  return Result;
 }
 
 void ServiceDispatchers::requeue(const Common::ServiceName &Service,
--- a/Source/EntryDaemon/ServiceDispatchers.h
+++ b/Source/EntryDaemon/ServiceDispatchers.h
@@ -18,9 +18,9 @@
   std::function<void(const Common::BackendServerId &)> OnStart;
   /// Cancel the attempt; the request is queued again.
   std::function<void()> OnPreempt;
-  /// The server has asked for rest: call requeue() if the request has not been
-  /// written to it.
-  std::function<void()> OnServerRests;
+  /// The server has asked for rest: cancel the attempt if its request has not
+  /// been written. Returns whether the request can be queued again.
+  std::function<bool()> CancelIfUnsent;
   /// The request is refused and no longer in the dispatcher.
   std::function<void(Common::RefusalReason)> OnRefuse;
 };
@@ -79,11 +79,12 @@
                       const Network::HttpResponse &Head);
   /// Whether the request may be written to the server that was chosen for it.
   bool mayWrite(const Common::ServiceName &Service, Common::RequestId Id) const;
-  /// When a caller that is refused should return; nothing unless all servers of
-  /// the service rest.
-  std::optional<Common::Duration>
-  retryAfter(const Common::ServiceName &Service,
-             const Common::PriorityName &Priority);
+  /// The refusal of a call. While all servers of the service rest, it asks the
+  /// caller to return after that.
+  Common::Refusal refusal(const Common::ServiceName &Service,
+                          const Common::PriorityName &Priority,
+                          Common::RefusalReason Reason,
+                          const std::string &Details);
   /// The attempt was not sent, for a reason unrelated to the server; the
   /// request is queued again.
   void requeue(const Common::ServiceName &Service, Common::RequestId Id);
