--- a/review/harness/DeadSeeds.cpp
+++ b/review/harness/DeadSeeds.cpp
@@ -37,7 +37,7 @@
            "\",\"route-kind\":\"safe\",\"timeout-ms\":1500,\"slo-ms\":150,"
            "\"priority\":0,\"service\":\"" +
            To +
-           "\",\"max-attempts\":2,\"public\":true,\"sticky\":false,"
+           "\",\"max-attempts\":2,\"public\":false,\"sticky\":false,"
            "\"resumable\":false}";
   };
   const auto Service1 = [](const std::string &Name) {
