Network: A client learns when the peer has handled its payloads

Cause: a state daemon cannot tell a message that its peer has processed from one that waits in a socket, so no acknowledgement can rest on it.

Change: FrameClient::whenHandled sends a keepalive behind the payloads. A FrameServer handles frames in order and echoes keepalives, so the echo proves that the payloads before it were handled. Nothing is reported for a connection that has failed.

FrameServer_/PayloadsCountAsHandledOnceThePeerProcessedThem is new; nothing uses the function yet.

--- a/Source/Core/Network/FrameSocket.cpp
+++ b/Source/Core/Network/FrameSocket.cpp
@@ -182,7 +182,7 @@
       EventHandlers(std::move(EventHandlers)) {
   this->connect();
   this->KeepAliveTimer =
-      Loop.callEvery(KeepAliveInterval, [this] { this->sendKeepAlive(); });
+      Loop.callEvery(KeepAliveInterval, [this] { this->checkConnection(); });
 }
 
 bool FrameClient::isResponsive() const {
@@ -190,13 +190,37 @@
          this->Loop.now() - this->LastContact < ResponsiveTimeout;
 }
 
-void FrameClient::sendKeepAlive() {
+void FrameClient::checkConnection() {
   if (!this->Socket)
     return;
   if (this->Loop.now() - this->LastContact > ReconnectTimeout)
     this->disconnect();
   else
-    this->send("");
+    this->sendKeepAlive();
+}
+
+void FrameClient::sendKeepAlive() {
+  if (this->send(""))
+    ++this->KeepAlivesSent;
+}
+
+void FrameClient::whenHandled(std::function<void()> OnHandled) {
+  const std::uint64_t SentBefore = this->KeepAlivesSent;
+  this->sendKeepAlive();
+  // The peer handles frames in order, so it has handled all payloads before the
+  // keepalive when it echoes that.
+  if (this->KeepAlivesSent != SentBefore)
+    this->HandledCallbacks.emplace(this->KeepAlivesSent, std::move(OnHandled));
+}
+
+void FrameClient::handleKeepAliveEcho() {
+  ++this->KeepAlivesEchoed;
+  while (!this->HandledCallbacks.empty() &&
+         this->HandledCallbacks.begin()->first <= this->KeepAlivesEchoed) {
+    const auto OnHandled = std::move(this->HandledCallbacks.begin()->second);
+    this->HandledCallbacks.erase(this->HandledCallbacks.begin());
+    OnHandled();
+  }
 }
 
 FrameClient::~FrameClient() {
@@ -244,6 +268,9 @@
   bufferevent_setcb(this->Socket, nullptr, nullptr, nullptr, nullptr);
   this->Socket = nullptr;
   this->Buffer.clear();
+  this->KeepAlivesSent = 0;
+  this->KeepAlivesEchoed = 0;
+  this->HandledCallbacks.clear();
   const bool WasConnected = this->Connected;
   this->Connected = false;
   this->ReconnectTimer =
@@ -266,7 +293,9 @@
       return;
     }
     std::string &Bytes = std::get<FrameCodec::Payload>(Result).Bytes;
-    if (!Bytes.empty())
+    if (Bytes.empty())
+      this->handleKeepAliveEcho();
+    else
       this->EventHandlers.OnPayload(std::move(Bytes));
   }
 }
--- a/Source/Core/Network/FrameSocket.h
+++ b/Source/Core/Network/FrameSocket.h
@@ -89,13 +89,18 @@
   /// Returns false if nothing was sent, because the connection is down or its
   /// output buffer is full.
   bool send(std::string_view Payload);
+  /// Runs OnHandled once the peer has handled all payloads that were sent
+  /// before. Does not run it if the connection fails before that is known.
+  void whenHandled(std::function<void()> OnHandled);
   const Address &peer() const { return this->To; }
 
 private:
   void connect();
   void read();
   void disconnect();
+  void checkConnection();
   void sendKeepAlive();
+  void handleKeepAliveEcho();
 
   EventLoop &Loop;
   Address To;
@@ -106,6 +111,11 @@
   std::string Buffer;
   /// When data was last received, or the connection attempt started.
   Common::TimePoint LastContact;
+  /// Keepalives sent and echoed on the current connection.
+  std::uint64_t KeepAlivesSent = 0;
+  std::uint64_t KeepAlivesEchoed = 0;
+  /// Handlers of whenHandled, by the keepalive whose echo they wait for.
+  std::multimap<std::uint64_t, std::function<void()>> HandledCallbacks;
   EventHandle ReconnectTimer;
   EventHandle KeepAliveTimer;
 };
--- a/Source/UnitTests/Network/FrameServerTest.cpp
+++ b/Source/UnitTests/Network/FrameServerTest.cpp
@@ -62,6 +62,33 @@
   BOOST_TEST(runUntil(*this->Loop, [&] { return Received == 5; }));
 }
 
+// Guards against acknowledgements that rest on bytes in a socket: a message
+// counts as handled when the peer has processed it, not when it was written.
+BOOST_FIXTURE_TEST_CASE(PayloadsCountAsHandledOnceThePeerProcessedThem,
+                        Fixture) {
+  FrameClient::Handlers Handlers;
+  Handlers.OnRefused = [](Common::RefusalReason) {};
+  FrameClient Client(*this->Loop, this->Listen, Key, std::move(Handlers));
+  bool Lost = false;
+  Client.whenHandled([&] { Lost = true; });
+  BOOST_REQUIRE(runUntil(*this->Loop, [&] { return Client.isConnected(); }));
+  std::vector<std::size_t> HandledAt;
+  for (std::size_t I = 1; I <= 3; ++I) {
+    Client.send("payload");
+    Client.whenHandled([&] { HandledAt.push_back(this->Connections.size()); });
+  }
+  BOOST_TEST(HandledAt.empty());
+  BOOST_REQUIRE(runUntil(*this->Loop, [&] { return HandledAt.size() == 3; }));
+  for (std::size_t I = 0; I < 3; ++I)
+    BOOST_TEST(HandledAt[I] >= I + 1);
+  // Nothing is known of what was sent on a connection that has failed.
+  Client.send("payload");
+  Client.whenHandled([&] { Lost = true; });
+  this->Server.reset();
+  BOOST_REQUIRE(runUntil(*this->Loop, [&] { return !Client.isConnected(); }));
+  BOOST_TEST(!Lost);
+}
+
 // A peer does not read while large declarations are pushed (a state daemon of
 // halonen-polkky-large reached its memory limit). Its connection is closed
 // before its unread messages take much memory.
