Membership: The end of a later incarnation than the known one holds

What servers saw: a server that had started again under its id, and deregistered at a state daemon that knew only its earlier incarnation, got requests again once a heartbeat of the later one arrived there.

Cause: markGone marked the known, earlier incarnation as gone and dropped the start time that the server had stated. A heartbeat of the later incarnation was then that of a new server.

Change: applyEnd takes a ServerEnd (id, start time, phase). The record takes the stated start time; what was known of the earlier incarnation is dropped, as it does not describe this one. It also marks servers as leaving, and says whether that is news. A record that was made of an end has no address, so it does not claim one.

Evidence: with the condition on the start time left out, ServerRegistry_/TheEndOfALaterIncarnationThanTheKnownOneHolds fails in both of its checks; with the one on the address, ServerRegistry_/UnknownServersThatLeaveDoNotReplaceEachOther fails (trials).

--- a/Source/Core/Membership/ServerRegistry.cpp
+++ b/Source/Core/Membership/ServerRegistry.cpp
@@ -15,7 +15,8 @@
 } // namespace
 
 bool ServerRegistry::claimAddress(const ServerRecord &Record) {
-  if (Record.Phase == ServerPhase::Gone)
+  // A record that was made of a ServerEnd has no address.
+  if (Record.Phase == ServerPhase::Gone || Record.Address.empty())
     return true;
   const auto Owner = this->AddressOwners.find(Record.Address);
   if (Owner != this->AddressOwners.end() && Owner->second != Record.Id) {
@@ -63,25 +64,21 @@
   return Unchanged ? Outcome::Refreshed : Outcome::Changed;
 }
 
-bool ServerRegistry::markGone(const Common::BackendServerId &Id,
-                              std::uint64_t StartedAt, Common::TimePoint Now) {
-  const auto Found = this->Entries.find(Id);
-  if (Found == this->Entries.end()) {
-    // Other daemons may know the server.
-    if (StartedAt == 0)
-      return false;
-    ServerRecord Unknown;
-    Unknown.Id = Id;
-    Unknown.StartedAt = StartedAt;
-    Unknown.Phase = ServerPhase::Gone;
-    this->Entries[Id] = Entry{Unknown, Now};
-    return true;
-  }
-  ServerRecord &Stored = Found->second.Record;
-  if (StartedAt != 0 && StartedAt < Stored.StartedAt)
+bool ServerRegistry::applyEnd(const ServerEnd &End, Common::TimePoint Now) {
+  Entry &Known = this->Entries[End.Id];
+  ServerRecord &Stored = Known.Record;
+  const bool Unknown = Stored.Id.empty();
+  if (!Unknown &&
+      ServerEnd{Stored.Id, Stored.StartedAt, Stored.Phase}.covers(End))
     return false;
-  Stored.Phase = ServerPhase::Gone;
-  Found->second.HeardAt = Now;
+  if (Unknown || End.StartedAt > Stored.StartedAt) {
+    // What is known of an earlier incarnation does not describe this one.
+    Stored = ServerRecord();
+    Stored.Id = End.Id;
+    Stored.StartedAt = End.StartedAt;
+  }
+  Stored.Phase = End.Phase;
+  Known.HeardAt = Now;
   return true;
 }
 
--- a/Source/Core/Membership/ServerRegistry.h
+++ b/Source/Core/Membership/ServerRegistry.h
@@ -2,7 +2,7 @@
 #define SYCAMOREREACH_MEMBERSHIP_SERVERREGISTRY_H
 
 #include "Common/Time.h"
-#include "Membership/ServerRecord.h"
+#include "Membership/ServerEnd.h"
 
 #include <functional>
 #include <map>
@@ -33,11 +33,11 @@
 
   /// Applies a record that a server or another daemon sent.
   Outcome update(const ServerRecord &Record, Common::TimePoint Now);
-  /// Marks a server that deregistered as gone, also if only other daemons know
-  /// it. Returns false if StartedAt belongs to an older incarnation, or is 0,
-  /// which matches any incarnation, and the server is unknown.
-  bool markGone(const Common::BackendServerId &Id, std::uint64_t StartedAt,
-                Common::TimePoint Now);
+  /// Marks an incarnation as leaving or gone, also if this registry does not
+  /// know it, so that a delayed heartbeat does not add it as serving. Returns
+  /// whether that is news; it is none about an older incarnation than the known
+  /// one.
+  bool applyEnd(const ServerEnd &End, Common::TimePoint Now);
   /// Applies a refresh from another daemon that received message Sequence of
   /// this incarnation, in which the server was in Phase. Returns whether the
   /// phase changed, as the message that changed it was missed.
--- a/Source/StateDaemon/ControllerHttp.cpp
+++ b/Source/StateDaemon/ControllerHttp.cpp
@@ -66,9 +66,14 @@
 
 void Controller::handleDeregistration(Network::Http1Exchange &Exchange,
                                       const Common::BackendServerId &Id) {
-  const std::uint64_t StartedAt =
-      Platform::decodeDeregistration(Exchange.body());
-  if (this->Registry.markGone(Id, StartedAt, this->Loop.now()))
+  Membership::ServerEnd End{Id, Platform::decodeDeregistration(Exchange.body()),
+                            Membership::ServerPhase::Gone};
+  const auto *Known = this->Registry.find(Id);
+  // Without a start time the known incarnation is meant.
+  if (End.StartedAt == 0 && Known)
+    End.StartedAt = Known->Record.StartedAt;
+  const bool IsNamed = End.StartedAt != 0 || Known;
+  if (IsNamed && this->Registry.applyEnd(End, this->Loop.now()))
     this->publishServerChange(this->Registry.find(Id)->Record, true);
   Exchange.reply(200, JsonType, "{}");
 }
--- a/Source/UnitTests/Membership/ServerRegistryTest.cpp
+++ b/Source/UnitTests/Membership/ServerRegistryTest.cpp
@@ -27,6 +27,10 @@
   return Result;
 }
 
+ServerEnd gone(const char *Id, std::uint64_t StartedAt) {
+  return {Common::BackendServerId(Id), StartedAt, ServerPhase::Gone};
+}
+
 ServerPhase phaseOf(const ServerRegistry &Of, const char *Id) {
   return Of.find(Common::BackendServerId(Id))->Record.Phase;
 }
@@ -58,7 +62,7 @@
   Registry.update(record("a", 1, 2, ServerPhase::Leaving), {});
   Registry.update(record("a", 1, 3), {});
   BOOST_CHECK(phaseOf(Registry, "a") == ServerPhase::Leaving);
-  Registry.markGone(Common::BackendServerId("a"), 1, {});
+  Registry.applyEnd(gone("a", 1), {});
   Registry.update(record("a", 1, 4), {});
   BOOST_CHECK(phaseOf(Registry, "a") == ServerPhase::Gone);
 }
@@ -69,7 +73,7 @@
 BOOST_AUTO_TEST_CASE(GoneIsAcceptedAfterALaterHeartbeat) {
   ServerRegistry Deregistered;
   Deregistered.update(record("a", 1, 6), {});
-  Deregistered.markGone(Common::BackendServerId("a"), 1, {});
+  Deregistered.applyEnd(gone("a", 1), {});
   ServerRegistry Other;
   Other.update(record("a", 1, 7), {});
   const auto &Gone = Deregistered.find(Common::BackendServerId("a"))->Record;
@@ -95,21 +99,59 @@
 // does not know yet.
 BOOST_AUTO_TEST_CASE(UnknownServerCanBeMarkedGone) {
   ServerRegistry Registry;
-  BOOST_TEST(Registry.markGone(Common::BackendServerId("a"), 5, {}));
+  BOOST_TEST(Registry.applyEnd(gone("a", 5), {}));
   Registry.update(record("a", 5, 9), {});
   BOOST_CHECK(phaseOf(Registry, "a") == ServerPhase::Gone);
   BOOST_CHECK(Registry.update(record("a", 6, 1), {}) == Outcome::Changed);
-  BOOST_TEST(!Registry.markGone(Common::BackendServerId("b"), 0, {}));
+  // A repeated or older end is no news.
+  BOOST_TEST(!Registry.applyEnd(gone("a", 5), {}));
+  BOOST_TEST(Registry.applyEnd(gone("a", 6), {}));
+  BOOST_TEST(!Registry.applyEnd(gone("a", 6), {}));
+}
+
+// A daemon that knew an earlier incarnation marked that one as gone, and the
+// next heartbeat of the later one made it serving.
+BOOST_AUTO_TEST_CASE(TheEndOfALaterIncarnationThanTheKnownOneHolds) {
+  ServerRegistry Registry;
+  Registry.update(record("a", 1, 7), {});
+  BOOST_TEST(Registry.applyEnd(gone("a", 2), {}));
+  Registry.update(record("a", 2, 5), {});
+  BOOST_CHECK(phaseOf(Registry, "a") == ServerPhase::Gone);
+  // Another daemon that knows neither hears of it.
+  ServerRegistry Other;
+  Other.update(Registry.find(Common::BackendServerId("a"))->Record, {});
+  BOOST_CHECK(phaseOf(Other, "a") == ServerPhase::Gone);
+}
+
+// Ends carry no address, so they say nothing about other servers.
+BOOST_AUTO_TEST_CASE(UnknownServersThatLeaveDoNotReplaceEachOther) {
+  ServerRegistry Registry;
+  const auto Leaving = [&Registry](const char *Id, std::uint64_t StartedAt) {
+    ServerRecord Told;
+    Told.Id = Common::BackendServerId(Id);
+    Told.StartedAt = StartedAt;
+    Told.Phase = ServerPhase::Leaving;
+    Registry.update(Told, {});
+  };
+  Leaving("a", 1);
+  Leaving("b", 2);
+  BOOST_CHECK(phaseOf(Registry, "a") == ServerPhase::Leaving);
+  BOOST_CHECK(phaseOf(Registry, "b") == ServerPhase::Leaving);
+  // Its heartbeat tells where it is, and does not bring it back.
+  BOOST_CHECK(Registry.update(record("a", 1, 3), {}) == Outcome::Changed);
+  BOOST_CHECK(phaseOf(Registry, "a") == ServerPhase::Leaving);
+  BOOST_TEST(Registry.find(Common::BackendServerId("a"))->Record.Address.Ip ==
+             "10.0.0.1");
 }
 
 BOOST_AUTO_TEST_CASE(ANewIncarnationUnderTheSameIdServesAgain) {
   ServerRegistry Registry;
   Registry.update(record("a", 1, 9), {});
-  Registry.markGone(Common::BackendServerId("a"), 1, {});
+  Registry.applyEnd(gone("a", 1), {});
   BOOST_CHECK(Registry.update(record("a", 2, 1), {}) == Outcome::Changed);
   BOOST_CHECK(phaseOf(Registry, "a") == ServerPhase::Serving);
   BOOST_CHECK(Registry.update(record("a", 1, 10), {}) == Outcome::Stale);
-  BOOST_TEST(!Registry.markGone(Common::BackendServerId("a"), 1, {}));
+  BOOST_TEST(!Registry.applyEnd(gone("a", 1), {}));
   BOOST_CHECK(phaseOf(Registry, "a") == ServerPhase::Serving);
 }
 
