StateDaemon: Ends of servers are recorded before they are acknowledged

Cause: the handler answered 200 in the call that changed its own memory. The other state daemons and the entry daemons were told by a timer 4 ms later, and nothing was stored. A server that was answered need not say it again, so nobody learned of it any more.

The logs had no line for the answer; server_end_decided is new.

Change: what ends an incarnation (a heartbeat that reports draining, a deregistration) is spread at once as before, and answered 200 once it is in the replicated log. A follower asks the leader (ServerEndRequest, repeated each 200 ms). What is not confirmed within 0.8 s is answered 503 with a body that says so. A command that a member does not know would stop that member, so the leader first raises the group's protocol level once all members have said that they support it (PeerHello); below it, an end is acknowledged once a majority of the members holds it in memory (FrameClient::whenHandled), which peers of the previous release confirm as well. A deregistration without a start time of a server that the daemon does not know is answered 503 instead of 200: nobody was told of it.

Why it works: the log is synced by a majority, and each member applies it to its registry and tells its entry daemons, whoever is lost.

Ruled out: a shorter delay, or a write to the socket before the answer: the tests' daemon writes into links that drop everything. Memory of a majority alone: lost when all daemons lose power.

--- a/Source/Core/State/ControlProtocol.h
+++ b/Source/Core/State/ControlProtocol.h
@@ -45,6 +45,32 @@
   template <class Archive> void serialize(Archive &Ar) { Ar(this->Self); }
 };
 
+/// First message of a state daemon to a member of its group. A daemon of a
+/// release before it sends none, and supports no level.
+struct PeerHello {
+  Consensus::ReplicaId Self;
+  ProtocolLevel SupportedLevel;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(this->Self, this->SupportedLevel);
+  }
+};
+
+/// Asks the leader to record these ends in the replicated log. Sent until it is
+/// answered. Requires ServerEndsLevel.
+struct ServerEndRequest {
+  std::vector<Membership::ServerEnd> Ends;
+
+  template <class Archive> void serialize(Archive &Ar) { Ar(this->Ends); }
+};
+
+/// Response to a ServerEndRequest: the ends are recorded.
+struct ServerEndConfirmation {
+  std::vector<Membership::ServerEnd> Ends;
+
+  template <class Archive> void serialize(Archive &Ar) { Ar(this->Ends); }
+};
+
 /// Heartbeat of a server whose record is unchanged except for its sequence
 /// number. It repeats the phase, so that a daemon that missed the change learns
 /// it.
@@ -331,7 +357,8 @@
     std::variant<Consensus::Message, JoinRequest, RegistryDelta, EntryHello,
                  StateEndpoints, DeclarationPush, EntryPoll, EntryPollResponse,
                  TokenRequest, TokenDecisions, TokenPoolRequest, TokenPoolGrant,
-                 ServerLoads, LeaveRequest, LeaveConfirmation>;
+                 ServerLoads, LeaveRequest, LeaveConfirmation, PeerHello,
+                 ServerEndRequest, ServerEndConfirmation>;
 
 } // namespace State
 
--- a/Source/Core/State/ControlState.cpp
+++ b/Source/Core/State/ControlState.cpp
@@ -62,19 +62,67 @@
       ++Each.Probes;
 }
 
-std::string ControlState::snapshot() const { return Network::encode(*this); }
+void ControlState::applyCommand(const RaiseProtocolLevelCommand &Command) {
+  this->Level = std::max(this->Level, Command.Level);
+}
+
+void ControlState::applyCommand(const RecordServerEndsCommand &Command) {
+  for (const Membership::ServerEnd &Each : Command.Ends)
+    this->recordServerEnd(Each);
+}
+
+void ControlState::recordServerEnd(const Membership::ServerEnd &End) {
+  if (this->hasServerEnd(End))
+    return;
+  this->Ends[End.Id] = RecordedEnd{End, ++this->LastEndNumber};
+  if (this->Ends.size() <= MaxServerEnds)
+    return;
+  this->Ends.erase(std::min_element(this->Ends.begin(), this->Ends.end(),
+                                    [](const auto &A, const auto &B) {
+                                      return A.second.Number < B.second.Number;
+                                    }));
+}
+
+bool ControlState::hasServerEnd(const Membership::ServerEnd &End) const {
+  const auto Found = this->Ends.find(End.Id);
+  return Found != this->Ends.end() && Found->second.End.covers(End);
+}
+
+std::vector<Membership::ServerEnd> ControlState::serverEnds() const {
+  std::vector<Membership::ServerEnd> Result;
+  Result.reserve(this->Ends.size());
+  for (const auto &Each : this->Ends)
+    Result.push_back(Each.second.End);
+  return Result;
+}
+
+std::string ControlState::endOfSnapshotWithoutServerEnds() {
+  const ControlState Empty;
+  return Network::encode(Empty.Level) + Network::encode(Empty.Ends) +
+         Network::encode(Empty.LastEndNumber);
+}
+
+std::string ControlState::snapshot() const {
+  std::string Result = Network::encode(*this);
+  if (this->Level < ServerEndsLevel)
+    Result.resize(Result.size() - endOfSnapshotWithoutServerEnds().size());
+  return Result;
+}
 
 absl::StatusOr<ControlState> ControlState::restore(const std::string &Bytes) {
   if (Bytes.empty())
     return ControlState();
   absl::StatusOr<ControlState> Result = Network::decode<ControlState>(Bytes);
-  if (Result.ok())
-    return Result;
-  // Releases before the refusals wrote the other members only.
+  // Earlier releases, and groups at an earlier level, write only the first
+  // members.
+  const std::string NoServerEnds = endOfSnapshotWithoutServerEnds();
   const std::string NoRefusals = Network::encode(std::vector<Refusal>());
-  if (auto Older = Network::decode<ControlState>(Bytes + NoRefusals);
-      Older.ok())
-    return Older;
+  for (const std::string &Missing : {NoServerEnds, NoRefusals + NoServerEnds}) {
+    if (Result.ok())
+      break;
+    if (auto Older = Network::decode<ControlState>(Bytes + Missing); Older.ok())
+      return Older;
+  }
   return Result;
 }
 
--- a/Source/Core/State/ControlState.h
+++ b/Source/Core/State/ControlState.h
@@ -4,6 +4,7 @@
 #include "Common/CauseSet.h"
 #include "Common/Ids.h"
 #include "Configuration/ServiceMap.h"
+#include "Membership/ServerEnd.h"
 
 #include <absl/status/statusor.h>
 #include <cstdint>
@@ -18,6 +19,14 @@
 using UsageWindow = Common::StrongNumber<struct UsageWindowTag>;
 using UsageCounts = std::map<Configuration::TeamName, std::uint64_t>;
 
+/// What the members of a group may write into the log and send to each other;
+/// raised once all of them support it, so that daemons can be updated one at a
+/// time.
+using ProtocolLevel = Common::StrongNumber<struct ProtocolLevelTag>;
+/// RecordServerEndsCommand, ServerEndRequest and ServerEndConfirmation.
+inline constexpr ProtocolLevel ServerEndsLevel{1};
+inline constexpr ProtocolLevel SupportedProtocolLevel = ServerEndsLevel;
+
 /// Replaces the declaration by Document, the complete text sent by the
 /// operator. Ignored unless Version is higher than the current one.
 struct DeclareCommand {
@@ -72,11 +81,29 @@
   }
 };
 
+/// Allows the commands, messages and snapshots that were added up to Level.
+/// Proposed once all members of the group support it.
+struct RaiseProtocolLevelCommand {
+  ProtocolLevel Level;
+
+  template <class Archive> void serialize(Archive &Ar) { Ar(this->Level); }
+};
+
+/// Records servers that accept no new requests, before that is acknowledged.
+/// Requires ServerEndsLevel.
+struct RecordServerEndsCommand {
+  std::vector<Membership::ServerEnd> Ends;
+
+  template <class Archive> void serialize(Archive &Ar) { Ar(this->Ends); }
+};
+
 /// Commands are stored under their position in this list, so new ones are added
-/// at its end.
+/// at its end. A daemon that does not know a command cannot follow the log any
+/// further, so a new one also requires a new protocol level.
 using ControlCommand =
     std::variant<DeclareCommand, RecordUsageCommand, MarkUsageReportedCommand,
-                 RefuseCommand, EndRefusalCommand, ProbeRefusalCommand>;
+                 RefuseCommand, EndRefusalCommand, ProbeRefusalCommand,
+                 RaiseProtocolLevelCommand, RecordServerEndsCommand>;
 
 /// Requests with all of these causes are refused.
 struct Refusal {
@@ -90,9 +117,9 @@
 };
 
 /// The replicated state of `sycamore-state control`: the current declaration, a
-/// text document, the usage windows that are being reported, and what is
-/// refused because it crashes servers. Deterministic: equal logs produce equal
-/// states.
+/// text document, the usage windows that are being reported, what is refused
+/// because it crashes servers, and the servers that accept no new requests.
+/// Deterministic: equal logs produce equal states.
 class ControlState {
 public:
   /// Age, in windows, up to which a window is retained. Older windows are
@@ -122,25 +149,56 @@
   const std::vector<Refusal> &refusals() const { return this->Refusals; }
   static constexpr std::size_t MaxRefusals = 256;
 
+  ProtocolLevel protocolLevel() const { return this->Level; }
+
+  /// Whether End is recorded, or implied by what is recorded.
+  bool hasServerEnd(const Membership::ServerEnd &End) const;
+  /// The recorded ends, ordered by server: for each server that of its latest
+  /// incarnation. Beyond MaxServerEnds the oldest ones are dropped.
+  std::vector<Membership::ServerEnd> serverEnds() const;
+  /// Several times the number of servers that leave within the longest delay of
+  /// a heartbeat.
+  static constexpr std::size_t MaxServerEnds = 2048;
+
+  /// Below ServerEndsLevel in the encoding of the releases before it.
   std::string snapshot() const;
   static absl::StatusOr<ControlState> restore(const std::string &Bytes);
 
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(this->Version, this->Document, this->Usage, this->Refusals);
+    Ar(this->Version, this->Document, this->Usage, this->Refusals, this->Level,
+       this->Ends, this->LastEndNumber);
   }
 
 private:
+  /// An end and its position in the order in which ends were recorded.
+  struct RecordedEnd {
+    Membership::ServerEnd End;
+    std::uint64_t Number = 0;
+    template <class Archive> void serialize(Archive &Ar) {
+      Ar(this->End, this->Number);
+    }
+  };
+
   void applyCommand(const DeclareCommand &Command);
   void applyCommand(const RecordUsageCommand &Command);
   void applyCommand(const MarkUsageReportedCommand &Command);
   void applyCommand(const RefuseCommand &Command);
   void applyCommand(const EndRefusalCommand &Command);
   void applyCommand(const ProbeRefusalCommand &Command);
+  void applyCommand(const RaiseProtocolLevelCommand &Command);
+  void applyCommand(const RecordServerEndsCommand &Command);
+  void recordServerEnd(const Membership::ServerEnd &End);
+  /// The bytes by which the encoding of a state below ServerEndsLevel is longer
+  /// than that of the releases before it.
+  static std::string endOfSnapshotWithoutServerEnds();
 
   Common::ConfigurationVersion Version;
   std::string Document;
   std::map<UsageWindow, WindowUsage> Usage;
   std::vector<Refusal> Refusals;
+  ProtocolLevel Level;
+  std::map<Common::BackendServerId, RecordedEnd> Ends;
+  std::uint64_t LastEndNumber = 0;
 };
 
 } // namespace State
--- a/Source/Core/Telemetry/LogEvents.h
+++ b/Source/Core/Telemetry/LogEvents.h
@@ -114,6 +114,12 @@
                                            {"server", "service", "datacentre",
                                             "address", "phase", "started",
                                             "sequence", "reclaimable"}};
+inline constexpr LogEvent<5> ServerEndDecided{
+    LogLevel::Info,
+    "server_end_decided",
+    {"server", "started", "phase", "outcome", "waited_ms"}};
+inline constexpr LogEvent<1> DeregistrationRefused{
+    LogLevel::Warning, "deregistration_refused", {"server"}};
 inline constexpr LogEvent<2> HeartbeatRefused{
     LogLevel::Warning, "heartbeat_refused", {"server", "detail"}};
 inline constexpr LogEvent<2> ReclaimNotice{
@@ -166,6 +172,8 @@
     LogLevel::Info, "lease_acquired", {"fencing"}};
 inline constexpr LogEvent<3> MembersChange{
     LogLevel::Info, "members_change", {"what", "replica", "outcome"}};
+inline constexpr LogEvent<1> ProtocolLevelRaised{
+    LogLevel::Info, "protocol_level_raised", {"level"}};
 inline constexpr LogEvent<4> ReplicaOpened{
     LogLevel::Info, "replica_opened", {"replica", "term", "last", "members"}};
 inline constexpr LogEvent<3> StateDaemonJoins{
--- a/Source/FaultTests/RoutedCluster.cpp
+++ b/Source/FaultTests/RoutedCluster.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <boost/test/unit_test.hpp>
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -19,7 +20,10 @@
 constexpr std::uint16_t ReadyPort = 21'603;
 constexpr std::uint16_t ServerPort = 21'604;
 constexpr std::uint16_t MetricsPort = 21'606;
-constexpr const char *LinkPort = "21605";
+constexpr std::uint16_t LinkPort = 21'605;
+/// Used by a state daemon whose links are forwarded.
+constexpr std::uint16_t ForwardedLinkPort = 21'607;
+constexpr int Seeds = 3;
 /// Last byte of the first entry daemon's address.
 constexpr int FirstEntryByte = 10;
 /// Nothing listens on the last address.
@@ -37,7 +41,7 @@
 
 std::string seedAddresses() {
   std::string Result;
-  for (int I = 1; I <= 3; ++I)
+  for (int I = 1; I <= Seeds; ++I)
     Result += (I > 1 ? "," : "") + stateDaemonIp(I) + ":" +
               std::to_string(ControlPort);
   return Result;
@@ -46,7 +50,7 @@
 } // namespace
 
 RoutedCluster::RoutedCluster() {
-  setenv("SYCAMORE_CLUSTER_KEY", "a-key-for-these-tests", 1);
+  setenv("SYCAMORE_CLUSTER_KEY", ClusterKey, 1);
   this->Folder = (std::filesystem::temp_directory_path() /
                   ("routed-" + std::to_string(getpid())))
                      .string();
@@ -76,6 +80,7 @@
 
 RoutedCluster::~RoutedCluster() {
   this->Processes.clear();
+  this->LinkForwarders.clear();
   this->Client.reset();
   this->Servers.clear();
   std::filesystem::remove_all(this->Folder);
@@ -119,13 +124,30 @@
           "control", "--name=" + Name, "--datacentre=dc" + Name,
           "--data=" + this->Folder + "/" + Name,
           "--http=" + this->controlAddress(Number).str(),
-          std::string("--link-port=") + LinkPort, "--seeds=" + seedAddresses(),
+          "--link-port=" + std::to_string(Number == this->ForwardedDaemon
+                                              ? ForwardedLinkPort
+                                              : LinkPort),
+          "--seeds=" + seedAddresses(),
           "--metrics-port=" + std::to_string(MetricsPort),
           std::string("--first-start=") + (FirstStart ? "true" : "false"),
           "--tolerated-hosts=1"},
       this->newLogPath(Name));
 }
 
+void RoutedCluster::restartStateDaemon(int Number) {
+  const auto Found = this->Processes.find("state" + std::to_string(Number));
+  if (Found != this->Processes.end()) {
+    Found->second->signal(SIGCONT);
+    const bool Stopping = this->log(Found->first).find("event=shutting_down") !=
+                          std::string::npos;
+    if (!Stopping)
+      return;
+    BOOST_REQUIRE(this->waitUntil([&] { return Found->second->hasExited(); }));
+    this->crash(Found->first);
+  }
+  this->startStateDaemon(Number, false);
+}
+
 void RoutedCluster::startEntryDaemon(int Number) {
   const std::string Name =
       Number == 1 ? "entry" : "entry" + std::to_string(Number);
@@ -135,12 +157,35 @@
           "gateway", "--name=" + Name, "--datacentre=dcstate1",
           "--http=" + this->entryAddress(Number).str(),
           "--ready=" + Network::Address{entryIp(Number), ReadyPort}.str(),
-          std::string("--link-port=") + LinkPort, "--seeds=" + seedAddresses(),
-          "--revoke-time=5000",
+          "--link-port=" + std::to_string(LinkPort),
+          "--seeds=" + seedAddresses(), "--revoke-time=5000",
           "--shutdown-time=" + std::to_string(this->ShutdownSeconds)},
       this->newLogPath(Name));
 }
 
+void RoutedCluster::forwardLinksOf(int Number) {
+  this->ForwardedDaemon = Number;
+  // Every daemon expects its peers at its own link port.
+  for (int I = 1; I <= Seeds; ++I) {
+    const Network::Address Listen{stateDaemonIp(I),
+                                  I == Number ? LinkPort : ForwardedLinkPort};
+    const Network::Address Target{Listen.Ip,
+                                  I == Number ? ForwardedLinkPort : LinkPort};
+    this->LinkForwarders.push_back(
+        std::make_unique<Forwarder>(*this->Loop, Listen, Target));
+  }
+}
+
+void RoutedCluster::blockLinks() {
+  for (const auto &Each : this->LinkForwarders)
+    Each->block();
+}
+
+void RoutedCluster::unblockLinks() {
+  for (const auto &Each : this->LinkForwarders)
+    Each->unblock();
+}
+
 std::string RoutedCluster::newLogPath(const std::string &Name) {
   return this->LogPaths[Name] = this->Folder + "/" + Name + ".log" +
                                 std::to_string(++this->LogCount);
@@ -176,6 +221,10 @@
   return {stateDaemonIp(Number), ControlPort};
 }
 
+Network::Address RoutedCluster::linkAddress(int Number) {
+  return {stateDaemonIp(Number), LinkPort};
+}
+
 bool RoutedCluster::waitUntil(const std::function<bool()> &Condition) {
   const Common::TimePoint Deadline = this->Loop->now() + WaitTimeout;
   while (!Condition()) {
@@ -326,8 +375,7 @@
 
 bool RoutedCluster::isGroupHealthy() {
   for (int I = 1; I <= StateDaemons; ++I) {
-    const std::string Metrics =
-        this->call({stateDaemonIp(I), MetricsPort}, "GET", "/metrics").Body;
+    const std::string Metrics = this->metrics(I);
     const auto HasLine = [&Metrics](const char *Line) {
       return Metrics.find(Line) != std::string::npos;
     };
@@ -339,9 +387,32 @@
   return false;
 }
 
+std::string RoutedCluster::metrics(int Number) {
+  return this->call({stateDaemonIp(Number), MetricsPort}, "GET", "/metrics")
+      .Body;
+}
+
+bool RoutedCluster::hasMetric(int Number, const std::string &Line) {
+  return this->metrics(Number).find("\nsycamore_" + Line + "\n") !=
+         std::string::npos;
+}
+
+bool RoutedCluster::hasLeader() {
+  for (int I = 1; I <= StateDaemons; ++I)
+    if (this->hasMetric(I, "leading 1"))
+      return true;
+  return false;
+}
+
+bool RoutedCluster::hasProtocolLevel() {
+  for (int I = 1; I <= StateDaemons; ++I)
+    if (!this->hasMetric(I, "protocol_level 1"))
+      return false;
+  return true;
+}
+
 int RoutedCluster::proposals(int Number) {
-  const std::string Metrics =
-      this->call({stateDaemonIp(Number), MetricsPort}, "GET", "/metrics").Body;
+  const std::string Metrics = this->metrics(Number);
   const std::string Name = "\nsycamore_proposals_total ";
   const std::size_t At = Metrics.find(Name);
   return At == std::string::npos ? 0
--- a/Source/FaultTests/RoutedCluster.h
+++ b/Source/FaultTests/RoutedCluster.h
@@ -1,6 +1,7 @@
 #ifndef SYCAMOREREACH_FAULTTESTS_ROUTEDCLUSTER_H
 #define SYCAMOREREACH_FAULTTESTS_ROUTEDCLUSTER_H
 
+#include "FaultTests/Forwarder.h"
 #include "FaultTests/Processes.h"
 #include "Network/EventLoop.h"
 #include "Network/Http1Client.h"
@@ -39,8 +40,19 @@
   void startAll();
   /// FirstStart allows the daemon to found the group.
   void startStateDaemon(int Number, bool FirstStart);
+  /// From its next start, the connections of a state daemon to and from all
+  /// other daemons run through forwarders. The group must then consist of the
+  /// three seeds, as its members' addresses are those of the first start.
+  void forwardLinksOf(int Number);
+  /// Drops all bytes between that daemon and the others, without closing
+  /// connections.
+  void blockLinks();
+  void unblockLinks();
   /// Entry daemon 1 is the process "entry", entry daemon 2 "entry2", and so on.
   void startEntryDaemon(int Number = 1);
+  /// Starts a state daemon again that has ended or was stopped, and resumes a
+  /// suspended one.
+  void restartStateDaemon(int Number);
   /// Ends a process with SIGKILL.
   void crash(const std::string &Name) { this->Processes.erase(Name); }
   /// Deletes a state daemon's data folder.
@@ -91,12 +103,24 @@
   /// Whether the leader reports three voters and four members, none of them
   /// lost or behind.
   bool isGroupHealthy();
+  /// The /metrics text of a state daemon; empty if it does not respond.
+  std::string metrics(int Number);
+  /// Whether the metrics of a state daemon have Line, without its prefix.
+  bool hasMetric(int Number, const std::string &Line);
+  /// Whether a state daemon leads; also before the first declaration.
+  bool hasLeader();
+  /// Whether all state daemons have the protocol level of this release.
+  bool hasProtocolLevel();
   /// Number of commands that a state daemon has proposed since its start.
   int proposals(int Number);
 
   Network::Address entryAddress(int Number = 1) const;
   Network::Address readinessAddress() const;
   Network::Address controlAddress(int Number) const;
+  /// Where other daemons reach a state daemon.
+  static Network::Address linkAddress(int Number);
+  /// The key that all daemons share.
+  static constexpr const char *ClusterKey = "a-key-for-these-tests";
   /// Handles the requests that reach a fake server; by default it responds
   /// with status 200.
   std::function<void(std::shared_ptr<Network::Http1Exchange>)> OnServerRequest;
@@ -125,6 +149,9 @@
   std::unique_ptr<Network::Http1Client> Client;
   std::vector<std::unique_ptr<Network::Http1Server>> Servers;
   std::map<std::string, std::unique_ptr<Process>> Processes;
+  std::vector<std::unique_ptr<Forwarder>> LinkForwarders;
+  /// The state daemon whose links are forwarded; 0 if there is none.
+  int ForwardedDaemon = 0;
   std::string Folder;
   std::uint64_t LastRequestId = 0;
   std::uint64_t HeartbeatSequence = 0;
--- a/Source/StateDaemon/Controller.cpp
+++ b/Source/StateDaemon/Controller.cpp
@@ -47,6 +47,7 @@
 
 Controller::Controller(Network::EventLoop &Loop, ControllerSettings Settings)
     : Loop(Loop), Settings(std::move(Settings)),
+      ServerEnds(this->State, this->serverEndHandlers()),
       Tokens(this->Settings.Tolerance) {}
 
 absl::StatusOr<std::unique_ptr<Controller>>
@@ -67,6 +68,9 @@
   FrameHandlers.OnClosed = [this](Network::ConnectionId From) {
     std::erase_if(this->Entries,
                   [From](const auto &Each) { return Each.second == From; });
+    std::erase_if(this->PeerLevels, [From](const auto &Each) {
+      return Each.second.Connection == From;
+    });
   };
   FrameHandlers.OnRefused = [this](Common::RefusalReason Reason) {
     this->Metrics.recordRefusal(Reason);
@@ -122,6 +126,7 @@
     if (!Restored.ok())
       return Restored.status();
     this->State = std::move(*Restored);
+    this->applyServerEnds(this->State.serverEnds());
     this->schedulePushDeclaration();
     return absl::OkStatus();
   };
@@ -149,6 +154,7 @@
   this->EventHandles.push_back(this->Loop.callEvery(GroupCheckPeriod, [this] {
     this->requestJoin();
     this->adjustMembership();
+    this->raiseProtocolLevel();
     if (this->Tracker)
       this->Tracker->addOwnClock(this->Settings.Name, this->Loop.wallNow(),
                                  this->Loop.now());
@@ -182,6 +188,9 @@
   if (!Command.ok())
     return Command.status();
   this->State.apply(*Command);
+  if (const auto *Recorded =
+          std::get_if<State::RecordServerEndsCommand>(&*Command))
+    this->applyServerEnds(Recorded->Ends);
   this->schedulePushDeclaration();
   return absl::OkStatus();
 }
@@ -248,6 +257,10 @@
     this->handleTokenRequest(*Needs);
   else if (const auto *Demand = std::get_if<State::TokenPoolRequest>(&*Frame))
     this->handleTokenPoolRequest(From, *Demand);
+  else if (const auto *Ends = std::get_if<State::ServerEndRequest>(&*Frame))
+    this->handleServerEndRequest(From, *Ends);
+  else if (const auto *Peer = std::get_if<State::PeerHello>(&*Frame))
+    this->handlePeerHello(From, *Peer);
   else if (std::get_if<State::ServerLoads>(&*Frame))
     // Passed on as received.
     this->LinkServer->broadcast(this->entryConnections(), Payload);
@@ -265,6 +278,9 @@
     this->handleTokenPoolGrant(*Grant);
   else if (const auto *Message = std::get_if<Consensus::Message>(&*Frame))
     this->Driver->step(*Message);
+  else if (const auto *Confirmed =
+               std::get_if<State::ServerEndConfirmation>(&*Frame))
+    this->ServerEnds.confirm(Confirmed->Ends);
   else if (std::get_if<State::LeaveConfirmation>(&*Frame))
     this->LeaveConfirmed = true;
 }
@@ -527,6 +543,10 @@
       static_cast<double>(this->State.declarationVersion().Value));
   this->Metrics.setGauge("refusals_in_force",
                          static_cast<double>(this->State.refusals().size()));
+  this->Metrics.setGauge(
+      "protocol_level", static_cast<double>(this->State.protocolLevel().Value));
+  this->Metrics.setGauge("server_ends_pending",
+                         static_cast<double>(this->ServerEnds.pending()));
   this->Metrics.setGauge("entries_connected",
                          static_cast<double>(this->Entries.size()));
   this->Metrics.setGauge("leading", this->Driver->holdsLeadership() ? 1 : 0);
--- a/Source/StateDaemon/Controller.h
+++ b/Source/StateDaemon/Controller.h
@@ -11,6 +11,7 @@
 #include "StateDaemon/DutyRunner.h"
 #include "StateDaemon/EntryDaemonTracker.h"
 #include "StateDaemon/ReplicaDriver.h"
+#include "StateDaemon/ServerEndRecorder.h"
 #include "StateDaemon/TokenPool.h"
 #include "Telemetry/Metrics.h"
 
@@ -93,12 +94,37 @@
   void mergeRegistryDelta(const State::RegistryDelta &Delta, bool FromPeer);
   State::RegistryDelta registrySnapshot() const;
 
+  // Servers that leave.
+  ServerEndRecorder::Handlers serverEndHandlers();
+  /// Responds with 200 once the end is recorded, and with 503 if that is not
+  /// confirmed in time.
+  void
+  acknowledgeServerEnd(const std::shared_ptr<Network::Http1Exchange> &Exchange,
+                       const Membership::ServerEnd &End);
+  void checkServerEnds();
+  void handleServerEndRequest(Network::ConnectionId From,
+                              const State::ServerEndRequest &Request);
+  void sendServerEndsToMembers(const ServerEndRecorder::Ends &Ends,
+                               const std::function<void()> &OnHeld);
+  /// Applies recorded ends to the registry.
+  void applyServerEnds(const ServerEndRecorder::Ends &Ends);
+  void handlePeerHello(Network::ConnectionId From,
+                       const State::PeerHello &Hello);
+  void sendPeerHello(Network::FrameClient &Link);
+  /// Raises the group's protocol level to what all members support, while this
+  /// daemon leads.
+  void raiseProtocolLevel();
+
   // HTTP.
+  static void replyAccepted(Network::Http1Exchange &Exchange);
+  static void replyUnavailable(Network::Http1Exchange &Exchange,
+                               std::string_view Detail);
   void handleHttp(const std::shared_ptr<Network::Http1Exchange> &Exchange);
-  void handleHeartbeat(Network::Http1Exchange &Exchange,
+  void handleHeartbeat(const std::shared_ptr<Network::Http1Exchange> &Exchange,
+                       const Common::BackendServerId &Id);
+  void
+  handleDeregistration(const std::shared_ptr<Network::Http1Exchange> &Exchange,
                        const Common::BackendServerId &Id);
-  void handleDeregistration(Network::Http1Exchange &Exchange,
-                            const Common::BackendServerId &Id);
   void handleDeclare(const std::shared_ptr<Network::Http1Exchange> &Exchange);
   void handleReadDeclaration(Network::Http1Exchange &Exchange);
   /// Replies with a redirect to the leader, or with 503 and `Retry-After` while
@@ -129,6 +155,15 @@
   std::vector<Membership::ServerRecord> PeerChanges;
   std::vector<Membership::ServerRecord> EntryChanges;
   bool ChangeFlushScheduled = false;
+  ServerEndRecorder ServerEnds;
+  bool ServerEndsScheduled = false;
+  Network::EventHandle ServerEndTimer;
+  struct PeerLevel {
+    Network::ConnectionId Connection;
+    State::ProtocolLevel SupportedLevel;
+  };
+  /// What the connected peers support.
+  std::map<Consensus::ReplicaId, PeerLevel> PeerLevels;
   TokenPool Tokens;
   bool TokenDemandScheduled = false;
   Network::EventHandle ChangeFlushTimer;
--- a/Source/StateDaemon/ControllerGroup.cpp
+++ b/Source/StateDaemon/ControllerGroup.cpp
@@ -56,6 +56,9 @@
 
 void Controller::handleGroupChange() {
   this->syncLinks();
+  // The replica may have been opened, perhaps with a new identity.
+  for (const auto &Each : this->Links)
+    this->sendPeerHello(*Each.second);
   const auto *Replica = this->Driver->replica();
   const bool Leads =
       Replica && Replica->state() == Consensus::Replica::State::Leader;
@@ -111,9 +114,11 @@
     LinkHandlers.OnConnected = [this, Each] {
       Telemetry::log(Events::PeerConnected, Each.str());
       const auto Link = this->Links.find(Each);
-      if (Link != this->Links.end())
-        Link->second->send(
-            Network::encode(State::ControlFrame(this->registrySnapshot())));
+      if (Link == this->Links.end())
+        return;
+      this->sendPeerHello(*Link->second);
+      Link->second->send(
+          Network::encode(State::ControlFrame(this->registrySnapshot())));
     };
     LinkHandlers.OnDisconnected = [Each] {
       Telemetry::log(Events::PeerLost, Each.str());
--- a/Source/StateDaemon/ControllerHttp.cpp
+++ b/Source/StateDaemon/ControllerHttp.cpp
@@ -31,15 +31,24 @@
 
 } // namespace
 
+void Controller::replyAccepted(Network::Http1Exchange &Exchange) {
+  Exchange.reply(200, JsonType, "{}");
+}
+
+void Controller::replyUnavailable(Network::Http1Exchange &Exchange,
+                                  std::string_view Detail) {
+  Exchange.reply(503, JsonType, errorBody(Detail));
+}
+
 void Controller::handleHttp(
     const std::shared_ptr<Network::Http1Exchange> &Exchange) {
   const Platform::ControlRequest Call =
       Platform::decodeControlRequest(Exchange->head().Method, Exchange->path());
   if (const auto *Heartbeat = std::get_if<Platform::HeartbeatRequest>(&Call))
-    this->handleHeartbeat(*Exchange, Heartbeat->Server);
+    this->handleHeartbeat(Exchange, Heartbeat->Server);
   else if (const auto *Deregistration =
                std::get_if<Platform::DeregisterRequest>(&Call))
-    this->handleDeregistration(*Exchange, Deregistration->Server);
+    this->handleDeregistration(Exchange, Deregistration->Server);
   else if (std::holds_alternative<Platform::ReplaceConfigurationRequest>(Call))
     this->handleDeclare(Exchange);
   else if (std::holds_alternative<Platform::ReadConfigurationRequest>(Call))
@@ -48,34 +57,48 @@
     Exchange->reply(404, JsonType, errorBody("unknown route or method"));
 }
 
-void Controller::handleHeartbeat(Network::Http1Exchange &Exchange,
-                                 const Common::BackendServerId &Id) {
-  const auto Record = Platform::decodeHeartbeat(Id, Exchange.body());
+void Controller::handleHeartbeat(
+    const std::shared_ptr<Network::Http1Exchange> &Exchange,
+    const Common::BackendServerId &Id) {
+  const auto Record = Platform::decodeHeartbeat(Id, Exchange->body());
   if (!Record.ok()) {
     this->Metrics.incrementCounter("heartbeats_bad_total");
     Telemetry::log(Events::HeartbeatRefused, Id.str(),
                    Record.status().message());
-    Exchange.reply(400, JsonType,
-                   errorBody(std::string(Record.status().message())));
+    Exchange->reply(400, JsonType,
+                    errorBody(std::string(Record.status().message())));
     return;
   }
   this->Metrics.incrementCounter("heartbeats_total");
   this->updateServer(*Record);
-  Exchange.reply(200, JsonType, "{}");
+  if (Record->Phase == Membership::ServerPhase::Serving)
+    replyAccepted(*Exchange);
+  else
+    this->acknowledgeServerEnd(Exchange,
+                               {Id, Record->StartedAt, Record->Phase});
 }
 
-void Controller::handleDeregistration(Network::Http1Exchange &Exchange,
-                                      const Common::BackendServerId &Id) {
-  Membership::ServerEnd End{Id, Platform::decodeDeregistration(Exchange.body()),
+void Controller::handleDeregistration(
+    const std::shared_ptr<Network::Http1Exchange> &Exchange,
+    const Common::BackendServerId &Id) {
+  Membership::ServerEnd End{Id,
+                            Platform::decodeDeregistration(Exchange->body()),
                             Membership::ServerPhase::Gone};
-  const auto *Known = this->Registry.find(Id);
-  // Without a start time the known incarnation is meant.
-  if (End.StartedAt == 0 && Known)
+  if (End.StartedAt == 0) {
+    const auto *Known = this->Registry.find(Id);
+    if (!Known) {
+      this->Metrics.incrementCounter("deregistrations_unknown_total");
+      Telemetry::log(Events::DeregistrationRefused, Id.str());
+      replyUnavailable(*Exchange, "the server is not known here and states no "
+                                  "start time; send born, or call another "
+                                  "daemon");
+      return;
+    }
     End.StartedAt = Known->Record.StartedAt;
-  const bool IsNamed = End.StartedAt != 0 || Known;
-  if (IsNamed && this->Registry.applyEnd(End, this->Loop.now()))
+  }
+  if (this->Registry.applyEnd(End, this->Loop.now()))
     this->publishServerChange(this->Registry.find(Id)->Record, true);
-  Exchange.reply(200, JsonType, "{}");
+  this->acknowledgeServerEnd(Exchange, End);
 }
 
 void Controller::handleDeclare(
@@ -96,7 +119,7 @@
   if (Version <= this->State.declarationVersion()) {
     Telemetry::log(Events::DeclarationNotNewer, Version.Value,
                    this->State.declarationVersion().Value);
-    Exchange->reply(200, JsonType, "{}");
+    replyAccepted(*Exchange);
     return;
   }
   State::DeclareCommand Command{Version, Exchange->body()};
@@ -107,7 +130,7 @@
         Telemetry::log(Events::DeclarationDecided, Version.Value,
                        Applied ? "acknowledged" : "unknown");
         if (Applied)
-          Exchange->reply(200, JsonType, "{}");
+          replyAccepted(*Exchange);
         else
           // The declaration may or may not be in force. Sending it again is
           // safe: the reply to it tells.
--- a/Source/UnitTests/Consensus/SimulatedGroup.h
+++ b/Source/UnitTests/Consensus/SimulatedGroup.h
@@ -65,6 +65,12 @@
     this->BlockedLinks.insert({From, To});
   }
   void isolate(std::size_t Node);
+  bool isBlocked(std::size_t From, std::size_t To) const {
+    return this->BlockedLinks.count({From, To}) != 0;
+  }
+  bool isPaused(std::size_t Node) const {
+    return this->Nodes[Node].PausedUntil > this->Now;
+  }
   void compact(std::size_t Node);
   std::size_t size() const { return this->Nodes.size(); }
   Consensus::Replica &replica(std::size_t Node) {
--- a/Source/UnitTests/State/ControlStateTest.cpp
+++ b/Source/UnitTests/State/ControlStateTest.cpp
@@ -52,6 +52,67 @@
   BOOST_TEST(Current.usage().size() <= ControlState::RetainedWindows + 1);
 }
 
+BOOST_AUTO_TEST_CASE(TheEndOfAnIncarnationIsKeptUntilALaterOneEnds) {
+  ControlState Current;
+  const auto End = [](const std::string &Id, std::uint64_t StartedAt,
+                      Membership::ServerPhase Phase) {
+    return Membership::ServerEnd{Common::BackendServerId(Id), StartedAt, Phase};
+  };
+  using Phase = Membership::ServerPhase;
+  Current.apply(RecordServerEndsCommand{{End("a", 5, Phase::Gone)}});
+  BOOST_TEST(Current.hasServerEnd(End("a", 5, Phase::Leaving)));
+  BOOST_TEST(Current.hasServerEnd(End("a", 4, Phase::Gone)));
+  BOOST_TEST(!Current.hasServerEnd(End("a", 6, Phase::Leaving)));
+  BOOST_TEST(!Current.hasServerEnd(End("b", 5, Phase::Leaving)));
+  // Earlier phases and incarnations change nothing.
+  Current.apply(RecordServerEndsCommand{
+      {End("a", 5, Phase::Leaving), End("a", 4, Phase::Gone)}});
+  BOOST_TEST(Current.hasServerEnd(End("a", 5, Phase::Gone)));
+  Current.apply(RecordServerEndsCommand{{End("a", 6, Phase::Leaving)}});
+  BOOST_TEST(!Current.hasServerEnd(End("a", 6, Phase::Gone)));
+  BOOST_TEST(Current.serverEnds().size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(TheOldestEndsOfServersAreDropped) {
+  ControlState Current;
+  const auto End = [](std::size_t Number) {
+    return Membership::ServerEnd{
+        Common::BackendServerId(std::to_string(Number)), 1};
+  };
+  for (std::size_t I = 0; I < ControlState::MaxServerEnds + 10; ++I)
+    Current.apply(RecordServerEndsCommand{{End(I)}});
+  BOOST_TEST(Current.serverEnds().size() == ControlState::MaxServerEnds);
+  BOOST_TEST(!Current.hasServerEnd(End(9)));
+  BOOST_TEST(Current.hasServerEnd(End(10)));
+}
+
+// A daemon of the previous release, which knows no ends, reads the snapshots of
+// a group until its protocol level is raised, and the other way round.
+BOOST_AUTO_TEST_CASE(SnapshotsOfOtherReleasesAreRead) {
+  ControlState Current;
+  Current.apply(DeclareCommand{{4}, "four"});
+  Current.apply(RefuseCommand{{1, 2}});
+  const std::string Previous = Network::encode(std::make_pair(
+      std::make_pair(Current.declarationVersion(), Current.document()),
+      std::make_pair(Current.usage(), Current.refusals())));
+  BOOST_TEST((Current.snapshot() == Previous));
+  const auto Restored = ControlState::restore(Previous);
+  BOOST_REQUIRE(Restored.ok());
+  BOOST_TEST(Restored->refusals().size() == 1u);
+  BOOST_TEST(Restored->protocolLevel().Value == 0u);
+  Current.apply(RaiseProtocolLevelCommand{ServerEndsLevel});
+  const Membership::ServerEnd End{Common::BackendServerId("a"), 5};
+  Current.apply(RecordServerEndsCommand{{End}});
+  const auto Raised = ControlState::restore(Current.snapshot());
+  BOOST_REQUIRE(Raised.ok());
+  BOOST_CHECK(Raised->protocolLevel() == ServerEndsLevel);
+  BOOST_TEST(Raised->hasServerEnd(End));
+  BOOST_TEST(Raised->document() == "four");
+  // A level is never lowered.
+  Current.apply(RaiseProtocolLevelCommand{{0}});
+  BOOST_CHECK(Current.protocolLevel() == ServerEndsLevel);
+}
+
 BOOST_AUTO_TEST_CASE(ASmallerRefusalReplacesLargerOnes) {
   ControlState Current;
   Current.apply(RefuseCommand{{1, 2}});
