EntryDaemon: Other state daemons are tried beside the current one

Cause: without an answer for 1.1 s, ControlLink closed its link and gave each address of a list 1.1 s, seen every 0.4 s, one after another. Seeds that had been replaced stood among the members. Entry daemons whose state daemon was sound left it too, as an election takes as long.

Change: others are tried beside the link, one each 0.2 s, four at most, members before seeds; the first through which the leader answers becomes the link. A state daemon that still echoes keepalives is given 1.7 s.

--- a/Source/EntryDaemon/ControlLink.cpp
+++ b/Source/EntryDaemon/ControlLink.cpp
@@ -14,8 +14,20 @@
 constexpr Common::Duration PollPeriod = std::chrono::milliseconds(400);
 /// Requests for an immediate poll within this time share one poll.
 constexpr Common::Duration PollBatchDelay = std::chrono::milliseconds(2);
-/// Without an answer for this long, another state daemon is tried.
+/// Without an answer for this long, other state daemons are tried if the
+/// current one is silent.
 constexpr Common::Duration AnswerTimeout = std::chrono::milliseconds(1100);
+/// The same if the current one is not silent. An election takes about that
+/// long, in which the others have no leader either.
+constexpr Common::Duration LeaderTimeout = std::chrono::milliseconds(1700);
+/// Delay until the next state daemon is tried beside those that did not answer.
+constexpr Common::Duration AttemptDelay = std::chrono::milliseconds(200);
+/// An attempt that reached a state daemon without a leader is given up after
+/// this time, so that a group without a leader is not asked for a snapshot
+/// again and again.
+constexpr Common::Duration LeaderlessAttemptTimeout = std::chrono::seconds(3);
+/// Each one gets a snapshot of the registry and the declaration.
+constexpr std::size_t MaxAttempts = 4;
 /// Beyond this number the oldest unanswered poll is forgotten.
 constexpr std::size_t MaxOutstandingPolls = 64;
 
@@ -27,8 +39,7 @@
       EventHandlers(std::move(EventHandlers)),
       Randomness(this->Opts.RandomSeed), Incarnation{static_cast<std::uint64_t>(
                                              Loop.wallNow().Milliseconds)} {
-  this->Candidates = this->connectionOrder();
-  this->connect();
+  this->Current = this->connect(this->nextCandidate());
   this->PollTimer =
       Loop.callEvery(PollPeriod, [this] { this->checkConnection(); });
 }
@@ -38,63 +49,138 @@
 }
 
 std::vector<Network::Address> ControlLink::connectionOrder() {
-  std::vector<Network::Address> SameDataCentre;
+  std::vector<Network::Address> Result;
   std::vector<Network::Address> Others;
   for (const State::StateEndpoint &Each : this->StateDaemons)
-    (Each.DataCentre == this->Opts.DataCentre ? SameDataCentre : Others)
+    (Each.DataCentre == this->Opts.DataCentre ? Result : Others)
         .push_back(Each.Address);
-  for (const Network::Address &Each : this->Opts.Seeds)
-    if (std::find(SameDataCentre.begin(), SameDataCentre.end(), Each) ==
-            SameDataCentre.end() &&
-        std::find(Others.begin(), Others.end(), Each) == Others.end())
-      Others.push_back(Each);
   // A random order spreads the entry daemons over the state daemons.
-  for (std::size_t I = Others.size(); I > 1; --I)
-    std::swap(Others[I - 1], Others[this->Randomness.below(I)]);
-  SameDataCentre.insert(SameDataCentre.end(), Others.begin(), Others.end());
-  return SameDataCentre;
+  const auto AddShuffled = [this,
+                            &Result](std::vector<Network::Address> Added) {
+    for (std::size_t I = Added.size(); I > 1; --I)
+      std::swap(Added[I - 1], Added[this->Randomness.below(I)]);
+    for (const Network::Address &Each : Added)
+      if (std::find(Result.begin(), Result.end(), Each) == Result.end())
+        Result.push_back(Each);
+  };
+  AddShuffled(std::move(Others));
+  // Seeds that are not members may have been replaced long ago.
+  AddShuffled(this->Opts.Seeds);
+  return Result;
 }
 
-void ControlLink::connect() {
+Network::Address ControlLink::nextCandidate() {
   if (this->NextCandidate >= this->Candidates.size()) {
     this->Candidates = this->connectionOrder();
     this->NextCandidate = 0;
   }
-  const Network::Address StateDaemon = this->Candidates[this->NextCandidate++];
-  this->ConnectStartedAt = this->Loop.now();
+  return this->Candidates[this->NextCandidate++];
+}
+
+ControlLink::StateLink
+ControlLink::connect(const Network::Address &StateDaemon) {
+  const LinkNumber Number{++this->LastLinkNumber.Value};
   Network::FrameClient::Handlers LinkHandlers;
-  LinkHandlers.OnPayload = [this](const std::string &Payload) {
-    this->handleFrame(Payload);
-  };
-  LinkHandlers.OnConnected = [this, StateDaemon] {
-    Telemetry::log(Events::StateDaemonConnected, StateDaemon.str());
-    this->Link->send(Network::encode(
-        State::ControlFrame(State::EntryHello{this->Opts.Self})));
-    this->poll();
-    this->EventHandlers.OnConnected();
+  LinkHandlers.OnPayload = [this, Number](const std::string &Payload) {
+    this->handleFrame(Number, Payload);
   };
+  LinkHandlers.OnConnected = [this, Number] { this->handleConnected(Number); };
   LinkHandlers.OnDisconnected = [StateDaemon] {
     Telemetry::log(Events::StateDaemonLost, StateDaemon.str());
   };
   LinkHandlers.OnRefused = [](Common::RefusalReason) {};
-  this->Link = std::make_unique<Network::FrameClient>(
-      this->Loop, StateDaemon, this->Opts.Key, std::move(LinkHandlers));
+  return {Number,
+          std::make_unique<Network::FrameClient>(
+              this->Loop, StateDaemon, this->Opts.Key, std::move(LinkHandlers)),
+          this->Loop.now()};
 }
 
-void ControlLink::reconnect(const char *Reason) {
-  Telemetry::log(Events::StateDaemonChanged, this->Link->peer().str(), Reason);
-  this->connect();
+Network::FrameClient *ControlLink::find(LinkNumber Number) {
+  if (this->Current.Number == Number)
+    return this->Current.Client.get();
+  for (const StateLink &Each : this->Attempts)
+    if (Each.Number == Number)
+      return Each.Client.get();
+  return nullptr;
 }
 
-void ControlLink::checkConnection() {
+void ControlLink::handleConnected(LinkNumber Number) {
+  Network::FrameClient *Link = this->find(Number);
+  if (!Link)
+    return;
+  Telemetry::log(Events::StateDaemonConnected, Link->peer().str());
+  Link->send(
+      Network::encode(State::ControlFrame(State::EntryHello{this->Opts.Self})));
+  this->sendPoll(*Link);
+  if (this->Current.Number == Number)
+    this->EventHandlers.OnConnected();
+}
+
+bool ControlLink::isAnswerOverdue() const {
+  const Common::Duration Waited =
+      this->Loop.now() - std::max(this->LastAnswerAt, this->Current.StartedAt);
+  return Waited >
+         (this->Current.Client->isResponsive() ? LeaderTimeout : AnswerTimeout);
+}
+
+void ControlLink::closeFailedAttempts() {
   const Common::TimePoint Now = this->Loop.now();
-  const Common::TimePoint LastContactAt =
-      std::max(this->LastAnswerAt, this->ConnectStartedAt);
-  if (Now - LastContactAt > AnswerTimeout) {
-    this->reconnect("no answer from the leader before the timeout");
+  std::erase_if(this->Attempts, [Now](const StateLink &Each) {
+    return Now - Each.StartedAt > (Each.Client->isResponsive()
+                                       ? LeaderlessAttemptTimeout
+                                       : AnswerTimeout);
+  });
+}
+
+bool ControlLink::isTried(const Network::Address &StateDaemon) const {
+  const auto IsPeer = [&StateDaemon](const StateLink &Each) {
+    return Each.Client->peer() == StateDaemon;
+  };
+  return IsPeer(this->Current) ||
+         std::any_of(this->Attempts.begin(), this->Attempts.end(), IsPeer);
+}
+
+void ControlLink::tryNextCandidate() {
+  this->closeFailedAttempts();
+  if (!this->isAnswerOverdue() || this->Attempts.size() >= MaxAttempts)
+    return;
+  // Each link takes at most one place in the order.
+  for (std::size_t I = 0; I <= this->Attempts.size() + 1; ++I) {
+    const Network::Address Next = this->nextCandidate();
+    if (this->isTried(Next))
+      continue;
+    this->Attempts.push_back(this->connect(Next));
+    return;
+  }
+}
+
+void ControlLink::changeTo(LinkNumber Number) {
+  const auto Found = std::find_if(
+      this->Attempts.begin(), this->Attempts.end(),
+      [Number](const StateLink &Each) { return Each.Number == Number; });
+  if (Found == this->Attempts.end())
     return;
+  Telemetry::log(Events::StateDaemonChanged, this->Current.Client->peer().str(),
+                 "no answer from the leader before the timeout");
+  this->Current = std::move(*Found);
+  this->Attempts.clear();
+  this->EventHandlers.OnConnected();
+}
+
+void ControlLink::checkConnection() {
+  if (this->isAnswerOverdue()) {
+    if (!this->AttemptTimer.isActive()) {
+      // What was known of the order is older than the last answer.
+      this->NextCandidate = this->Candidates.size();
+      this->tryNextCandidate();
+      this->AttemptTimer = this->Loop.callEvery(
+          AttemptDelay, [this] { this->tryNextCandidate(); });
+    }
+  } else {
+    this->AttemptTimer.cancel();
+    this->Attempts.clear();
   }
-  if (Now - this->LastPollAt >= PollPeriod / 2)
+  if (this->Loop.now() - this->LastPollAt >= PollPeriod / 2)
     this->poll();
 }
 
@@ -117,12 +203,18 @@
 bool ControlLink::requestTokens(State::TokenRequest Request) {
   Request.Entry = this->Opts.Self;
   Request.Incarnation = this->Incarnation;
-  return this->Link->send(
+  return this->Current.Client->send(
       Network::encode(State::ControlFrame(std::move(Request))));
 }
 
 void ControlLink::poll() {
-  if (!this->Link->isConnected())
+  this->sendPoll(*this->Current.Client);
+  for (const StateLink &Each : this->Attempts)
+    this->sendPoll(*Each.Client);
+}
+
+void ControlLink::sendPoll(Network::FrameClient &To) {
+  if (!To.isConnected())
     return;
   State::EntryPoll Poll;
   Poll.Entry = this->Opts.Self;
@@ -136,10 +228,10 @@
   this->PollSentAt[Poll.Sequence] = Now;
   if (this->PollSentAt.size() > MaxOutstandingPolls)
     this->PollSentAt.erase(this->PollSentAt.begin());
-  this->Link->send(Network::encode(State::ControlFrame(std::move(Poll))));
+  To.send(Network::encode(State::ControlFrame(std::move(Poll))));
 }
 
-void ControlLink::handleFrame(const std::string &Payload) {
+void ControlLink::handleFrame(LinkNumber From, const std::string &Payload) {
   const auto Frame = Network::decode<State::ControlFrame>(Payload);
   if (!Frame.ok()) {
     Telemetry::log(Events::FrameUndecodable, Frame.status().message());
@@ -169,6 +261,7 @@
     const Common::TimePoint SentAt = Sent->second;
     this->PollSentAt.erase(Sent);
     this->LastAnswerAt = this->Loop.now();
+    this->changeTo(From);
     this->EventHandlers.OnPollAnswer(*Answer, SentAt);
   }
 }
--- a/Source/EntryDaemon/ControlLink.h
+++ b/Source/EntryDaemon/ControlLink.h
@@ -12,8 +12,9 @@
 namespace EntryDaemon {
 
 /// An entry daemon's connection to the state daemons. It polls the leader
-/// through one state daemon, and reconnects to another one when answers do not
-/// arrive in time.
+/// through one state daemon. When answers do not arrive in time, it tries
+/// others beside it, one shortly after the other, and changes to the first one
+/// through which the leader answers.
 class ControlLink {
 public:
   struct Options {
@@ -51,11 +52,29 @@
   void setSeeds(std::vector<Network::Address> Seeds);
 
 private:
-  void connect();
-  void reconnect(const char *Reason);
-  void handleFrame(const std::string &Payload);
+  using LinkNumber = Common::StrongNumber<struct LinkNumberTag>;
+  struct StateLink {
+    LinkNumber Number;
+    std::unique_ptr<Network::FrameClient> Client;
+    /// When the connection attempt began.
+    Common::TimePoint StartedAt;
+  };
+
+  StateLink connect(const Network::Address &StateDaemon);
+  void handleConnected(LinkNumber Number);
+  void handleFrame(LinkNumber From, const std::string &Payload);
   void poll();
+  void sendPoll(Network::FrameClient &To);
   void checkConnection();
+  bool isAnswerOverdue() const;
+  void closeFailedAttempts();
+  bool isTried(const Network::Address &StateDaemon) const;
+  /// Tries the next candidate beside the current link.
+  void tryNextCandidate();
+  void changeTo(LinkNumber Number);
+  /// Null if there is no such link any more.
+  Network::FrameClient *find(LinkNumber Number);
+  Network::Address nextCandidate();
   std::vector<Network::Address> connectionOrder();
 
   Network::EventLoop &Loop;
@@ -67,12 +86,15 @@
   /// Addresses to connect to, in order of preference.
   std::vector<Network::Address> Candidates;
   std::size_t NextCandidate = 0;
-  std::unique_ptr<Network::FrameClient> Link;
+  LinkNumber LastLinkNumber;
+  StateLink Current;
+  /// Links to other state daemons while answers are overdue.
+  std::vector<StateLink> Attempts;
+  Network::EventHandle AttemptTimer;
   std::uint64_t Sequence = 0;
   /// Send times of unanswered polls, by sequence number.
   std::map<std::uint64_t, Common::TimePoint> PollSentAt;
   Common::TimePoint LastAnswerAt;
-  Common::TimePoint ConnectStartedAt;
   Common::TimePoint LastPollAt;
   Network::EventHandle PollTimer;
   Network::EventHandle ScheduledPollTimer;
