--- a/Source/FaultTests/RoutedCluster.cpp
+++ b/Source/FaultTests/RoutedCluster.cpp
@@ -1,6 +1,7 @@
 #include "FaultTests/RoutedCluster.h"
 
 #include <array>
+#include <boost/test/results_collector.hpp>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <cstdlib>
@@ -83,7 +84,11 @@
   this->LinkForwarders.clear();
   this->Client.reset();
   this->Servers.clear();
-  std::filesystem::remove_all(this->Folder);
+  using namespace boost::unit_test;
+  if (results_collector.results(framework::current_test_case_id()).passed())
+    std::filesystem::remove_all(this->Folder);
+  else
+    BOOST_TEST_MESSAGE("the daemons' logs are in " << this->Folder);
 }
 
 Network::HttpHeaders
