Network, UnitTests: Keepalives report whether they were sent; one range of seeds

sendKeepAlive returns whether it sent something, instead of its caller comparing a counter. The range of seeds that three randomized tests read from the environment is read in one place. Behaviour and checks stay as they are.

--- a/Source/Core/Network/FrameSocket.cpp
+++ b/Source/Core/Network/FrameSocket.cpp
@@ -199,17 +199,17 @@
     this->sendKeepAlive();
 }
 
-void FrameClient::sendKeepAlive() {
-  if (this->send(""))
-    ++this->KeepAlivesSent;
+bool FrameClient::sendKeepAlive() {
+  if (!this->send(""))
+    return false;
+  ++this->KeepAlivesSent;
+  return true;
 }
 
 void FrameClient::whenHandled(std::function<void()> OnHandled) {
-  const std::uint64_t SentBefore = this->KeepAlivesSent;
-  this->sendKeepAlive();
   // The peer handles frames in order, so it has handled all payloads before the
   // keepalive when it echoes that.
-  if (this->KeepAlivesSent != SentBefore)
+  if (this->sendKeepAlive())
     this->HandledCallbacks.emplace(this->KeepAlivesSent, std::move(OnHandled));
 }
 
--- a/Source/Core/Network/FrameSocket.h
+++ b/Source/Core/Network/FrameSocket.h
@@ -99,7 +99,8 @@
   void read();
   void disconnect();
   void checkConnection();
-  void sendKeepAlive();
+  /// Returns false if nothing was sent.
+  bool sendKeepAlive();
   void handleKeepAliveEcho();
 
   EventLoop &Loop;
--- a/Source/FaultTests/RoutedDeregistrationTest.cpp
+++ b/Source/FaultTests/RoutedDeregistrationTest.cpp
@@ -2,10 +2,10 @@
 
 #include "Common/Random.h"
 #include "Network/FrameSocket.h"
+#include "UnitTests/TestSeeds.h"
 
 #include <boost/test/unit_test.hpp>
 #include <csignal>
-#include <cstdlib>
 
 namespace FaultTests {
 
@@ -119,11 +119,6 @@
   expectNothingServed(Fixture, 9);
 }
 
-std::uint64_t numberFrom(const char *Variable, std::uint64_t Default) {
-  const char *Text = std::getenv(Variable);
-  return Text ? std::strtoull(Text, nullptr, 10) : Default;
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(RoutedDeregistration)
@@ -215,9 +210,8 @@
 // suspended around the acknowledgement. SYCAMORE_TEST_FIRST_SEED and
 // SYCAMORE_TEST_LAST_SEED choose other seeds.
 BOOST_AUTO_TEST_CASE(AcknowledgedEndsHoldWhileDaemonsFail) {
-  const std::uint64_t First = numberFrom("SYCAMORE_TEST_FIRST_SEED", 1);
-  const std::uint64_t Last = numberFrom("SYCAMORE_TEST_LAST_SEED", 2);
-  for (std::uint64_t Seed = First; Seed <= Last; ++Seed) {
+  const auto Seeds = UnitTests::TestSeeds::create(2);
+  for (std::uint64_t Seed = Seeds.First; Seed <= Seeds.Last; ++Seed) {
     BOOST_TEST_CONTEXT("seed " << Seed) {
       Common::Random Randomness(Seed);
       RoutedCluster Fixture;
--- a/Source/UnitTests/StateDaemon/CrashingPromptTest.cpp
+++ b/Source/UnitTests/StateDaemon/CrashingPromptTest.cpp
@@ -4,10 +4,10 @@
 #include "StateDaemon/EntryDaemonTracker.h"
 
 #include "Common/Random.h"
+#include "UnitTests/TestSeeds.h"
 
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
-#include <cstdlib>
 #include <memory>
 
 namespace UnitTests {
@@ -16,14 +16,8 @@
 
 using namespace std::chrono_literals;
 
-std::uint64_t numberFrom(const char *Variable, std::uint64_t Default) {
-  const char *Text = std::getenv(Variable);
-  return Text ? std::strtoull(Text, nullptr, 10) : Default;
-}
-
 /// The seeds that each case is played with.
-std::uint64_t firstSeed() { return numberFrom("SYCAMORE_TEST_FIRST_SEED", 1); }
-std::uint64_t lastSeed() { return numberFrom("SYCAMORE_TEST_LAST_SEED", 2); }
+TestSeeds seeds() { return TestSeeds::create(2); }
 
 /// How the answers of servers end.
 enum class Framing { Framed, AtClose };
@@ -427,7 +421,7 @@
 /// Plays the plan with all seeds. Harmful parts must stop, and sound requests
 /// go on.
 void checkHarmful(const Plan &Setup) {
-  for (std::uint64_t Seed = firstSeed(); Seed <= lastSeed(); ++Seed) {
+  for (std::uint64_t Seed = seeds().First; Seed <= seeds().Last; ++Seed) {
     BOOST_TEST_CONTEXT("seed " << Seed) {
       CrashSimulation Simulation(Setup, Seed);
       Simulation.run();
@@ -448,7 +442,7 @@
 
 void checkHarmless(Plan Setup, Trouble Kind) {
   Setup.Kind = Kind;
-  for (std::uint64_t Seed = firstSeed(); Seed <= lastSeed(); ++Seed) {
+  for (std::uint64_t Seed = seeds().First; Seed <= seeds().Last; ++Seed) {
     BOOST_TEST_CONTEXT("seed " << Seed) {
       CrashSimulation Simulation(Setup, Seed);
       Simulation.run();
--- a/Source/UnitTests/StateDaemon/ServerEndSimulationTest.cpp
+++ b/Source/UnitTests/StateDaemon/ServerEndSimulationTest.cpp
@@ -2,9 +2,9 @@
 #include "Network/Codec.h"
 #include "StateDaemon/ServerEndRecorder.h"
 #include "UnitTests/Consensus/SimulatedGroup.h"
+#include "UnitTests/TestSeeds.h"
 
 #include <boost/test/unit_test.hpp>
-#include <cstdlib>
 #include <memory>
 
 // State daemons over a simulated network: servers leave while daemons fail.
@@ -34,11 +34,6 @@
 constexpr std::size_t EntryDaemons = 3;
 constexpr std::size_t Servers = 6;
 
-std::uint64_t numberFrom(const char *Variable, std::uint64_t Default) {
-  const char *Text = std::getenv(Variable);
-  return Text ? std::strtoull(Text, nullptr, 10) : Default;
-}
-
 class Simulation {
 public:
   Simulation(std::size_t StateDaemons, std::uint64_t Seed)
@@ -506,10 +501,9 @@
 // daemons that failed, or a delayed heartbeat undid it.
 // SYCAMORE_TEST_FIRST_SEED and SYCAMORE_TEST_LAST_SEED choose other seeds.
 BOOST_AUTO_TEST_CASE(AcknowledgedEndsOutliveAnyDaemons) {
-  const std::uint64_t First = numberFrom("SYCAMORE_TEST_FIRST_SEED", 1);
-  const std::uint64_t Last = numberFrom("SYCAMORE_TEST_LAST_SEED", 40);
+  const auto Seeds = TestSeeds::create(40);
   int Acknowledged = 0;
-  for (std::uint64_t Seed = First; Seed <= Last; ++Seed) {
+  for (std::uint64_t Seed = Seeds.First; Seed <= Seeds.Last; ++Seed) {
     BOOST_TEST_CONTEXT("seed " << Seed) {
       Simulation Play(3 + 2 * (Seed % 3), Seed);
       Play.runRound();
