--- a/Source/StateDaemon/ControllerServerEnds.cpp
+++ b/Source/StateDaemon/ControllerServerEnds.cpp
@@ -21,7 +21,7 @@
 ServerEndRecorder::Handlers Controller::serverEndHandlers() {
   ServerEndRecorder::Handlers Result;
   Result.Propose = [this](State::RecordServerEndsCommand Command,
-                          std::function<void()> OnApplied) {
+                          const std::function<void()> &OnApplied) {
     this->Driver->propose(
         Network::encode(State::ControlCommand(std::move(Command))),
         [OnApplied](ReplicaDriver::ProposalOutcome Outcome) {
--- a/Source/UnitTests/EntryDaemon/ControlLinkTest.cpp
+++ b/Source/UnitTests/EntryDaemon/ControlLinkTest.cpp
@@ -23,7 +23,7 @@
 /// A state daemon through which the leader answers polls.
 class LiveDaemon {
 public:
-  LiveDaemon(Network::EventLoop &Loop, Network::Address At,
+  LiveDaemon(Network::EventLoop &Loop, const Network::Address &At,
              std::vector<State::StateEndpoint> Members)
       : Members(std::move(Members)) {
     Network::FrameServer::Handlers Handlers;
