FaultTests: Killing and restarting all daemons is written once

RoutedServing/EverythingRestarts* and RoutedDeregistration/*PowerOfAllDaemons killed and restarted all daemons with the same lines; RoutedCluster does it now. No check changed. Both cases, and the other deregistration cases that start with "ADereg", pass.

--- a/Source/FaultTests/RoutedCluster.cpp
+++ b/Source/FaultTests/RoutedCluster.cpp
@@ -212,6 +212,15 @@
       this->waitUntil([this] { return this->request("/a/x").Status == 200; }));
 }
 
+void RoutedCluster::crashAndRestartAll() {
+  for (int I = 1; I <= StateDaemons; ++I)
+    this->crash("state" + std::to_string(I));
+  this->crash("entry");
+  for (int I = 1; I <= StateDaemons; ++I)
+    this->startStateDaemon(I, false);
+  this->startEntryDaemon();
+}
+
 void RoutedCluster::wipeDisk(int Number) {
   std::filesystem::remove_all(this->Folder + "/state" + std::to_string(Number));
 }
--- a/Source/FaultTests/RoutedCluster.h
+++ b/Source/FaultTests/RoutedCluster.h
@@ -55,6 +55,8 @@
   void restartStateDaemon(int Number);
   /// Ends a process with SIGKILL.
   void crash(const std::string &Name) { this->Processes.erase(Name); }
+  /// Kills all state daemons and entry daemon 1 before it starts them again.
+  void crashAndRestartAll();
   /// Deletes a state daemon's data folder.
   void wipeDisk(int Number);
   /// What a process has logged since its last start.
--- a/Source/FaultTests/RoutedDeregistrationTest.cpp
+++ b/Source/FaultTests/RoutedDeregistrationTest.cpp
@@ -145,12 +145,7 @@
                     .call(Fixture.controlAddress(1), "POST", DeregisterPath,
                           deregistration(1000))
                     .Status == 200);
-  for (int I = 1; I <= RoutedCluster::StateDaemons; ++I)
-    Fixture.crash("state" + std::to_string(I));
-  Fixture.crash("entry");
-  for (int I = 1; I <= RoutedCluster::StateDaemons; ++I)
-    Fixture.startStateDaemon(I, false);
-  Fixture.startEntryDaemon();
+  Fixture.crashAndRestartAll();
   Fixture.announce("ready");
   waitUntilInTouch(Fixture, 9);
   expectNothingServed(Fixture, 9);
--- a/Source/FaultTests/RoutedServingTest.cpp
+++ b/Source/FaultTests/RoutedServingTest.cpp
@@ -697,12 +697,7 @@
   Fixture.startAll();
   const std::string NewDeclaration = RoutedCluster::declaration(12, "/b/");
   BOOST_TEST(Fixture.operatorCall("POST", ReplacePath, NewDeclaration, 200));
-  for (int I = 1; I <= RoutedCluster::StateDaemons; ++I)
-    Fixture.crash("state" + std::to_string(I));
-  Fixture.crash("entry");
-  for (int I = 1; I <= RoutedCluster::StateDaemons; ++I)
-    Fixture.startStateDaemon(I, false);
-  Fixture.startEntryDaemon();
+  Fixture.crashAndRestartAll();
   std::string CurrentDeclaration;
   BOOST_TEST(
       Fixture.operatorCall("GET", ReadPath, "", 200, &CurrentDeclaration));
