State, EntryDaemon, StateDaemon: Frames for reports and directives

Rollouts, servers of different speed and admission under load all add to what an entry daemon reports and what the leader hands out. They share one report and one answer, which are frames of their own so that daemons of earlier releases drop them; the polls are unchanged. The handlers are empty.

--- a/Source/Core/Common/Ids.h
+++ b/Source/Core/Common/Ids.h
@@ -43,6 +43,8 @@
 using ServiceName = StrongId<struct ServiceNameTag>;
 using ModelName = StrongId<struct ModelNameTag>;
 using PriorityName = StrongId<struct PriorityNameTag>;
+/// Version of the software of a backend server, as the server announces it.
+using SoftwareVersion = StrongId<struct SoftwareVersionTag>;
 using CommandId = StrongId<struct CommandIdTag>;
 /// Chosen by a caller to identify repeats of the same request.
 using IdempotencyKey = StrongId<struct IdempotencyKeyTag>;
--- a/Source/Core/State/ControlProtocol.h
+++ b/Source/Core/State/ControlProtocol.h
@@ -1,9 +1,12 @@
 #ifndef SYCAMOREREACH_STATE_CONTROLPROTOCOL_H
 #define SYCAMOREREACH_STATE_CONTROLPROTOCOL_H
 
+#include "Admission/AdmissionLevel.h"
 #include "Consensus/Membership.h"
 #include "Consensus/Messages.h"
 #include "Membership/ServerRecord.h"
+#include "Rollout/Directive.h"
+#include "Routing/ServerTiming.h"
 #include "State/ControlState.h"
 
 #include <cstdint>
@@ -353,12 +356,82 @@
   }
 };
 
+/// What an entry daemon observes of servers and load. Sent with each poll, on
+/// the same connection; the leader answers it with EntryDirectives. A frame of
+/// its own, so that daemons of releases before it ignore it.
+struct EntryReport {
+  Common::DaemonId Entry;
+  Common::Incarnation Incarnation;
+  /// Sequence of the poll that it accompanies.
+  std::uint64_t Sequence = 0;
+  std::vector<Rollout::Observation> Rollouts;
+  std::vector<Rollout::Progress> RolloutProgress;
+  std::vector<Routing::ServerTiming> Timings;
+  std::vector<Admission::ServiceLoad> Services;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(this->Entry, this->Incarnation, this->Sequence, this->Rollouts,
+       this->RolloutProgress, this->Timings, this->Services);
+  }
+};
+
+/// The leader's answer to an EntryReport. With an empty Entry it is sent to all
+/// entry daemons, unasked; such directives may only reduce what a daemon is
+/// allowed, and extend no validity.
+struct EntryDirectives {
+  Common::DaemonId Entry;
+  Common::Incarnation Incarnation;
+  std::uint64_t Sequence = 0;
+  std::vector<Rollout::Directive> Rollouts;
+  std::vector<Admission::AdmissionLevel> Levels;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(this->Entry, this->Incarnation, this->Sequence, this->Rollouts,
+       this->Levels);
+  }
+};
+
+/// Speeds of servers as learnt from all entry daemons. The leader sends changes
+/// as they occur, and all of them periodically, to the state daemons, which
+/// pass them on to their entry daemons.
+struct ServerSpeeds {
+  std::vector<Routing::EngineProfile> Engines;
+  std::vector<Routing::ServerSpeed> Servers;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(this->Engines, this->Servers);
+  }
+};
+
+/// Software version of one incarnation of a server.
+struct ServerVersion {
+  Common::BackendServerId Id;
+  std::uint64_t StartedAt = 0;
+  Common::SoftwareVersion Version;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(this->Id, this->StartedAt, this->Version);
+  }
+};
+
+/// Versions of the servers of the RegistryDelta that follows on the same
+/// connection. A frame of its own, so that daemons of releases before it can
+/// still read the RegistryDelta.
+struct ServerVersions {
+  std::vector<ServerVersion> Versions;
+
+  template <class Archive> void serialize(Archive &Ar) { Ar(this->Versions); }
+};
+
+/// Frames are encoded with their position in this list, so new ones are added
+/// at its end.
 using ControlFrame =
     std::variant<Consensus::Message, JoinRequest, RegistryDelta, EntryHello,
                  StateEndpoints, DeclarationPush, EntryPoll, EntryPollResponse,
                  TokenRequest, TokenDecisions, TokenPoolRequest, TokenPoolGrant,
                  ServerLoads, LeaveRequest, LeaveConfirmation, PeerHello,
-                 ServerEndRequest, ServerEndConfirmation>;
+                 ServerEndRequest, ServerEndConfirmation, EntryReport,
+                 EntryDirectives, ServerSpeeds, ServerVersions>;
 
 } // namespace State
 
--- a/Source/EntryDaemon/ControlLink.cpp
+++ b/Source/EntryDaemon/ControlLink.cpp
@@ -229,6 +229,34 @@
   if (this->PollSentAt.size() > MaxOutstandingPolls)
     this->PollSentAt.erase(this->PollSentAt.begin());
   To.send(Network::encode(State::ControlFrame(std::move(Poll))));
+  this->sendReport(To);
+}
+
+void ControlLink::sendReport(Network::FrameClient &To) {
+  State::EntryReport Report;
+  Report.Entry = this->Opts.Self;
+  Report.Incarnation = this->Incarnation;
+  Report.Sequence = this->Sequence;
+  this->EventHandlers.FillReport(Report);
+  this->ReportSentAt[Report.Sequence] = this->Loop.now();
+  if (this->ReportSentAt.size() > MaxOutstandingPolls)
+    this->ReportSentAt.erase(this->ReportSentAt.begin());
+  To.send(Network::encode(State::ControlFrame(std::move(Report))));
+}
+
+void ControlLink::handleDirectives(const State::EntryDirectives &Directives) {
+  if (Directives.Entry.empty()) {
+    this->EventHandlers.OnDirectives(Directives, std::nullopt);
+    return;
+  }
+  const auto Sent = this->ReportSentAt.find(Directives.Sequence);
+  if (Directives.Entry != this->Opts.Self ||
+      Directives.Incarnation != this->Incarnation ||
+      Sent == this->ReportSentAt.end())
+    return;
+  const Common::TimePoint SentAt = Sent->second;
+  this->ReportSentAt.erase(Sent);
+  this->EventHandlers.OnDirectives(Directives, SentAt);
 }
 
 void ControlLink::handleFrame(LinkNumber From, const std::string &Payload) {
@@ -248,6 +276,14 @@
       this->EventHandlers.OnTokenDecisions(*Decided);
   } else if (const auto *Totals = std::get_if<State::ServerLoads>(&*Frame)) {
     this->EventHandlers.OnServerLoads(*Totals);
+  } else if (const auto *Directives =
+                 std::get_if<State::EntryDirectives>(&*Frame)) {
+    this->handleDirectives(*Directives);
+  } else if (const auto *Speeds = std::get_if<State::ServerSpeeds>(&*Frame)) {
+    this->EventHandlers.OnServerSpeeds(*Speeds);
+  } else if (const auto *Versions =
+                 std::get_if<State::ServerVersions>(&*Frame)) {
+    this->EventHandlers.OnServerVersions(*Versions);
   } else if (const auto *Known = std::get_if<State::StateEndpoints>(&*Frame)) {
     if (!Known->Endpoints.empty())
       this->StateDaemons = Known->Endpoints;
--- a/Source/EntryDaemon/ControlLink.h
+++ b/Source/EntryDaemon/ControlLink.h
@@ -6,7 +6,9 @@
 #include "State/ControlProtocol.h"
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace EntryDaemon {
@@ -35,6 +37,15 @@
         OnPollAnswer;
     std::function<void(const State::TokenDecisions &)> OnTokenDecisions;
     std::function<void(const State::ServerLoads &)> OnServerLoads;
+    /// Completes the report that accompanies each poll.
+    std::function<void(State::EntryReport &)> FillReport;
+    /// Gets the directives and the time at which the poll was sent to which
+    /// they belong; nothing if they were sent unasked.
+    std::function<void(const State::EntryDirectives &,
+                       std::optional<Common::TimePoint>)>
+        OnDirectives;
+    std::function<void(const State::ServerSpeeds &)> OnServerSpeeds;
+    std::function<void(const State::ServerVersions &)> OnServerVersions;
     /// A connection to a state daemon was opened; what was sent on an earlier
     /// one may be lost.
     std::function<void()> OnConnected;
@@ -65,6 +76,8 @@
   void handleFrame(LinkNumber From, const std::string &Payload);
   void poll();
   void sendPoll(Network::FrameClient &To);
+  void sendReport(Network::FrameClient &To);
+  void handleDirectives(const State::EntryDirectives &Directives);
   void checkConnection();
   bool isAnswerOverdue() const;
   void closeFailedAttempts();
@@ -94,6 +107,8 @@
   std::uint64_t Sequence = 0;
   /// Send times of unanswered polls, by sequence number.
   std::map<std::uint64_t, Common::TimePoint> PollSentAt;
+  /// The same for the reports that accompany the polls.
+  std::map<std::uint64_t, Common::TimePoint> ReportSentAt;
   Common::TimePoint LastAnswerAt;
   Common::TimePoint LastPollAt;
   Network::EventHandle PollTimer;
--- a/Source/EntryDaemon/Gateway.cpp
+++ b/Source/EntryDaemon/Gateway.cpp
@@ -138,6 +138,7 @@
     this->applyServerLoads(Totals);
   };
   Handlers.OnConnected = [this] { this->repeatTokenRequests(); };
+  this->setReportHandlers(Handlers);
   this->Control = std::make_unique<ControlLink>(
       this->Loop, std::move(LinkOptions), std::move(Handlers));
   this->Context.RequestTokensSoon = [this] {
--- a/Source/EntryDaemon/Gateway.h
+++ b/Source/EntryDaemon/Gateway.h
@@ -38,6 +38,13 @@
                        Common::TimePoint PollSentAt);
   void applyTokenDecisions(const State::TokenDecisions &Decided);
   void applyServerLoads(const State::ServerLoads &Totals);
+  /// Adds the handlers of reports and of what the leader directs.
+  void setReportHandlers(ControlLink::Handlers &Handlers);
+  void fillReport(State::EntryReport &Report);
+  void applyDirectives(const State::EntryDirectives &Directives,
+                       std::optional<Common::TimePoint> PollSentAt);
+  void applyServerSpeeds(const State::ServerSpeeds &Speeds);
+  void applyServerVersions(const State::ServerVersions &Versions);
   void sendTokenRequest();
   /// Requests the tokens of all waiting calls again.
   void repeatTokenRequests();
--- /dev/null
+++ b/Source/EntryDaemon/GatewayReports.cpp
@@ -0,0 +1,32 @@
+#include "EntryDaemon/Gateway.h"
+
+// The reports of this daemon to the leader, and what the leader directs.
+
+namespace EntryDaemon {
+
+void Gateway::setReportHandlers(ControlLink::Handlers &Handlers) {
+  Handlers.FillReport = [this](State::EntryReport &Report) {
+    this->fillReport(Report);
+  };
+  Handlers.OnDirectives = [this](const State::EntryDirectives &Directives,
+                                 std::optional<Common::TimePoint> PollSentAt) {
+    this->applyDirectives(Directives, PollSentAt);
+  };
+  Handlers.OnServerSpeeds = [this](const State::ServerSpeeds &Speeds) {
+    this->applyServerSpeeds(Speeds);
+  };
+  Handlers.OnServerVersions = [this](const State::ServerVersions &Versions) {
+    this->applyServerVersions(Versions);
+  };
+}
+
+void Gateway::fillReport(State::EntryReport &) {}
+
+void Gateway::applyDirectives(const State::EntryDirectives &,
+                              std::optional<Common::TimePoint>) {}
+
+void Gateway::applyServerSpeeds(const State::ServerSpeeds &) {}
+
+void Gateway::applyServerVersions(const State::ServerVersions &) {}
+
+} // namespace EntryDaemon
--- a/Source/StateDaemon/Controller.cpp
+++ b/Source/StateDaemon/Controller.cpp
@@ -28,6 +28,7 @@
 constexpr Common::Duration ChangeFlushDelay = std::chrono::milliseconds(4);
 constexpr Common::Duration LoadPublishPeriod = std::chrono::milliseconds(250);
 constexpr Common::Duration RefusalPlanPeriod = std::chrono::milliseconds(100);
+constexpr Common::Duration ReportPublishPeriod = std::chrono::milliseconds(100);
 /// Token needs within this time share a request to the leader.
 constexpr Common::Duration TokenDemandDelay = std::chrono::milliseconds(2);
 /// How often reserves are refilled and expired needs are refused.
@@ -172,6 +173,8 @@
   }));
   this->EventHandles.push_back(this->Loop.callEvery(
       RefusalPlanPeriod, [this] { this->proposeRefusals(); }));
+  this->EventHandles.push_back(this->Loop.callEvery(
+      ReportPublishPeriod, [this] { this->publishReports(); }));
   this->EventHandles.push_back(this->Loop.callEvery(ExpiryPeriod, [this] {
     this->Registry.removeExpired(this->Loop.now(), ServerRetention);
   }));
@@ -261,7 +264,11 @@
     this->handleServerEndRequest(From, *Ends);
   else if (const auto *Peer = std::get_if<State::PeerHello>(&*Frame))
     this->handlePeerHello(From, *Peer);
-  else if (std::get_if<State::ServerLoads>(&*Frame))
+  else if (auto *Report = std::get_if<State::EntryReport>(&*Frame))
+    this->handleEntryReport(From, std::move(*Report));
+  else if (std::get_if<State::ServerLoads>(&*Frame) ||
+           std::get_if<State::EntryDirectives>(&*Frame) ||
+           std::get_if<State::ServerSpeeds>(&*Frame))
     // Passed on as received.
     this->LinkServer->broadcast(this->entryConnections(), Payload);
 }
@@ -274,6 +281,9 @@
   }
   if (const auto *Answer = std::get_if<State::EntryPollResponse>(&*Frame))
     this->forwardPollAnswer(*Answer);
+  else if (const auto *Directives =
+               std::get_if<State::EntryDirectives>(&*Frame))
+    this->forwardDirectives(*Directives);
   else if (const auto *Grant = std::get_if<State::TokenPoolGrant>(&*Frame))
     this->handleTokenPoolGrant(*Grant);
   else if (const auto *Message = std::get_if<Consensus::Message>(&*Frame))
--- a/Source/StateDaemon/Controller.h
+++ b/Source/StateDaemon/Controller.h
@@ -11,6 +11,7 @@
 #include "StateDaemon/DutyRunner.h"
 #include "StateDaemon/EntryDaemonTracker.h"
 #include "StateDaemon/ReplicaDriver.h"
+#include "StateDaemon/ReportHandler.h"
 #include "StateDaemon/ServerEndRecorder.h"
 #include "StateDaemon/TokenPool.h"
 #include "Telemetry/Metrics.h"
@@ -77,6 +78,11 @@
   /// Proposes changes of what is refused because it crashes servers, while this
   /// daemon leads.
   void proposeRefusals();
+  void handleEntryReport(Network::ConnectionId From, State::EntryReport Report);
+  void forwardDirectives(const State::EntryDirectives &Directives);
+  /// Sends urgent directives and changed speeds to all daemons while this
+  /// daemon leads.
+  void publishReports();
   void forwardPollAnswer(const State::EntryPollResponse &Answer);
   void sendTo(Network::ConnectionId To, const State::ControlFrame &Frame);
   void broadcastToEntries(const State::ControlFrame &Frame);
@@ -183,6 +189,8 @@
   bool LeaveConfirmed = false;
   /// Exists only while this daemon leads.
   std::unique_ptr<EntryDaemonTracker> Tracker;
+  /// Exists only while this daemon leads.
+  std::unique_ptr<ReportHandler> Reports;
   /// Exists only while this daemon leads and an address for duty calls is set.
   std::unique_ptr<DutyRunner> Duties;
   std::shared_ptr<const Configuration::ServiceMap> Declaration;
--- a/Source/StateDaemon/ControllerGroup.cpp
+++ b/Source/StateDaemon/ControllerGroup.cpp
@@ -67,6 +67,7 @@
     this->LeadingSince = Now;
     this->Tracker =
         std::make_unique<EntryDaemonTracker>(this->Settings.Tolerance, Now);
+    this->Reports = std::make_unique<ReportHandler>();
     this->Tracker->addOwnClock(this->Settings.Name, this->Loop.wallNow(), Now);
     if (!this->Settings.DutyAddress.empty()) {
       this->Duties = std::make_unique<DutyRunner>(DutyRunner::Dependencies{
@@ -78,6 +79,7 @@
   if (!Leads && this->Tracker) {
     this->Duties.reset();
     this->Tracker.reset();
+    this->Reports.reset();
   }
   this->broadcastToEntries(this->stateEndpoints());
   // A replacement takes several changes, and between them the group tolerates
--- a/Source/UnitTests/EntryDaemon/ControlLinkTest.cpp
+++ b/Source/UnitTests/EntryDaemon/ControlLinkTest.cpp
@@ -100,6 +100,11 @@
                                    Common::TimePoint) { ++this->Answers; };
     Handlers.OnTokenDecisions = [](const State::TokenDecisions &) {};
     Handlers.OnServerLoads = [](const State::ServerLoads &) {};
+    Handlers.FillReport = [](State::EntryReport &) {};
+    Handlers.OnDirectives = [](const State::EntryDirectives &,
+                               std::optional<Common::TimePoint>) {};
+    Handlers.OnServerSpeeds = [](const State::ServerSpeeds &) {};
+    Handlers.OnServerVersions = [](const State::ServerVersions &) {};
     Handlers.OnConnected = [] {};
     return std::make_unique<ControlLink>(*this->Loop, std::move(Options),
                                          std::move(Handlers));
