Network: Trailers never become headers

Cause: Http1Reader appended the fields of a trailer to the head's headers. If they arrived in one read with the head, before the head was looked at, a server (or what stands between) could set any header late: X-Sycamorereach-Not-Executed in a trailer was believed.

Change: fields after the head are dropped. Http1Reader_/TrailersAreNoHeaders failed before, at once and byte by byte.

--- a/Source/Core/Network/Http1Reader.cpp
+++ b/Source/Core/Network/Http1Reader.cpp
@@ -23,6 +23,10 @@
   static int onHeaderField(http_parser *RawParser, const char *Bytes,
                            std::size_t Length) {
     Http1Reader &Self = readerOf(RawParser);
+    // Trailers are dropped, as the framing headers and the marks of a server
+    // count only where they were sent before the body.
+    if (Self.HeadComplete)
+      return 0;
     if (Self.LastTokenWasValue || Self.Head.Headers.empty())
       Self.Head.Headers.emplace_back();
     Self.LastTokenWasValue = false;
@@ -32,6 +36,8 @@
   static int onHeaderValue(http_parser *RawParser, const char *Bytes,
                            std::size_t Length) {
     Http1Reader &Self = readerOf(RawParser);
+    if (Self.HeadComplete)
+      return 0;
     Self.LastTokenWasValue = true;
     if (!Self.Head.Headers.empty())
       Self.Head.Headers.back().Value.append(Bytes, Length);
--- a/Source/UnitTests/Network/Http1ReaderTest.cpp
+++ b/Source/UnitTests/Network/Http1ReaderTest.cpp
@@ -119,6 +119,22 @@
              "two  words ");
 }
 
+// Guards against a trailer that arrives together with the head being taken for
+// a header field, by which a server could mark a request as not executed.
+BOOST_AUTO_TEST_CASE(TrailersAreNoHeaders) {
+  for (const bool ByteByByte : {false, true}) {
+    Http1Reader Reader(Http1Reader::Kind::Responses, {});
+    const std::string Bytes =
+        "HTTP/1.1 503 Busy\r\nTransfer-Encoding: chunked\r\nA: b\r\n\r\n"
+        "3\r\nabc\r\n0\r\nX-Trailer: 1\r\nRetry-After: 9\r\n\r\n";
+    BOOST_CHECK(readAll(Reader, Bytes, ByteByByte) == State::Complete);
+    BOOST_TEST(Reader.takeBody() == "abc");
+    BOOST_TEST(Reader.head().Headers.size() == 2u);
+    BOOST_TEST(!Network::findHeader(Reader.head().Headers, "X-Trailer"));
+    BOOST_TEST(*Network::findHeader(Reader.head().Headers, "A") == "b");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(StopsAtEndOfMessage) {
   Http1Reader Reader(Http1Reader::Kind::Requests, {});
   const std::string First = "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n";
