Storage: Only a missing file counts as absent

Cause: readFile returned NotFound for every file that could not be opened, for example for lack of descriptors.

Change: NotFound for ENOENT only; any other failure ends the start with the operation and its error. DataFolderTest/unopenableFilesAreNotAbsent failed before: a link to itself was taken for absent, a folder for an empty file.

--- a/Source/Core/Storage/RecordFile.cpp
+++ b/Source/Core/Storage/RecordFile.cpp
@@ -7,11 +7,10 @@
 #include <cstring>
 #include <fcntl.h>
 #include <filesystem>
-#include <fstream>
 #include <optional>
-#include <sstream>
 #include <string_view>
 #include <unistd.h>
+#include <vector>
 
 namespace Storage {
 
@@ -19,6 +18,7 @@
 
 constexpr std::uint32_t RecordMagic = 0x57414c31;
 constexpr mode_t OwnerOnlyMode = 0600;
+constexpr std::size_t ReadBufferBytes = 64u << 10;
 
 struct RecordHeader {
   std::uint32_t Magic = 0;
@@ -172,15 +172,29 @@
 }
 
 absl::StatusOr<std::string> readFile(const std::string &Path) {
-  std::ifstream File(Path, std::ios::binary);
-  if (!File)
-    return absl::NotFoundError(absl::StrCat("cannot open ", Path));
-  std::ostringstream Bytes;
-  Bytes << File.rdbuf();
-  if (File.bad())
-    return absl::DataLossError(
-        absl::StrCat("cannot read ", Path, "; check the disk"));
-  return std::move(Bytes).str();
+  const int Descriptor = open(Path.c_str(), O_RDONLY | O_CLOEXEC);
+  if (Descriptor < 0) {
+    if (errno == ENOENT)
+      return absl::NotFoundError(absl::StrCat("there is no file ", Path));
+    return errnoStatus("cannot open " + Path);
+  }
+  std::string Bytes;
+  std::vector<char> Buffer(ReadBufferBytes);
+  for (;;) {
+    const ssize_t Count = read(Descriptor, Buffer.data(), Buffer.size());
+    if (Count < 0 && errno == EINTR)
+      continue;
+    if (Count < 0) {
+      const absl::Status Failed = errnoStatus("cannot read " + Path);
+      close(Descriptor);
+      return Failed;
+    }
+    if (Count == 0)
+      break;
+    Bytes.append(Buffer.data(), static_cast<std::size_t>(Count));
+  }
+  close(Descriptor);
+  return Bytes;
 }
 
 absl::Status replaceFile(const std::string &Path, const std::string &Bytes) {
--- a/Source/Core/Storage/RecordFile.h
+++ b/Source/Core/Storage/RecordFile.h
@@ -44,8 +44,9 @@
 /// follow a corrupted one.
 absl::StatusOr<ParsedRecords> parseRecords(const std::string &Bytes);
 
-/// Reads a whole file. NotFound when it cannot be opened, DataLoss when it
-/// cannot be read.
+/// Reads a whole file. NotFound only when there is no such file; fails like
+/// AppendFile::append when it cannot be opened or read. A file that cannot be
+/// opened now must not be taken for one that was never written.
 absl::StatusOr<std::string> readFile(const std::string &Path);
 
 /// Atomically replaces the content of Path with Bytes: after a crash the file
--- a/Source/UnitTests/Storage/DataFolderTest.cpp
+++ b/Source/UnitTests/Storage/DataFolderTest.cpp
@@ -137,6 +137,24 @@
   BOOST_TEST(Before == 0u);
 }
 
+// Guards against a file that cannot be opened, for example for lack of
+// descriptors, being taken for an absent one: the replica would start empty and
+// overwrite it.
+BOOST_AUTO_TEST_CASE(unopenableFilesAreNotAbsent) {
+  const TemporaryFolder Folder("unopenable");
+  std::filesystem::create_directories(Folder.Path);
+  const std::string Loop = Folder.Path + "/loop";
+  std::filesystem::create_symlink(Loop, Loop);
+  const auto Unopenable = Storage::readFile(Loop);
+  BOOST_TEST(!Unopenable.ok());
+  BOOST_TEST(!absl::IsNotFound(Unopenable.status()));
+  const auto Unreadable = Storage::readFile(Folder.Path);
+  BOOST_TEST(!Unreadable.ok());
+  BOOST_TEST(!absl::IsNotFound(Unreadable.status()));
+  BOOST_TEST(
+      absl::IsNotFound(Storage::readFile(Folder.Path + "/none").status()));
+}
+
 BOOST_AUTO_TEST_CASE(corruptionBeforeLastRecordIsDataLoss) {
   const TemporaryFolder Folder("damage");
   BOOST_REQUIRE(Storage::DataFolder::format(Folder.Path, "s1").ok());
