EntryDaemon: A deadline of 0 ms is over

Change: such a request is refused at once with 503, before it is sent anywhere. RoutedServing/ARequestWhoseDeadlineIsOverIsRefused failed before.

--- a/Source/EntryDaemon/RoutedCall.cpp
+++ b/Source/EntryDaemon/RoutedCall.cpp
@@ -107,6 +107,12 @@
       return false;
     }
   }
+  // A deadline of 0 ms is over. It must not be taken for a missing one.
+  if (this->CallerHeaders.TimeLeft &&
+      *this->CallerHeaders.TimeLeft <= Common::Duration::zero()) {
+    this->fail(CallFailure::DeadlinePassed, HttpStatus::Unavailable);
+    return false;
+  }
   Common::Duration Limit = this->Route->Timeout;
   if (this->CallerHeaders.TimeLeft)
     Limit = std::min(Limit, *this->CallerHeaders.TimeLeft);
--- a/Source/FaultTests/RoutedServingTest.cpp
+++ b/Source/FaultTests/RoutedServingTest.cpp
@@ -74,6 +74,19 @@
   BOOST_TEST(Fixture.request("/c/x").Status == 404);
 }
 
+// Guards against a deadline of 0 ms being taken for none: the request would run
+// although its caller no longer waits.
+BOOST_AUTO_TEST_CASE(ARequestWhoseDeadlineIsOverIsRefused) {
+  RoutedCluster Fixture;
+  Fixture.startAll();
+  BOOST_TEST(Fixture.request("/a/x").Status == 200);
+  const int RequestsBefore = Fixture.ServerRequests;
+  const auto Response = Fixture.startRequest("/a/x", "key-1", "POST", 0);
+  BOOST_TEST(Fixture.waitUntil([&] { return Response->Done; }));
+  BOOST_TEST(Response->Status == 503);
+  BOOST_TEST(Fixture.ServerRequests == RequestsBefore);
+}
+
 BOOST_AUTO_TEST_CASE(AServerThatLeavesGetsNothingMore) {
   RoutedCluster Fixture;
   Fixture.startAll();
