StateDaemon, EntryDaemon: Late announcements do not disprove crashes

Cause: a heartbeat that arrived more than 300 ms after a crash counted as proof that the server had not crashed, by the time of its arrival.

Change: an announcement proves life from its earliest possible sending, 5.5 s before it arrived. As that is slow where connections were only reset, answers prove it at once: the leader names supposed crashes in its directives, and an entry daemon that got bytes of another answer of the same process 300 ms later, to a request sent no later than 700 ms after the crash, disproves it. The same list tells entry daemons that an answer that ended with its connection was cut off.

Ruled out: longer delays alone refuse sound prompt parts for over 2 s where connections are reset; the time of sending cannot be told from the sequence, as the delay may be constant.

LateAnnouncementsAreNoVerdict: no false refusal over 2 s.

--- a/Source/Core/Routing/CrashAttribution.h
+++ b/Source/Core/Routing/CrashAttribution.h
@@ -35,9 +35,15 @@
   /// Records that an answer of a request with this part began at BegunAt and
   /// went on. Returns false if a later one is known.
   bool recordSurvival(Common::CauseHash Part, Common::TimePoint BegunAt);
-  /// Returns when a server process was last heard of, if it is known.
+  /// Returns the last time at which a server process is known to have run. An
+  /// announcement that may have been delayed counts from its earliest possible
+  /// sending.
   using LastHeardOf = std::function<std::optional<Common::TimePoint>(
       const ServerIncarnation &)>;
+  /// A server process that is known to have run this long after a crash did not
+  /// crash.
+  static constexpr Common::Duration DisproofTime =
+      std::chrono::milliseconds(301);
   /// Whether the server was heard of so long after the crash that it was none.
   static bool isDisproved(const ServerIncarnation &Server,
                           Common::TimePoint CrashedAt,
--- a/Source/Core/State/ControlProtocol.h
+++ b/Source/Core/State/ControlProtocol.h
@@ -356,6 +356,20 @@
   }
 };
 
+/// A supposed crash of a server process, which answers of other requests may
+/// disprove.
+struct SupposedCrash {
+  Common::BackendServerId Server;
+  std::uint64_t StartedAt = 0;
+  /// Assigned by the leader; identifies the crash in the reports.
+  std::uint64_t Number = 0;
+  std::uint64_t AgeMilliseconds = 0;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(this->Server, this->StartedAt, this->Number, this->AgeMilliseconds);
+  }
+};
+
 /// What an entry daemon observes of servers and load. Sent with each poll, on
 /// the same connection; the leader answers it with EntryDirectives. A frame of
 /// its own, so that daemons of releases before it ignore it.
@@ -368,10 +382,13 @@
   std::vector<Rollout::Progress> RolloutProgress;
   std::vector<Routing::ServerTiming> Timings;
   std::vector<Admission::ServiceLoad> Services;
+  /// Numbers of the supposed crashes that an answer to this daemon disproves.
+  std::vector<std::uint64_t> DisprovedCrashes;
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(this->Entry, this->Incarnation, this->Sequence, this->Rollouts,
-       this->RolloutProgress, this->Timings, this->Services);
+       this->RolloutProgress, this->Timings, this->Services,
+       this->DisprovedCrashes);
   }
 };
 
@@ -384,10 +401,12 @@
   std::uint64_t Sequence = 0;
   std::vector<Rollout::Directive> Rollouts;
   std::vector<Admission::AdmissionLevel> Levels;
+  /// Recent supposed crashes, to be disproved.
+  std::vector<SupposedCrash> Crashes;
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(this->Entry, this->Incarnation, this->Sequence, this->Rollouts,
-       this->Levels);
+       this->Levels, this->Crashes);
   }
 };
 
--- a/Source/Core/Telemetry/LogEvents.h
+++ b/Source/Core/Telemetry/LogEvents.h
@@ -134,6 +134,8 @@
     LogLevel::Info,
     "lost_run_reported",
     {"entry", "server", "started", "causes", "lost_ms_ago"}};
+inline constexpr LogEvent<2> CrashDisproved{
+    LogLevel::Info, "crash_disproved", {"server", "started"}};
 inline constexpr LogEvent<3> PromptRefused{
     LogLevel::Warning,
     "prompt_refused",
--- a/Source/EntryDaemon/Gateway.cpp
+++ b/Source/EntryDaemon/Gateway.cpp
@@ -160,6 +160,7 @@
       SettingsReloadPeriod, [this] { this->reloadSettings(); }));
   this->EventHandles.push_back(this->Loop.callEvery(HousekeepingPeriod, [this] {
     this->Context.Servers.removeExpired(this->Loop.now());
+    this->Context.Liveness.removeExpired(this->Loop.now());
   }));
   this->EventHandles.push_back(this->Loop.callEvery(
       ReadinessCheckPeriod, [this] { this->logReadinessChange(); }));
@@ -258,7 +259,7 @@
     Poll.Services.push_back({Service, Engines});
   Poll.Crashes = this->Context.CrashingContents.recentReports(Now);
   this->Context.PromptCrashes.fillPoll(Poll, this->Context.Servers.registry(),
-                                       Now);
+                                       this->Context.Liveness, Now);
   Poll.UsedRefusals = this->Context.Refusals.takeUsed();
 }
 
--- a/Source/EntryDaemon/GatewayContext.h
+++ b/Source/EntryDaemon/GatewayContext.h
@@ -11,6 +11,7 @@
 #include "EntryDaemon/UsageCounter.h"
 #include "Fleet/DemandMeter.h"
 #include "Network/Http1Client.h"
+#include "Routing/LivenessEvidence.h"
 #include "Routing/RetryShare.h"
 #include "Routing/ReturnSchedule.h"
 #include "Routing/ServerTable.h"
@@ -57,6 +58,11 @@
   std::optional<Common::TimePoint> DeclarationConfirmedAt;
   CrashingContentTracker CrashingContents;
   PromptCrashReporter PromptCrashes;
+  Routing::LivenessEvidence Liveness;
+  /// Supposed crashes that an answer to this daemon may disprove, with their
+  /// times.
+  std::vector<std::pair<State::SupposedCrash, Common::TimePoint>>
+      SupposedCrashes;
   RefusalList Refusals;
   /// Calls that wait for tokens of their team's allowance, by the number of
   /// their need.
--- a/Source/EntryDaemon/GatewayReports.cpp
+++ b/Source/EntryDaemon/GatewayReports.cpp
@@ -20,10 +20,27 @@
   };
 }
 
-void Gateway::fillReport(State::EntryReport &) {}
+void Gateway::fillReport(State::EntryReport &Report) {
+  for (const auto &[Crash, At] : this->Context.SupposedCrashes)
+    if (this->Context.Liveness.hasSurvived({Crash.Server, {Crash.StartedAt}},
+                                           At))
+      Report.DisprovedCrashes.push_back(Crash.Number);
+}
 
-void Gateway::applyDirectives(const State::EntryDirectives &,
-                              std::optional<Common::TimePoint>) {}
+void Gateway::applyDirectives(const State::EntryDirectives &Directives,
+                              std::optional<Common::TimePoint> PollSentAt) {
+  if (!PollSentAt)
+    return;
+  const Common::TimePoint Now = this->Loop.now();
+  this->Context.SupposedCrashes.clear();
+  for (const State::SupposedCrash &Each : Directives.Crashes) {
+    const Common::TimePoint At =
+        Now - std::chrono::milliseconds(Each.AgeMilliseconds);
+    this->Context.SupposedCrashes.emplace_back(Each, At);
+    this->Context.PromptCrashes.recordSupposedCrash(Each.Server, Each.StartedAt,
+                                                    At);
+  }
+}
 
 void Gateway::applyServerSpeeds(const State::ServerSpeeds &) {}
 
--- a/Source/EntryDaemon/PromptCrashReporter.cpp
+++ b/Source/EntryDaemon/PromptCrashReporter.cpp
@@ -16,17 +16,22 @@
 
 void PromptCrashReporter::recordLostRun(const Run &Lost,
                                         Common::TimePoint Now) {
-  // The server has crashed, so its answers that ended in the same moment were
-  // cut off.
+  this->recordSupposedCrash(Lost.Server, Lost.ServerStartedAt, Now);
+  this->addLostRun(Lost, Now);
+}
+
+void PromptCrashReporter::recordSupposedCrash(
+    const Common::BackendServerId &Server, std::uint64_t ServerStartedAt,
+    Common::TimePoint At) {
   std::erase_if(this->UncertainEnds, [&](const TimedRun &Each) {
-    const bool SameCrash = Each.Value.Server == Lost.Server &&
-                           Each.Value.ServerStartedAt == Lost.ServerStartedAt &&
-                           Now - Each.EndedAt < AnnouncementDelay;
+    const bool SameCrash = Each.Value.Server == Server &&
+                           Each.Value.ServerStartedAt == ServerStartedAt &&
+                           Each.EndedAt > At - SameCrashTime &&
+                           Each.EndedAt < At + SameCrashTime;
     if (SameCrash)
       this->addLostRun(Each.Value, Each.EndedAt);
     return SameCrash;
   });
-  this->addLostRun(Lost, Now);
 }
 
 void PromptCrashReporter::addLostRun(const Run &Lost, Common::TimePoint At) {
@@ -68,18 +73,24 @@
 }
 
 void PromptCrashReporter::judgeUncertainEnds(
-    const Membership::ServerRegistry &Known, Common::TimePoint Now) {
+    const Membership::ServerRegistry &Known,
+    const Routing::LivenessEvidence &Evidence, Common::TimePoint Now) {
   std::erase_if(this->UncertainEnds, [&](const TimedRun &Each) {
     const auto *Server = Known.find(Each.Value.Server);
     if (!Server || (Server->Record.StartedAt == Each.Value.ServerStartedAt &&
                     Server->Record.Phase == Membership::ServerPhase::Gone))
       return true;
     if (Server->Record.StartedAt == Each.Value.ServerStartedAt) {
-      if (Server->HeardAt > Each.EndedAt + AnnouncementDelay) {
+      if (Server->HeardAt > Each.EndedAt + MaxAnnouncementDelay ||
+          Evidence.hasSurvived(
+              {Each.Value.Server, {Each.Value.ServerStartedAt}},
+              Each.EndedAt)) {
         this->recordSurvival(Each.Value.Causes, Each.Value.BegunAt);
         return true;
       }
-      if (Now - Each.EndedAt < MaxSilence)
+      const Common::TimePoint LastSign =
+          std::max(Server->HeardAt, Each.EndedAt);
+      if (Now - LastSign < MaxSilence && Now - Each.EndedAt < MaxUncertainty)
         return false;
     }
     this->addLostRun(Each.Value, Each.EndedAt);
@@ -89,8 +100,9 @@
 
 void PromptCrashReporter::fillPoll(State::EntryPoll &Poll,
                                    const Membership::ServerRegistry &Known,
+                                   const Routing::LivenessEvidence &Evidence,
                                    Common::TimePoint Now) {
-  this->judgeUncertainEnds(Known, Now);
+  this->judgeUncertainEnds(Known, Evidence, Now);
   std::erase_if(this->LostRuns, [Now](const TimedRun &Each) {
     return Now - Each.EndedAt > LostRunRetention;
   });
--- a/Source/EntryDaemon/PromptCrashReporter.h
+++ b/Source/EntryDaemon/PromptCrashReporter.h
@@ -2,6 +2,7 @@
 #define SYCAMOREREACH_ENTRYDAEMON_PROMPTCRASHREPORTER_H
 
 #include "Membership/ServerRegistry.h"
+#include "Routing/LivenessEvidence.h"
 #include "State/ControlProtocol.h"
 
 #include <deque>
@@ -32,6 +33,11 @@
   /// connection. It is complete if the server goes on to announce itself;
   /// otherwise the server crashed.
   void recordUncertainEnd(const Run &Ended, Common::TimePoint Now);
+  /// Records that another entry daemon lost a run with the server process at
+  /// At. Answers that ended with their connections in the same moment were cut
+  /// off, if it crashed.
+  void recordSupposedCrash(const Common::BackendServerId &Server,
+                           std::uint64_t ServerStartedAt, Common::TimePoint At);
   /// Records that an answer that began at BegunAt, of a request with these
   /// causes, went on.
   void recordSurvival(const Common::CauseSet &Causes,
@@ -43,6 +49,7 @@
   /// Adds the reports to a poll. They are sent repeatedly, so that a newly
   /// elected leader receives them too.
   void fillPoll(State::EntryPoll &Poll, const Membership::ServerRegistry &Known,
+                const Routing::LivenessEvidence &Evidence,
                 Common::TimePoint Now);
 
 private:
@@ -52,13 +59,20 @@
   static constexpr std::size_t MaxLostRuns = 32;
   static constexpr std::size_t MaxUncertainEnds = 256;
   static constexpr std::size_t MaxSurvivals = 8192;
-  /// An announcement that arrives sooner after an answer's end may have been
-  /// sent before it.
-  static constexpr Common::Duration AnnouncementDelay =
+  /// Runs that end within this time of a lost one were lost with it.
+  static constexpr Common::Duration SameCrashTime =
       std::chrono::milliseconds(300);
-  /// A server that was not heard of for longer after an answer's end has
-  /// crashed. Several announcements are due within this time.
+  /// An announcement that arrives sooner after an answer's end may have been
+  /// sent before it, as announcements can be seconds late.
+  static constexpr Common::Duration MaxAnnouncementDelay =
+      std::chrono::milliseconds(5500);
+  /// A server that was not heard of for this long has crashed. Several
+  /// announcements are due within this time.
   static constexpr Common::Duration MaxSilence = std::chrono::seconds(3);
+  /// Without proof that the server runs, an end is taken for a crash after this
+  /// time: announcements that were sent after the end have arrived by then.
+  static constexpr Common::Duration MaxUncertainty =
+      std::chrono::milliseconds(7500);
 
   struct TimedRun {
     Run Value;
@@ -66,6 +80,7 @@
   };
   void addLostRun(const Run &Lost, Common::TimePoint At);
   void judgeUncertainEnds(const Membership::ServerRegistry &Known,
+                          const Routing::LivenessEvidence &Evidence,
                           Common::TimePoint Now);
 
   /// Oldest first.
--- a/Source/EntryDaemon/RoutedAttempt.cpp
+++ b/Source/EntryDaemon/RoutedAttempt.cpp
@@ -382,9 +382,14 @@
 }
 
 void RoutedCall::noteServerActivity() {
-  if (this->CurrentAttempt)
-    this->Context.Servers.recordActivity(this->CurrentAttempt->Server,
-                                         this->Context.Loop.now());
+  if (!this->CurrentAttempt)
+    return;
+  const Attempt &Current = *this->CurrentAttempt;
+  const Common::TimePoint Now = this->Context.Loop.now();
+  this->Context.Servers.recordActivity(Current.Server, Now);
+  this->Context.Liveness.recordBytes(
+      {Current.Server.Id, {Current.Server.ServerStartedAt}}, Current.SentAt,
+      Now);
 }
 
 void RoutedCall::handleBody(const std::string &Bytes) {
--- a/Source/StateDaemon/ControllerReports.cpp
+++ b/Source/StateDaemon/ControllerReports.cpp
@@ -9,7 +9,12 @@
 void Controller::handleEntryReport(Network::ConnectionId From,
                                    State::EntryReport Report) {
   if (this->Driver->holdsLeadership() && this->Reports) {
-    this->sendTo(From, this->Reports->handleReport(Report, this->Loop.now()));
+    const Common::TimePoint Now = this->Loop.now();
+    State::EntryDirectives Answer = this->Reports->handleReport(Report, Now);
+    if (this->Tracker)
+      Answer.Crashes =
+          this->Tracker->handleDisproofs(Report.DisprovedCrashes, Now);
+    this->sendTo(From, Answer);
     return;
   }
   // Forwarded at most once, as polls are.
--- a/Source/StateDaemon/EntryDaemonTracker.h
+++ b/Source/StateDaemon/EntryDaemonTracker.h
@@ -54,6 +54,15 @@
   std::map<Common::ServiceName, double>
   engineDemand(const Membership::ServerRegistry &Servers) const;
   std::size_t liveEntryCount() const { return this->LiveEntries; }
+  /// Takes in what an entry daemon's answers disprove, and returns the supposed
+  /// crashes that are still to be disproved.
+  std::vector<State::SupposedCrash>
+  handleDisproofs(const std::vector<std::uint64_t> &Disproved,
+                  Common::TimePoint Now) {
+    for (const std::uint64_t Each : Disproved)
+      this->Refusals.recordDisproof(Each);
+    return this->Refusals.supposedCrashes(Now);
+  }
   /// Commands that change what is refused because it crashes servers. They are
   /// to be proposed.
   std::vector<State::ControlCommand>
--- a/Source/StateDaemon/RefusalPlanner.cpp
+++ b/Source/StateDaemon/RefusalPlanner.cpp
@@ -62,6 +62,8 @@
           .second;
   if (!IsNew)
     return;
+  this->suppose({Report.Server, {Report.StartedAt}},
+                timeOf(Report.AgeMilliseconds, Now));
   Telemetry::log(Events::CrashReported, Reporter.str(),
                  absl::Hex(Report.Content), Report.Server.str(),
                  Report.StartedAt, Servers.size());
@@ -84,6 +86,7 @@
                                        Report.Parts, CrashedAt))
     return;
   this->SuspectsChanged = true;
+  this->suppose({Report.Server, {Report.StartedAt}}, CrashedAt);
   Telemetry::log(Events::LostRunReported, Reporter.str(), Report.Server.str(),
                  Report.StartedAt, hexCauses(Report.Parts),
                  Report.AgeMilliseconds);
@@ -119,6 +122,45 @@
   }
 }
 
+void RefusalPlanner::suppose(const Routing::ServerIncarnation &Server,
+                             Common::TimePoint At) {
+  for (const auto &Each : this->SupposedCrashes)
+    if (Each.second.Server == Server && Each.second.At == At)
+      return;
+  this->SupposedCrashes[++this->LastSupposedCrash] = {Server, At};
+  if (this->SupposedCrashes.size() > MaxSupposedCrashes)
+    this->SupposedCrashes.erase(this->SupposedCrashes.begin());
+}
+
+std::vector<State::SupposedCrash>
+RefusalPlanner::supposedCrashes(Common::TimePoint Now) {
+  std::erase_if(this->SupposedCrashes, [Now](const auto &Each) {
+    return Now - Each.second.At > MaxDisproofAge;
+  });
+  std::vector<State::SupposedCrash> Result;
+  Result.reserve(this->SupposedCrashes.size());
+  for (const auto &[Number, Each] : this->SupposedCrashes)
+    Result.push_back(
+        {Each.Server.BackendServer, Each.Server.Incarnation.Value, Number,
+         static_cast<std::uint64_t>(std::max<std::int64_t>(
+             Common::toMilliseconds(
+                 std::chrono::duration_cast<Common::Duration>(Now - Each.At)),
+             0))});
+  return Result;
+}
+
+void RefusalPlanner::recordDisproof(std::uint64_t Number) {
+  const auto Found = this->SupposedCrashes.find(Number);
+  if (Found == this->SupposedCrashes.end())
+    return;
+  const Supposed &Crash = Found->second;
+  Telemetry::log(Events::CrashDisproved, Crash.Server.BackendServer.str(),
+                 Crash.Server.Incarnation.Value);
+  Common::TimePoint &Proved = this->ProvedRunningAt[Crash.Server];
+  Proved = std::max(Proved, Crash.At + Routing::CrashAttribution::DisproofTime);
+  this->SupposedCrashes.erase(Found);
+}
+
 void RefusalPlanner::end(const Common::CauseSet &Causes,
                          const State::ControlState &State) {
   this->ToRefuse.erase(Causes);
@@ -131,11 +173,16 @@
                                      Common::TimePoint Now) {
   const auto HeardAt = [&](const Routing::ServerIncarnation &Server)
       -> std::optional<Common::TimePoint> {
+    std::optional<Common::TimePoint> Result;
+    const auto Proved = this->ProvedRunningAt.find(Server);
+    if (Proved != this->ProvedRunningAt.end())
+      Result = Proved->second;
     const auto *Known = Servers.find(Server.BackendServer);
-    if (!Known || Known->Record.StartedAt != Server.Incarnation.Value ||
-        Known->Record.Phase == Membership::ServerPhase::Gone)
-      return std::nullopt;
-    return Known->HeardAt;
+    if (Known && Known->Record.StartedAt == Server.Incarnation.Value &&
+        Known->Record.Phase != Membership::ServerPhase::Gone)
+      Result = std::max(Result.value_or(Common::TimePoint::min()),
+                        Known->HeardAt - MaxAnnouncementDelay);
+    return Result;
   };
   bool AnyDisproved = this->PartCrashes.discardDisproved(HeardAt);
   for (auto &Each : this->ContentCrashes)
@@ -294,6 +341,9 @@
                                 : std::next(Each);
   }
   this->PartCrashes.removeExpired(Now);
+  std::erase_if(this->ProvedRunningAt, [Now](const auto &Each) {
+    return Now - Each.second > 2 * CrashWindow;
+  });
   this->SuspectsChanged = true;
 }
 
--- a/Source/StateDaemon/RefusalPlanner.h
+++ b/Source/StateDaemon/RefusalPlanner.h
@@ -31,6 +31,11 @@
   /// cause.
   void recordSurvival(const State::Survival &Report,
                       const State::ControlState &State, Common::TimePoint Now);
+  /// Supposed crashes that entry daemons may disprove by answers of the same
+  /// server processes.
+  std::vector<State::SupposedCrash> supposedCrashes(Common::TimePoint Now);
+  /// Records that an answer disproves a supposed crash.
+  void recordDisproof(std::uint64_t Number);
   /// Records that a request of the entry daemon was refused; it gets the next
   /// probe that is due.
   void recordUse(const Common::DaemonId &Entry, const Common::CauseSet &Causes,
@@ -69,6 +74,13 @@
   static constexpr std::array<Common::Duration, 2> ProbeIntervals = {
       std::chrono::minutes(1), std::chrono::minutes(30)};
 
+  /// An announcement may arrive this long after it was sent.
+  static constexpr Common::Duration MaxAnnouncementDelay =
+      std::chrono::milliseconds(5500);
+  /// Later answers of the entry daemons do not reach back to older crashes.
+  static constexpr Common::Duration MaxDisproofAge = std::chrono::seconds(8);
+  static constexpr std::size_t MaxSupposedCrashes = 64;
+
   struct Probe {
     Common::DaemonId Entry;
     /// Number of the probes before it.
@@ -84,6 +96,8 @@
   void removeDisproved(const State::ControlState &State,
                        const Membership::ServerRegistry &Servers,
                        Common::TimePoint Now);
+  /// Asks the entry daemons whether the server process went on after At.
+  void suppose(const Routing::ServerIncarnation &Server, Common::TimePoint At);
   /// Whether there are still enough crashes for the refusal.
   bool isSupported(const Common::CauseSet &Causes) const;
   /// Forgets what concerns refusals that are not in force any more.
@@ -98,6 +112,14 @@
            std::map<Routing::ServerIncarnation, Common::TimePoint>>
       ContentCrashes;
   Routing::CrashAttribution PartCrashes;
+  struct Supposed {
+    Routing::ServerIncarnation Server;
+    Common::TimePoint At;
+  };
+  std::map<std::uint64_t, Supposed> SupposedCrashes;
+  std::uint64_t LastSupposedCrash = 0;
+  /// Until when answers prove that a server process ran.
+  std::map<Routing::ServerIncarnation, Common::TimePoint> ProvedRunningAt;
   bool SuspectsChanged = false;
   std::vector<Common::CauseHash> PartSuspects;
   /// Decisions that the replicated state does not show yet.
--- a/Source/UnitTests/StateDaemon/CrashingPromptTest.cpp
+++ b/Source/UnitTests/StateDaemon/CrashingPromptTest.cpp
@@ -45,6 +45,9 @@
   std::vector<std::size_t> HarmfulPositions;
   Framing Ends = Framing::Framed;
   Trouble Kind = Trouble::None;
+  /// Announcements arrive up to this much later than they were sent, out of
+  /// order, and some of them twice.
+  Common::Duration AnnouncementDelay{};
   /// When the leader is replaced by one that knows only the replicated state.
   std::optional<Common::Duration> LeaderLost;
   /// When all daemons are restarted.
@@ -105,6 +108,9 @@
     explicit Daemon(Common::TimePoint Now) : Refusals(Now) {}
     EntryDaemon::PromptCrashReporter Reporter;
     EntryDaemon::RefusalList Refusals;
+    Routing::LivenessEvidence Liveness;
+    std::vector<std::pair<State::SupposedCrash, Common::TimePoint>>
+        SupposedCrashes;
     Membership::ServerRegistry Known;
     std::uint64_t Polls = 0;
   };
@@ -116,6 +122,7 @@
     std::optional<std::size_t> Harmful;
     bool IsProbe = false;
     std::uint32_t Attempts = 1;
+    Common::TimePoint SentAt;
     Common::TimePoint BeginsAt;
     Common::TimePoint CrashesAt;
     Common::TimePoint EndsAt;
@@ -156,6 +163,7 @@
     this->startTrouble();
     if (this->every(1000ms))
       this->announce();
+    this->receiveDelayed();
     for (std::size_t I = 0; I < this->Entries.size(); ++I)
       if ((this->Now - this->Start + Step * static_cast<int>(I)) % PollPeriod <
           Step)
@@ -180,9 +188,28 @@
       Record.Address = Each.Address;
       Record.StartedAt = Each.StartedAt;
       Record.Sequence = ++Each.Sequence;
-      this->Known.update(Record, this->Now);
-      for (const auto &Entry : this->Entries)
-        Entry->Known.update(Record, this->Now);
+      if (this->Setup.AnnouncementDelay == Common::Duration::zero()) {
+        this->receive(Record);
+        continue;
+      }
+      do
+        this->DelayedAnnouncements.emplace(
+            this->Now +
+                this->Randomness.between(0ms, this->Setup.AnnouncementDelay),
+            Record);
+      while (this->Randomness.chance(0.2));
+    }
+  }
+  void receive(const Membership::ServerRecord &Record) {
+    this->Known.update(Record, this->Now);
+    for (const auto &Entry : this->Entries)
+      Entry->Known.update(Record, this->Now);
+  }
+  void receiveDelayed() {
+    auto &Delayed = this->DelayedAnnouncements;
+    while (!Delayed.empty() && Delayed.begin()->first <= this->Now) {
+      this->receive(Delayed.begin()->second);
+      Delayed.erase(Delayed.begin());
     }
   }
 
@@ -192,13 +219,30 @@
     Poll.Entry = Common::DaemonId("e" + std::to_string(Index));
     Poll.Incarnation = {1};
     Poll.Sequence = ++Sender.Polls;
-    Sender.Reporter.fillPoll(Poll, Sender.Known, this->Now);
+    Sender.Reporter.fillPoll(Poll, Sender.Known, Sender.Liveness, this->Now);
     Poll.UsedRefusals = Sender.Refusals.takeUsed();
     const State::EntryPollResponse Answer =
         this->Leader->handlePoll(Poll, nullptr, this->State, this->Now);
     Sender.Refusals.replace(Answer.Refusals, this->Now);
     Sender.Refusals.grantProbes(Answer.Probes, this->Now);
     Sender.Reporter.setSuspects(Answer.Suspects);
+    this->reportDisproofs(Sender);
+  }
+
+  void reportDisproofs(Daemon &Sender) {
+    std::vector<std::uint64_t> Disproved;
+    for (const auto &[Crash, At] : Sender.SupposedCrashes)
+      if (Sender.Liveness.hasSurvived({Crash.Server, {Crash.StartedAt}}, At))
+        Disproved.push_back(Crash.Number);
+    Sender.SupposedCrashes.clear();
+    for (const State::SupposedCrash &Each :
+         this->Leader->handleDisproofs(Disproved, this->Now)) {
+      const Common::TimePoint At =
+          this->Now - std::chrono::milliseconds(Each.AgeMilliseconds);
+      Sender.SupposedCrashes.emplace_back(Each, At);
+      Sender.Reporter.recordSupposedCrash(Each.Server, Each.StartedAt, At);
+    }
+    Sender.Liveness.removeExpired(this->Now);
   }
 
   void startTrouble() {
@@ -268,6 +312,7 @@
       if (Fifth && this->Now > *Fifth + ContactTime)
         ++this->LateArrivals[*Started.Harmful];
     }
+    Started.SentAt = this->Now;
     Started.BeginsAt = this->Now + this->Randomness.between(20ms, 150ms);
     Started.CrashesAt = Started.BeginsAt + this->Randomness.between(0ms, 80ms);
     // A harmful answer does not end before the crash.
@@ -288,6 +333,9 @@
       if (Each.BeginsAt > this->Now)
         continue;
       Each.Progress.recordBytes(this->Now);
+      this->Entries[Each.Entry]->Liveness.recordBytes(
+          {this->Servers[Each.At].Id, {this->Servers[Each.At].StartedAt}},
+          Each.SentAt, this->Now);
       this->noteSurvival(Each);
       if (Each.Harmful && Each.CrashesAt <= this->Now) {
         const std::size_t Part = *Each.Harmful;
@@ -411,6 +459,8 @@
   State::ControlState State;
   /// The leader's registry.
   Membership::ServerRegistry Known;
+  std::multimap<Common::TimePoint, Membership::ServerRecord>
+      DelayedAnnouncements;
   std::vector<Run> Runs;
   std::vector<Run> Retries;
   std::uint64_t Contents = 0;
@@ -464,6 +514,7 @@
 }
 
 const std::size_t InstallationSizes[] = {8, 88, 294};
+const std::size_t SmallerInstallationSizes[] = {8, 88};
 
 } // namespace
 
@@ -530,6 +581,29 @@
   checkHarmful(Setup);
 }
 
+// Guards against BUDGET: an announcement that was sent before a crash and
+// arrived after it counted as proof that the server had not crashed, so that
+// the harmful part was never refused.
+BOOST_DATA_TEST_CASE(APartIsRefusedIfAnnouncementsAreLate,
+                     boost::unit_test::data::make(SmallerInstallationSizes),
+                     Daemons) {
+  for (const Common::Duration Delay : {1500ms, 5000ms}) {
+    Plan Setup = installation(Daemons);
+    Setup.HarmfulPositions = {1};
+    Setup.AnnouncementDelay = Delay;
+    checkHarmful(Setup);
+    Setup.Ends = Framing::AtClose;
+    checkHarmful(Setup);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(LateAnnouncementsAreNoVerdict) {
+  Plan Setup = installation(88);
+  Setup.AnnouncementDelay = 5s;
+  for (const Trouble Kind : {Trouble::Crash, Trouble::Flap, Trouble::Reset})
+    checkHarmless(Setup, Kind);
+}
+
 BOOST_DATA_TEST_CASE(CrashesOfSeveralServersAreNoVerdict,
                      boost::unit_test::data::make(InstallationSizes), Daemons) {
   checkHarmless(installation(Daemons), Trouble::Crash);
