Routing: Placement by the learnt speed of each server

Servers were treated as equal, so the slowest ones got as many requests as their share of the hash ring, and their queues were estimated at the mean rate.

ServerTable estimates a server's queue and work at its own speed, and a server is the home of prompt prefixes in proportion to its speed.

ServerTiming carries sums of work and time instead of ratios to a profile, so that the leader does not need to know which profile an entry daemon had. A ServerSpeeds frame with a service's profile lists all of its servers whose speed is not 1.

The engine time of a request (EngineCost) uses the learnt profile instead of one engine's constant.

--- a/Source/Core/Routing/ServerTable.cpp
+++ b/Source/Core/Routing/ServerTable.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace Routing {
 
@@ -16,6 +17,10 @@
 /// Candidates taken from the hash ring: the home server of a prompt's shared
 /// part and the servers that take over when it has no room.
 constexpr std::size_t RingCandidates = 6;
+/// Attempts to draw each of them, in proportion to the speeds.
+constexpr int MaxDraws = 4;
+/// Seed of the hash that decides for which keys a slow server is passed over.
+constexpr std::uint64_t PassOverSeed = 0x5eed;
 /// Candidates chosen at random.
 constexpr std::size_t RandomCandidates = 3;
 /// A server has room for another prompt up to this fraction of its slots. The
@@ -35,9 +40,9 @@
 constexpr double QueuedOverloadPenaltyWeight = 6;
 /// Up to this many servers, all of them are candidates.
 constexpr std::size_t MaxFullScan = 24;
-/// Time that each running request adds to a decoding step, in milliseconds,
-/// from the published figures of inference engines.
-constexpr double StepMillisecondsPerRequest = 0.1;
+/// Cost of a full server's running requests while the service's engine profile
+/// is not known, so that equal servers get equally many.
+constexpr double UnknownStepMillisecondsOfAllSlots = 6;
 /// Estimated wait for a slot, in milliseconds per request beyond the number of
 /// slots.
 constexpr double SlotWaitMilliseconds = 60;
@@ -124,6 +129,10 @@
     ServerState &State = this->States[Announced.Id];
     State.PartsSentAt.clear();
     State.FailureRate = 0;
+    State.WarmUntil =
+        Now + std::chrono::milliseconds(Announced.WarmUpMilliseconds);
+    if (State.Speed.StartedAt != Announced.StartedAt)
+      State.Speed = ServerSpeed();
     this->Conditions.record(incarnationOf(Announced));
   }
   this->updateRing(Announced.Id);
@@ -210,6 +219,72 @@
   }
 }
 
+void ServerTable::setSpeeds(const std::vector<EngineProfile> &Engines,
+                            const std::vector<ServerSpeed> &Servers) {
+  for (const EngineProfile &Each : Engines) {
+    this->Profiles[Each.Service] = Each;
+    const auto Ring = this->Rings.find(Each.Service);
+    if (Ring == this->Rings.end())
+      continue;
+    for (const Common::BackendServerId &Id : Ring->second.Servers)
+      this->States[Id].Speed = ServerSpeed();
+  }
+  for (const ServerSpeed &Each : Servers) {
+    const auto *Entry = this->Registry.find(Each.Id);
+    // Of another incarnation, or of a server that is not known here yet.
+    if (!Entry || Entry->Record.StartedAt != Each.StartedAt ||
+        !(Each.Prefill > 0) || !(Each.Decode > 0))
+      continue;
+    this->States[Each.Id].Speed = Each;
+  }
+  this->updateMaxSpeeds();
+}
+
+void ServerTable::updateMaxSpeeds() {
+  for (auto &Each : this->Rings) {
+    HashRing &Ring = Each.second;
+    Ring.MaxSpeed = 1;
+    for (const Common::BackendServerId &Id : Ring.Servers)
+      Ring.MaxSpeed = std::max<double>(Ring.MaxSpeed, this->speed(Id).Prefill);
+  }
+}
+
+ServerSpeed ServerTable::speed(const Common::BackendServerId &Id) const {
+  const auto Found = this->States.find(Id);
+  return Found == this->States.end() ? ServerSpeed() : Found->second.Speed;
+}
+
+const EngineProfile *
+ServerTable::profile(const Common::ServiceName &Service) const {
+  const auto Found = this->Profiles.find(Service);
+  return Found == this->Profiles.end() ? nullptr : &Found->second;
+}
+
+EngineCost ServerTable::engineCost(const Common::ServiceName &Service) const {
+  const EngineProfile *Profile = this->profile(Service);
+  return {this->prefillRate(Service),
+          Profile ? Profile->StepMillisecondsPerRequest : 0};
+}
+
+bool ServerTable::isWarmingUp(const Common::BackendServerId &Id,
+                              Common::TimePoint Now) const {
+  const auto Found = this->States.find(Id);
+  return Found != this->States.end() && Now < Found->second.WarmUntil;
+}
+
+std::uint32_t
+ServerTable::runningRequests(const Common::BackendServerId &Id) const {
+  const auto Found = this->States.find(Id);
+  return Found == this->States.end()
+             ? 0
+             : Found->second.Running + Found->second.RemoteRunning;
+}
+
+double ServerTable::relativeSpeed(const Common::BackendServerId &Id,
+                                  const HashRing &Ring) const {
+  return std::min(1.0, this->speed(Id).Prefill / Ring.MaxSpeed);
+}
+
 bool ServerTable::serving(const Common::BackendServerId &Id) const {
   const auto *Found = this->Registry.find(Id);
   return Found && Found->Record.Phase == Membership::ServerPhase::Serving;
@@ -221,17 +296,31 @@
 }
 
 std::vector<Common::BackendServerId>
-ServerTable::ringServers(const HashRing &Ring, std::uint64_t Key) {
+ServerTable::ringServers(const HashRing &Ring, std::uint64_t Key) const {
   std::vector<Common::BackendServerId> Result;
+  std::vector<Common::BackendServerId> PassedOver;
+  const auto IsListed = [](const std::vector<Common::BackendServerId> &In,
+                           const Common::BackendServerId &Id) {
+    return std::find(In.begin(), In.end(), Id) != In.end();
+  };
   auto At = Ring.Points.lower_bound(Key);
   for (std::size_t Step = 0;
        Step < Ring.Points.size() && Result.size() < RingCandidates; ++Step) {
     if (At == Ring.Points.end())
       At = Ring.Points.begin();
-    if (std::find(Result.begin(), Result.end(), At->second) == Result.end())
-      Result.push_back(At->second);
+    const Common::BackendServerId &Id = At->second;
     ++At;
+    if (IsListed(Result, Id) || IsListed(PassedOver, Id))
+      continue;
+    const double Speed = this->relativeSpeed(Id, Ring);
+    const double Position =
+        static_cast<double>(Common::hashBytes(Id.str(), Key ^ PassOverSeed)) /
+        static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+    (Position <= Speed ? Result : PassedOver).push_back(Id);
   }
+  for (const Common::BackendServerId &Id : PassedOver)
+    if (Result.size() < RingCandidates)
+      Result.push_back(Id);
   return Result;
 }
 
@@ -242,8 +331,14 @@
     return Ring.Servers;
   std::vector<Common::BackendServerId> Result = RingServers;
   for (std::size_t I = 0; I < RandomCandidates; ++I) {
-    const Common::BackendServerId &Id =
-        Ring.Servers[this->Randomness.below(Ring.Servers.size())];
+    std::size_t Drawn = this->Randomness.below(Ring.Servers.size());
+    for (int Draw = 1; Draw < MaxDraws; ++Draw) {
+      const double Speed = this->relativeSpeed(Ring.Servers[Drawn], Ring);
+      if (Speed >= 1 || this->Randomness.fraction() < Speed)
+        break;
+      Drawn = this->Randomness.below(Ring.Servers.size());
+    }
+    const Common::BackendServerId &Id = Ring.Servers[Drawn];
     if (std::find(Result.begin(), Result.end(), Id) == Result.end())
       Result.push_back(Id);
   }
@@ -268,7 +363,8 @@
   const ServerState &State = Found->second;
   return State.Running + State.RemoteRunning + 1 <=
              Entry->Record.Slots * SlotLoadBound &&
-         queuedPrefillMilliseconds(State, this->prefillRate(Request.Service)) <=
+         queuedPrefillMilliseconds(State, this->prefillRate(Request.Service) *
+                                              State.Speed.Prefill) <=
              maxQueuedMilliseconds(Request);
 }
 
@@ -295,7 +391,11 @@
         static_cast<double>(State.PendingPrefillTokens +
                             State.RemotePendingPrefillTokens + Uncached) /
         PrefillRate;
-    Expected += Running * StepMillisecondsPerRequest;
+    const EngineProfile *Profile = this->profile(Request.Service);
+    Expected += Profile ? Running * Profile->StepMillisecondsPerRequest /
+                              State.Speed.Decode
+                        : Running * UnknownStepMillisecondsOfAllSlots /
+                              std::max<std::uint32_t>(Record.Slots, 1);
   }
   const double Excess = Running + 1 - Record.Slots;
   if (Excess > 0)
@@ -335,6 +435,9 @@
 }
 
 double ServerTable::prefillRate(const Common::ServiceName &Service) const {
+  const EngineProfile *Profile = this->profile(Service);
+  if (Profile && Profile->PromptTokensPerMillisecond > 0)
+    return Profile->PromptTokensPerMillisecond;
   const auto Found = this->PrefillRates.find(Service);
   return (Found == this->PrefillRates.end() ? PrefillRate() : Found->second)
       .tokensPerMillisecond();
@@ -368,7 +471,8 @@
   if (Condition && !Condition->acceptsRequests(Now))
     return std::nullopt;
   const ServerState &State = this->States[Id];
-  const double PrefillRate = this->prefillRate(Request.Service);
+  const double PrefillRate =
+      this->prefillRate(Request.Service) * State.Speed.Prefill;
   std::uint64_t Uncached = 0;
   const double Expected = this->expectedMilliseconds(
       Entry->Record, State, Request, Id == Prefixes.Home, PrefillRate, Uncached,
@@ -413,6 +517,7 @@
       Common::fromSeconds(Expected / 1000),
       Uncached,
       Common::fromSeconds(Queued / 1000),
+      State.PendingPrefillTokens + State.RemotePendingPrefillTokens,
       State.Running,
       State.RemoteRunning,
       std::chrono::duration_cast<Common::Duration>(Now - Entry->HeardAt),
--- a/Source/Core/Routing/ServerTable.h
+++ b/Source/Core/Routing/ServerTable.h
@@ -5,9 +5,11 @@
 #include "Common/Time.h"
 #include "Configuration/ServiceMap.h"
 #include "Membership/ServerRegistry.h"
+#include "Routing/EngineCost.h"
 #include "Routing/ModelPrompt.h"
 #include "Routing/PrefillRate.h"
 #include "Routing/ServerConditions.h"
+#include "Routing/ServerTiming.h"
 
 #include <map>
 #include <optional>
@@ -67,6 +69,8 @@
   /// for a plain request. Unlike ExpectedWait, it leaves out the terms that are
   /// only estimates.
   Common::Duration QueuedPrefillTime{};
+  /// Prompt tokens that are already pending on the server.
+  std::uint64_t QueuedTokens = 0;
   /// Requests on the server from this daemon and from the others, and the time
   /// since its last announcement.
   std::uint32_t LocalRequests = 0;
@@ -103,6 +107,22 @@
   /// what this daemon reported.
   void setTotalLoads(const std::vector<Load> &Totals);
 
+  /// Applies speeds that the leader has learnt. A service whose profile is
+  /// among Engines has all its servers whose speed is not 1 in Servers.
+  void setSpeeds(const std::vector<EngineProfile> &Engines,
+                 const std::vector<ServerSpeed> &Servers);
+  /// 1 if nothing else is known.
+  ServerSpeed speed(const Common::BackendServerId &Id) const;
+  /// Null before the service's profile is known.
+  const EngineProfile *profile(const Common::ServiceName &Service) const;
+  /// What requests of the service cost at a server of speed 1.
+  EngineCost engineCost(const Common::ServiceName &Service) const;
+  /// Whether the server announced reduced performance that is not over yet.
+  bool isWarmingUp(const Common::BackendServerId &Id,
+                   Common::TimePoint Now) const;
+  /// Requests on the server, of all daemons.
+  std::uint32_t runningRequests(const Common::BackendServerId &Id) const;
+
   /// Chooses the server with the lowest expected cost; nothing if no server of
   /// the service serves and takes requests or all candidates are excluded.
   std::optional<PlacementChoice> choose(const PlacementRequest &Request,
@@ -167,6 +187,10 @@
     std::uint64_t ReportedPrefillTokens = 0;
     std::uint32_t RemoteRunning = 0;
     std::uint64_t RemotePendingPrefillTokens = 0;
+    /// End of the reduced performance after the start that it announced.
+    Common::TimePoint WarmUntil;
+    /// Of the incarnation that is named in it.
+    ServerSpeed Speed;
     /// Smoothed fraction of recent requests that failed.
     double FailureRate = 0;
     Common::TimePoint FailedAt;
@@ -177,15 +201,22 @@
   struct HashRing {
     std::map<std::uint64_t, Common::BackendServerId> Points;
     std::vector<Common::BackendServerId> Servers;
+    double MaxSpeed = 1;
   };
 
   /// Adds the server to its service's ring or removes it, according to its
   /// record.
   void updateRing(const Common::BackendServerId &Id);
   static void removeFromRing(HashRing &Ring, const Common::BackendServerId &Id);
-  /// The first distinct servers of the ring, starting at Key.
-  static std::vector<Common::BackendServerId> ringServers(const HashRing &Ring,
-                                                          std::uint64_t Key);
+  /// The first distinct servers of the ring, starting at Key. Each is passed
+  /// over for a share of the keys, so that the keys of which it is the first
+  /// are in proportion to its speed.
+  std::vector<Common::BackendServerId> ringServers(const HashRing &Ring,
+                                                   std::uint64_t Key) const;
+  /// Speed relative to the fastest server of the ring, of both kinds of work.
+  double relativeSpeed(const Common::BackendServerId &Id,
+                       const HashRing &Ring) const;
+  void updateMaxSpeeds();
   std::vector<Common::BackendServerId>
   candidates(const HashRing &Ring,
              const std::vector<Common::BackendServerId> &RingServers);
@@ -232,6 +263,7 @@
   ServerConditions Conditions;
   std::map<Common::ServiceName, HashRing> Rings;
   std::map<Common::ServiceName, PrefillRate> PrefillRates;
+  std::map<Common::ServiceName, EngineProfile> Profiles;
   /// The service whose ring lists the server.
   std::map<Common::BackendServerId, Common::ServiceName> RingServices;
   Common::TimePoint LastServerActivityAt;
--- a/Source/Core/Routing/ServerTiming.h
+++ b/Source/Core/Routing/ServerTiming.h
@@ -7,23 +7,26 @@
 
 namespace Routing {
 
-/// Times that one entry daemon has measured at a server since its last report,
-/// beside those that the service's engine profile predicts for the same work.
+/// Work that one entry daemon has seen a server do since its last report, and
+/// the time it took. Sums rather than ratios, so that the leader can compare
+/// them with any engine profile.
 struct ServerTiming {
   Common::BackendServerId Id;
   std::uint64_t StartedAt = 0;
-  std::uint32_t PrefillSamples = 0;
-  float ExpectedPrefillMilliseconds = 0;
-  float MeasuredPrefillMilliseconds = 0;
-  std::uint32_t DecodeSamples = 0;
-  float ExpectedDecodeMilliseconds = 0;
-  float MeasuredDecodeMilliseconds = 0;
+  Common::ServiceName Service;
+  /// Prompt tokens that were to be processed before the first event.
+  float PrefillTokens = 0;
+  float PrefillMilliseconds = 0;
+  /// Decoding steps, the same weighted by the number of running requests, and
+  /// the time that they took.
+  float DecodeSteps = 0;
+  float DecodeRequestSteps = 0;
+  float DecodeMilliseconds = 0;
 
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(this->Id, this->StartedAt, this->PrefillSamples,
-       this->ExpectedPrefillMilliseconds, this->MeasuredPrefillMilliseconds,
-       this->DecodeSamples, this->ExpectedDecodeMilliseconds,
-       this->MeasuredDecodeMilliseconds);
+    Ar(this->Id, this->StartedAt, this->Service, this->PrefillTokens,
+       this->PrefillMilliseconds, this->DecodeSteps, this->DecodeRequestSteps,
+       this->DecodeMilliseconds);
   }
 };
 
--- a/Source/Core/State/ControlProtocol.h
+++ b/Source/Core/State/ControlProtocol.h
@@ -393,7 +393,8 @@
 
 /// Speeds of servers as learnt from all entry daemons. The leader sends changes
 /// as they occur, and all of them periodically, to the state daemons, which
-/// pass them on to their entry daemons.
+/// pass them on to their entry daemons. If it contains the profile of a
+/// service, it lists all of its servers whose speed is not 1.
 struct ServerSpeeds {
   std::vector<Routing::EngineProfile> Engines;
   std::vector<Routing::ServerSpeed> Servers;
--- a/Source/EntryDaemon/GatewayContext.h
+++ b/Source/EntryDaemon/GatewayContext.h
@@ -14,6 +14,7 @@
 #include "Routing/RetryShare.h"
 #include "Routing/ReturnSchedule.h"
 #include "Routing/ServerTable.h"
+#include "Routing/SpeedMeter.h"
 #include "State/ControlProtocol.h"
 #include "Telemetry/Metrics.h"
 
@@ -40,6 +41,7 @@
   GatewaySettings Settings;
   Network::Http1Client Client;
   Routing::ServerTable Servers;
+  Routing::SpeedMeter Speeds;
   Routing::RetryShare Retries;
   Routing::ReturnSchedule Returns;
   Admission::GrantHistory Grants;
--- a/Source/EntryDaemon/GatewayReports.cpp
+++ b/Source/EntryDaemon/GatewayReports.cpp
@@ -20,12 +20,16 @@
   };
 }
 
-void Gateway::fillReport(State::EntryReport &) {}
+void Gateway::fillReport(State::EntryReport &Report) {
+  Report.Timings = this->Context.Speeds.take(this->Loop.now());
+}
 
 void Gateway::applyDirectives(const State::EntryDirectives &,
                               std::optional<Common::TimePoint>) {}
 
-void Gateway::applyServerSpeeds(const State::ServerSpeeds &) {}
+void Gateway::applyServerSpeeds(const State::ServerSpeeds &Speeds) {
+  this->Context.Servers.setSpeeds(Speeds.Engines, Speeds.Servers);
+}
 
 void Gateway::applyServerVersions(const State::ServerVersions &) {}
 
--- a/Source/EntryDaemon/RoutedAttempt.cpp
+++ b/Source/EntryDaemon/RoutedAttempt.cpp
@@ -1,6 +1,5 @@
 #include "EntryDaemon/RoutedCall.h"
 
-#include "Routing/EngineCost.h"
 #include "Telemetry/LogEvents.h"
 
 #include <absl/strings/match.h>
@@ -114,9 +113,8 @@
                : this->CallerHeaders.Prompt->PromptTokens;
     this->Context.Demand.record(
         this->Service,
-        Routing::EngineCost::milliseconds(
-            PrefillTokens, this->Context.Servers.prefillRate(this->Service),
-            ExpectedOutput),
+        this->Context.Servers.engineCost(this->Service)
+            .milliseconds(PrefillTokens, ExpectedOutput),
         Now);
   }
   if (!Chosen) {
@@ -215,6 +213,7 @@
   if (IsProbe)
     Telemetry::log(Events::ServerCondition, To.Id.str(), To.ServerStartedAt,
                    "probed", "rest_over", this->CallerHeaders.RequestId, "");
+  this->startMeasuring();
   this->CurrentAttempt->Call =
       this->Context.Client.start(std::move(Request), std::move(Handlers));
   this->checkServerSilence();
@@ -404,6 +403,7 @@
       this->rejectResponse(AttemptResult::MayHaveExecuted);
     return;
   }
+  const std::uint64_t EarlierEvents = Current.Splitter->eventCount();
   const std::string CompleteEvents = Current.Splitter->feed(Bytes);
   if (Current.Splitter->isOversized()) {
     this->rejectResponse(AttemptResult::StreamInterrupted);
@@ -425,10 +425,15 @@
   if (Current.Splitter->lastEventId())
     this->LastEventId = Current.Splitter->lastEventId();
   this->LastEventAt = this->Context.Loop.now();
+  this->Context.Speeds.recordEvents(
+      Current.Measured, Current.Splitter->eventCount() - EarlierEvents,
+      this->Context.Servers.runningRequests(Current.Server.Id),
+      this->Context.Loop.now());
   this->Exchange->sendChunk(CompleteEvents);
   if (this->Exchange->unsentBytes() <= MaxUnsentBytes || Current.ReadingPaused)
     return;
   Current.ReadingPaused = true;
+  this->Context.Speeds.skipGap(Current.Measured);
   Network::Http1Client::pauseReading(Current.Call, true);
   Current.BackpressureTimer = this->Context.Loop.callEvery(
       BackpressureCheckPeriod, [Self = this->shared_from_this()] {
@@ -569,6 +574,7 @@
   if (!this->CurrentAttempt)
     return;
   const Attempt &Current = *this->CurrentAttempt;
+  this->Context.Speeds.end(Current.Measured);
   if (!Current.OutputStarted)
     this->Context.Servers.recordFirstOutput(Current.Server);
   this->Context.Servers.recordEnd(Current.Server, Outcome,
--- a/Source/EntryDaemon/RoutedCall.h
+++ b/Source/EntryDaemon/RoutedCall.h
@@ -70,6 +70,8 @@
     bool ReadingPaused = false;
     Network::EventHandle BackpressureTimer;
     Network::EventHandle SilenceTimer;
+    /// 0 if the attempt's times are not measured.
+    Routing::SpeedMeter::StreamNumber Measured = 0;
   };
 
   /// Determines the route, team, deadline and service. If it fails, the caller
@@ -92,6 +94,8 @@
   Common::Duration abandonPause() const;
   void sendTo(const Routing::PlacementChoice &To);
   void logLateWrite() const;
+  /// Begins to measure the times of the attempt that starts.
+  void startMeasuring();
   /// Records for how long a server that rejects requests wants none.
   void noteRetryAfter(int Status, const Platform::ResponseHeaders &Decoded);
   /// Records that the server takes requests.
--- a/Source/StateDaemon/ReportHandler.cpp
+++ b/Source/StateDaemon/ReportHandler.cpp
@@ -4,7 +4,9 @@
 
 State::EntryDirectives
 ReportHandler::handleReport(const State::EntryReport &Report,
-                            Common::TimePoint) {
+                            Common::TimePoint Now) {
+  for (const Routing::ServerTiming &Each : Report.Timings)
+    this->Speeds.record(Each, Now);
   State::EntryDirectives Result;
   Result.Entry = Report.Entry;
   Result.Incarnation = Report.Incarnation;
@@ -18,8 +20,12 @@
 }
 
 std::optional<State::ServerSpeeds>
-ReportHandler::takeSpeeds(Common::TimePoint) {
-  return std::nullopt;
+ReportHandler::takeSpeeds(Common::TimePoint Now) {
+  auto Learnt = this->Speeds.take(Now);
+  if (!Learnt)
+    return std::nullopt;
+  return State::ServerSpeeds{std::move(Learnt->Engines),
+                             std::move(Learnt->Servers)};
 }
 
 } // namespace StateDaemon
--- a/Source/StateDaemon/ReportHandler.h
+++ b/Source/StateDaemon/ReportHandler.h
@@ -2,6 +2,7 @@
 #define SYCAMOREREACH_STATEDAEMON_REPORTHANDLER_H
 
 #include "Common/Time.h"
+#include "Routing/SpeedEstimator.h"
 #include "State/ControlProtocol.h"
 
 #include <optional>
@@ -21,6 +22,9 @@
   std::optional<State::EntryDirectives> takeUrgent(Common::TimePoint Now);
   /// Speeds that changed since the last call, or all of them when that is due.
   std::optional<State::ServerSpeeds> takeSpeeds(Common::TimePoint Now);
+
+private:
+  Routing::SpeedEstimator Speeds;
 };
 
 } // namespace StateDaemon
--- a/Source/UnitTests/Routing/ServerTableTest.cpp
+++ b/Source/UnitTests/Routing/ServerTableTest.cpp
@@ -318,6 +318,58 @@
     BOOST_TEST(Test.startRequest(makePrompt("d", 10, 10, I)).Id.str() == "e1");
 }
 
+// Servers at 0.6, 1.0 and 1.6 times the speed. Guards against the slowest ones
+// getting as many requests as the fastest.
+BOOST_AUTO_TEST_CASE(RequestsAreInProportionToTheSpeed) {
+  constexpr double Spread[] = {0.6F, 1, 1.6F};
+  Fixture Test(60);
+  std::vector<ServerSpeed> Speeds;
+  for (int I = 0; I < 60; ++I) {
+    const auto Speed = static_cast<float>(Spread[I % 3]);
+    Speeds.push_back(
+        {Common::BackendServerId("e" + std::to_string(I)), 1, Speed, Speed});
+  }
+  Test.Servers.setSpeeds({{Models, 50, 4, 0.1}}, Speeds);
+  std::map<int, double> Requests;
+  std::vector<std::pair<Common::TimePoint, PlacementChoice>> Open;
+  for (int I = 0; I < 6000; ++I) {
+    const auto Prompt =
+        makePrompt("doc-" + std::to_string(I % 500), 5000, 6000, I);
+    const PlacementChoice At = Test.startRequest(Prompt);
+    const int Number = std::stoi(At.Id.str().substr(1));
+    Requests[Number % 3] += 1;
+    Open.emplace_back(Test.Now + At.ExpectedWait, At);
+    Test.Now += std::chrono::milliseconds(4);
+    std::erase_if(Open, [&](const auto &Each) {
+      if (Each.first > Test.Now)
+        return false;
+      Test.Servers.recordFirstOutput(Each.second);
+      Test.Servers.recordEnd(Each.second, ServerOutcome::Answered, Test.Now);
+      return true;
+    });
+  }
+  const double Total = Requests[0] + Requests[1] + Requests[2];
+  for (int I = 0; I < 3; ++I) {
+    const double Fair = Spread[I] / (0.6 + 1 + 1.6);
+    BOOST_TEST(Requests[I] / Total > 0.75 * Fair);
+    BOOST_TEST(Requests[I] / Total < 1.25 * Fair);
+  }
+}
+
+// A speed belongs to one incarnation.
+BOOST_AUTO_TEST_CASE(SpeedOfAnEarlierIncarnationIsNotApplied) {
+  Fixture Test(2);
+  const Common::BackendServerId Id("e0");
+  Test.Servers.setSpeeds({{Models, 50, 4, 0.1}}, {{Id, 1, 0.5, 0.5}});
+  BOOST_TEST(Test.Servers.speed(Id).Prefill == 0.5);
+  Membership::ServerRecord Restarted = makeEngine(0);
+  Restarted.StartedAt = 2;
+  Test.Servers.apply(Restarted, Test.Now);
+  BOOST_TEST(Test.Servers.speed(Id).Prefill == 1);
+  Test.Servers.setSpeeds({}, {{Id, 1, 0.5, 0.5}});
+  BOOST_TEST(Test.Servers.speed(Id).Prefill == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace UnitTests
