--- a/Source/EntryDaemon/GatewayReports.cpp
+++ b/Source/EntryDaemon/GatewayReports.cpp
@@ -25,6 +25,7 @@
     if (this->Context.Liveness.hasSurvived({Crash.Server, {Crash.StartedAt}},
                                            At))
       Report.DisprovedCrashes.push_back(Crash.Number);
+  Report.Timings = this->Context.Speeds.take(this->Loop.now());
 }
 
 void Gateway::applyDirectives(const State::EntryDirectives &Directives,
@@ -42,7 +43,9 @@
   }
 }
 
-void Gateway::applyServerSpeeds(const State::ServerSpeeds &) {}
+void Gateway::applyServerSpeeds(const State::ServerSpeeds &Speeds) {
+  this->Context.Servers.setSpeeds(Speeds.Engines, Speeds.Servers);
+}
 
 void Gateway::applyServerVersions(const State::ServerVersions &) {}
 
