UnitTests: Announcements soon after a crash do not acquit a content

It now asks for one that was sent after the crash, checks that the earlier one does not count, and a second case covers the proof by other answers.

--- a/Source/UnitTests/StateDaemon/EntryDaemonTrackerTest.cpp
+++ b/Source/UnitTests/StateDaemon/EntryDaemonTrackerTest.cpp
@@ -143,15 +143,45 @@
     return Tracker.handlePoll(Poll, nullptr, Newest, Now).Refusals.size();
   };
   BOOST_TEST(PollAt(Common::TimePoint(11s)) == 1u);
+  const auto PlanAt = [&](Common::TimePoint Now) {
+    for (const auto &Each : Tracker.planRefusals(Newest, Servers, Now))
+      Newest.apply(Each);
+  };
+  // An announcement that may have been sent before the crash proves nothing.
   Record.Sequence = 1;
   Servers.update(Record, Common::TimePoint(12s));
+  PlanAt(Common::TimePoint(12s));
+  BOOST_TEST(Newest.refusals().size() == 1u);
+  Record.Sequence = 2;
+  Servers.update(Record, Common::TimePoint(17s));
+  PlanAt(Common::TimePoint(17s));
+  // The report is repeated.
+  PollAt(Common::TimePoint(18s));
+  PlanAt(Common::TimePoint(18s));
+  BOOST_TEST(Newest.refusals().empty());
+}
+
+BOOST_AUTO_TEST_CASE(AContentIsAcquittedByOtherAnswersOfTheSameServer) {
+  EntryDaemonTracker Tracker({}, Common::TimePoint(10s));
+  State::ControlState Newest = stateWith(1);
+  const Membership::ServerRegistry Servers;
+  State::EntryPoll Poll = pollFrom("e1", 1);
+  for (std::uint64_t Server = 1; Server <= 3; ++Server)
+    Poll.Crashes.push_back({77, Common::BackendServerId("s"), Server, 0});
+  BOOST_TEST(Tracker.handlePoll(Poll, nullptr, Newest, Common::TimePoint(11s))
+                 .Refusals.size() == 1u);
+  const auto Supposed = Tracker.handleDisproofs({}, Common::TimePoint(11s));
+  BOOST_REQUIRE(Supposed.size() == 3u);
+  BOOST_TEST(Supposed.front().Server.str() == "s");
   for (const auto &Each :
-       Tracker.planRefusals(Newest, Servers, Common::TimePoint(12s)))
+       Tracker.planRefusals(Newest, Servers, Common::TimePoint(11100ms)))
     Newest.apply(Each);
-  // The report is repeated.
-  PollAt(Common::TimePoint(13s));
+  BOOST_TEST(Newest.refusals().size() == 1u);
+  // An unknown number, for example one of an earlier leader, has no effect.
+  Tracker.handleDisproofs({Supposed.front().Number, 999},
+                          Common::TimePoint(11500ms));
   for (const auto &Each :
-       Tracker.planRefusals(Newest, Servers, Common::TimePoint(13s)))
+       Tracker.planRefusals(Newest, Servers, Common::TimePoint(12500ms)))
     Newest.apply(Each);
   BOOST_TEST(Newest.refusals().empty());
 }
