Membership, StateDaemon: Versions of the servers' incarnations

Rollouts need the version that a server states in its heartbeats. It is kept by server id and start time, and passed on in ServerVersions frames before the records of the same servers, since daemons of earlier releases could not decode a longer ServerRecord. An unusable version leaves the heartbeat valid. All 120 orders of arrival of two incarnations and their versions give the same result.

--- a/Source/Core/Membership/ServerRegistry.cpp
+++ b/Source/Core/Membership/ServerRegistry.cpp
@@ -107,6 +107,10 @@
   std::erase_if(this->AddressOwners, [this](const auto &Each) {
     return this->Entries.count(Each.second) == 0;
   });
+  this->Versions.removeExpired(Now, RetentionTime,
+                               [this](const Common::BackendServerId &Id) {
+                                 return this->Entries.count(Id) != 0;
+                               });
 }
 
 const ServerRegistry::Entry *
--- a/Source/Core/Membership/ServerRegistry.h
+++ b/Source/Core/Membership/ServerRegistry.h
@@ -3,9 +3,11 @@
 
 #include "Common/Time.h"
 #include "Membership/ServerEnd.h"
+#include "Membership/VersionTable.h"
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -49,6 +51,19 @@
   /// incarnation.
   void removeExpired(Common::TimePoint Now, Common::Duration RetentionTime);
 
+  /// Keeps the version of an incarnation, also if its record is not known yet.
+  /// The first version of an incarnation is final. Returns whether it is news.
+  bool setVersion(const Common::BackendServerId &Id, std::uint64_t StartedAt,
+                  const Common::SoftwareVersion &Version,
+                  Common::TimePoint Now) {
+    return this->Versions.set(Id, StartedAt, Version, Now);
+  }
+  /// Nothing if the incarnation's version is unknown.
+  std::optional<Common::SoftwareVersion>
+  versionOf(const Common::BackendServerId &Id, std::uint64_t StartedAt) const {
+    return this->Versions.find(Id, StartedAt);
+  }
+
   const Entry *find(const Common::BackendServerId &Id) const;
   const std::map<Common::BackendServerId, Entry> &entries() const {
     return this->Entries;
@@ -64,6 +79,7 @@
 
   std::map<Common::BackendServerId, Entry> Entries;
   std::map<Network::Address, Common::BackendServerId> AddressOwners;
+  VersionTable Versions;
 };
 
 } // namespace Membership
--- a/Source/StateDaemon/Controller.cpp
+++ b/Source/StateDaemon/Controller.cpp
@@ -252,6 +252,8 @@
     this->handleLeaveRequest(From, *Leave);
   else if (const auto *Delta = std::get_if<State::RegistryDelta>(&*Frame))
     this->mergeRegistryDelta(*Delta, true);
+  else if (const auto *Versions = std::get_if<State::ServerVersions>(&*Frame))
+    this->mergeServerVersions(*Versions);
   else if (const auto *Hello = std::get_if<State::EntryHello>(&*Frame))
     this->handleEntryHello(From, *Hello);
   else if (auto *Poll = std::get_if<State::EntryPoll>(&*Frame))
@@ -334,7 +336,10 @@
   this->Entries[Hello.Entry] = From;
   Telemetry::log(Events::EntryConnected, Hello.Entry.str());
   this->sendTo(From, this->stateEndpoints());
-  this->sendTo(From, this->registrySnapshot());
+  const State::RegistryDelta Snapshot = this->registrySnapshot();
+  if (const auto Versions = this->versionsFor(Snapshot))
+    this->sendTo(From, *Versions);
+  this->sendTo(From, Snapshot);
   if (this->State.declarationVersion().Value != 0)
     this->sendTo(From, State::DeclarationPush{this->State.declarationVersion(),
                                               this->State.document()});
@@ -490,10 +495,14 @@
 void Controller::flushServerChanges() {
   State::RegistryDelta ToPeers;
   ToPeers.Changed.swap(this->PeerChanges);
+  if (const auto Versions = this->versionsFor(ToPeers))
+    this->broadcastToPeers(*Versions);
   if (!ToPeers.Changed.empty())
     this->broadcastToPeers(ToPeers);
   State::RegistryDelta ToEntries;
   ToEntries.Changed.swap(this->EntryChanges);
+  if (const auto Versions = this->versionsFor(ToEntries))
+    this->broadcastToEntries(*Versions);
   this->broadcastToEntries(ToEntries);
 }
 
--- a/Source/StateDaemon/Controller.h
+++ b/Source/StateDaemon/Controller.h
@@ -18,6 +18,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -100,6 +101,14 @@
   void mergeRegistryDelta(const State::RegistryDelta &Delta, bool FromPeer);
   State::RegistryDelta registrySnapshot() const;
 
+  // Software versions of the servers.
+  /// The known versions of the servers of Delta; nothing if there are none.
+  std::optional<State::ServerVersions>
+  versionsFor(const State::RegistryDelta &Delta) const;
+  void noteVersion(const Membership::ServerRecord &Record,
+                   const Common::SoftwareVersion &Version);
+  void mergeServerVersions(const State::ServerVersions &Versions);
+
   // Servers that leave.
   ServerEndRecorder::Handlers serverEndHandlers();
   /// Responds with 200 once the end is recorded, and with 503 if that is not
--- a/Source/StateDaemon/ControllerGroup.cpp
+++ b/Source/StateDaemon/ControllerGroup.cpp
@@ -119,8 +119,10 @@
       if (Link == this->Links.end())
         return;
       this->sendPeerHello(*Link->second);
-      Link->second->send(
-          Network::encode(State::ControlFrame(this->registrySnapshot())));
+      const State::RegistryDelta Snapshot = this->registrySnapshot();
+      if (const auto Versions = this->versionsFor(Snapshot))
+        Link->second->send(Network::encode(State::ControlFrame(*Versions)));
+      Link->second->send(Network::encode(State::ControlFrame(Snapshot)));
     };
     LinkHandlers.OnDisconnected = [Each] {
       Telemetry::log(Events::PeerLost, Each.str());
--- a/Source/StateDaemon/ControllerHttp.cpp
+++ b/Source/StateDaemon/ControllerHttp.cpp
@@ -71,6 +71,7 @@
   }
   this->Metrics.incrementCounter("heartbeats_total");
   this->updateServer(*Record);
+  this->noteVersion(*Record, Record->Version);
   if (Record->Phase == Membership::ServerPhase::Serving)
     replyAccepted(*Exchange);
   else
--- a/Source/UnitTests/Membership/ServerRegistryTest.cpp
+++ b/Source/UnitTests/Membership/ServerRegistryTest.cpp
@@ -163,6 +163,60 @@
   BOOST_CHECK(Registry.update(record("a", 1, 3), {}) == Outcome::Refreshed);
 }
 
+// Guards against a version of an earlier server at the same id, whatever the
+// order of arrival.
+BOOST_AUTO_TEST_CASE(VersionsBelongToOneIncarnation) {
+  const Common::BackendServerId Id("a");
+  const Common::SoftwareVersion Old("v1");
+  const Common::SoftwareVersion New("v2");
+  std::vector<int> Order = {0, 1, 2, 3, 4};
+  do {
+    ServerRegistry Registry;
+    for (const int Each : Order) {
+      if (Each == 0)
+        Registry.update(record("a", 1, 1), {});
+      else if (Each == 1)
+        Registry.update(record("a", 2, 1), {});
+      else if (Each == 2)
+        Registry.setVersion(Id, 1, Old, {});
+      else if (Each == 3)
+        Registry.setVersion(Id, 2, New, {});
+      else
+        Registry.setVersion(Id, 2, Common::SoftwareVersion(), {});
+    }
+    BOOST_REQUIRE(Registry.versionOf(Id, 1) == Old);
+    BOOST_REQUIRE(Registry.versionOf(Id, 2) == New);
+    BOOST_REQUIRE(!Registry.versionOf(Id, 3));
+  } while (std::next_permutation(Order.begin(), Order.end()));
+}
+
+BOOST_AUTO_TEST_CASE(RepeatedAndLateVersionsChangeNothing) {
+  const Common::BackendServerId Id("a");
+  ServerRegistry Registry;
+  BOOST_TEST(Registry.setVersion(Id, 5, Common::SoftwareVersion("v1"), {}));
+  BOOST_TEST(!Registry.setVersion(Id, 5, Common::SoftwareVersion("v1"), {}));
+  BOOST_TEST(!Registry.setVersion(Id, 5, Common::SoftwareVersion("v2"), {}));
+  BOOST_TEST(Registry.setVersion(Id, 6, Common::SoftwareVersion("v2"), {}));
+  // Of an incarnation before both.
+  BOOST_TEST(!Registry.setVersion(Id, 4, Common::SoftwareVersion("v0"), {}));
+  BOOST_CHECK(Registry.versionOf(Id, 5) == Common::SoftwareVersion("v1"));
+}
+
+// Versions arrive before the records. Guards against their removal in between,
+// and against versions of servers that never came.
+BOOST_AUTO_TEST_CASE(VersionsWithoutARecordExpire) {
+  const Common::BackendServerId Id("a");
+  const Common::TimePoint Start{std::chrono::seconds(100)};
+  ServerRegistry Registry;
+  Registry.setVersion(Id, 5, Common::SoftwareVersion("v1"), Start);
+  Registry.removeExpired(Start + std::chrono::seconds(1),
+                         std::chrono::seconds(10));
+  BOOST_TEST(Registry.versionOf(Id, 5).has_value());
+  Registry.removeExpired(Start + std::chrono::seconds(11),
+                         std::chrono::seconds(10));
+  BOOST_TEST(!Registry.versionOf(Id, 5).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace UnitTests
--- a/Source/UnitTests/Platform/PlatformTest.cpp
+++ b/Source/UnitTests/Platform/PlatformTest.cpp
@@ -129,6 +129,29 @@
     BOOST_TEST(!Platform::decodeHeartbeat(Id, Body).ok());
 }
 
+BOOST_AUTO_TEST_CASE(AnUnusableVersionLeavesTheHeartbeatValid) {
+  const Common::BackendServerId Id("i-1");
+  const auto VersionFor = [&Id](const Json &Value) {
+    Json Body = validHeartbeat();
+    Body["version"] = Value;
+    const auto Decoded = Platform::decodeHeartbeat(Id, Body.dump());
+    BOOST_REQUIRE(Decoded.ok());
+    return Decoded->Version.str();
+  };
+  BOOST_TEST(VersionFor("v1") == "v1");
+  BOOST_TEST(VersionFor(std::string(64, 'x')) == std::string(64, 'x'));
+  const std::vector<Json> Unusable = {
+      "",      std::string(65, 'x'), "v\n1",        5,
+      nullptr, Json::array({"v1"}),  Json::object()};
+  for (const Json &Each : Unusable)
+    BOOST_TEST(VersionFor(Each).empty(), Each.dump());
+  Json Absent = validHeartbeat();
+  Absent.erase("version");
+  const auto Decoded = Platform::decodeHeartbeat(Id, Absent.dump());
+  BOOST_REQUIRE(Decoded.ok());
+  BOOST_TEST(Decoded->Version.empty());
+}
+
 BOOST_AUTO_TEST_CASE(MatchesControlRequestsByCompletePath) {
   const auto RequestIndex = [](const char *Method, const char *Path) {
     return Platform::decodeControlRequest(Method, Path).index();
