--- a/Source/Core/Rollout/Observation.h
+++ b/Source/Core/Rollout/Observation.h
@@ -24,7 +24,17 @@
   void add(const DurationHistogram &Other);
   std::uint64_t total() const;
 
-  template <class Archive> void serialize(Archive &Ar) { Ar(this->Counts); }
+  /// Reports hold many histograms with few counts, so they are encoded with
+  /// seven bits in a byte, without the zeros at the end.
+  std::string encode() const;
+  void decode(const std::string &Bytes);
+
+  template <class Archive> void save(Archive &Ar) const { Ar(this->encode()); }
+  template <class Archive> void load(Archive &Ar) {
+    std::string Bytes;
+    Ar(Bytes);
+    this->decode(Bytes);
+  }
 };
 
 /// What one entry daemon has seen of a rollout since it learnt of it, on one
