Routing: Groups of servers within a service

A rollout opens servers to all requests, to a share of them, or to none. Each group has a ring of its own, so that prefix affinity works within it. A request that was placed is not written if its server's group was restricted since.

--- a/Source/Core/Routing/ServerTable.cpp
+++ b/Source/Core/Routing/ServerTable.cpp
@@ -150,9 +150,12 @@
                                    return this->Registry.find(Id) != nullptr;
                                  });
   std::vector<Common::BackendServerId> Removed;
-  for (const auto &Each : this->RingServices)
+  for (const auto &Each : this->ListedIn)
     if (!this->Registry.find(Each.first))
       Removed.push_back(Each.first);
+  std::erase_if(this->Groups, [this](const auto &Each) {
+    return !this->Registry.find(Each.first);
+  });
   for (const Common::BackendServerId &Each : Removed)
     this->updateRing(Each);
 }
@@ -161,20 +164,48 @@
   const auto *Entry = this->Registry.find(Id);
   const bool Serving =
       Entry && Entry->Record.Phase == Membership::ServerPhase::Serving;
-  const auto Listed = this->RingServices.find(Id);
-  if (Listed != this->RingServices.end()) {
-    if (Serving && Listed->second == Entry->Record.Service)
+  const ServerGroup Group = this->groupOf(Id);
+  const bool InRing = Serving && Group != ServerGroup::Excluded;
+  const auto Listed = this->ListedIn.find(Id);
+  if (Listed != this->ListedIn.end()) {
+    if (InRing && Listed->second == RingKey{Entry->Record.Service, Group})
       return;
     removeFromRing(this->Rings[Listed->second], Id);
-    this->RingServices.erase(Listed);
+    this->ListedIn.erase(Listed);
   }
-  if (!Serving)
+  if (!InRing)
     return;
-  HashRing &Ring = this->Rings[Entry->Record.Service];
+  const RingKey Key{Entry->Record.Service, Group};
+  HashRing &Ring = this->Rings[Key];
   Ring.Servers.push_back(Id);
   for (int I = 0; I < PointsPerServer; ++I)
     Ring.Points[Common::hashBytes(Id.str(), I)] = Id;
-  this->RingServices[Id] = Entry->Record.Service;
+  this->ListedIn[Id] = Key;
+}
+
+void ServerTable::setGroup(const Common::BackendServerId &Id,
+                           ServerGroup Group) {
+  if (Group == this->groupOf(Id))
+    return;
+  if (Group == ServerGroup::Default)
+    this->Groups.erase(Id);
+  else
+    this->Groups[Id] = Group;
+  this->updateRing(Id);
+}
+
+ServerGroup ServerTable::groupOf(const Common::BackendServerId &Id) const {
+  const auto Found = this->Groups.find(Id);
+  return Found == this->Groups.end() ? ServerGroup::Default : Found->second;
+}
+
+const ServerTable::HashRing *
+ServerTable::ringOf(const Common::ServiceName &Service,
+                    ServerGroup Group) const {
+  const auto Found = this->Rings.find({Service, Group});
+  return Found == this->Rings.end() || Found->second.Servers.empty()
+             ? nullptr
+             : &Found->second;
 }
 
 void ServerTable::removeFromRing(HashRing &Ring,
@@ -216,8 +247,8 @@
 }
 
 bool ServerTable::hasServing(const Common::ServiceName &Service) const {
-  const auto Found = this->Rings.find(Service);
-  return Found != this->Rings.end() && !Found->second.Servers.empty();
+  return this->ringOf(Service, ServerGroup::Default) ||
+         this->ringOf(Service, ServerGroup::Canary);
 }
 
 std::vector<Common::BackendServerId>
@@ -422,10 +453,31 @@
 
 std::optional<PlacementChoice>
 ServerTable::choose(const PlacementRequest &Request, Common::TimePoint Now) {
-  const auto Found = this->Rings.find(Request.Service);
-  if (Found == this->Rings.end() || Found->second.Servers.empty())
+  if (Request.Group == ServerGroup::Canary)
+    return this->chooseCanary(Request, Now);
+  return this->chooseInGroup(Request, Now);
+}
+
+std::optional<PlacementChoice>
+ServerTable::chooseCanary(const PlacementRequest &Request,
+                          Common::TimePoint Now) {
+  bool Overloaded = false;
+  auto Canary = this->chooseInGroup(Request, Now, &Overloaded);
+  if (Canary && !Overloaded)
+    return Canary;
+  PlacementRequest Other = Request;
+  Other.Group = ServerGroup::Default;
+  auto Default = this->chooseInGroup(Other, Now);
+  return Default ? Default : Canary;
+}
+
+std::optional<PlacementChoice>
+ServerTable::chooseInGroup(const PlacementRequest &Request,
+                           Common::TimePoint Now, bool *Overloaded) {
+  const HashRing *Found = this->ringOf(Request.Service, Request.Group);
+  if (!Found)
     return std::nullopt;
-  const HashRing &Ring = Found->second;
+  const HashRing &Ring = *Found;
   std::vector<Common::BackendServerId> RingServers;
   Affinity Prefixes;
   if (Request.Prompt) {
@@ -452,17 +504,22 @@
     Compare(Ring.Servers);
   if (!Best)
     return std::nullopt;
+  Best->Choice.Group = Request.Group;
+  if (Overloaded)
+    *Overloaded = Best->Overloaded;
   return Best->Choice;
 }
 
 std::optional<Common::TimePoint>
 ServerTable::restEnd(const Common::ServiceName &Service,
                      Common::TimePoint Now) const {
-  const auto Found = this->Rings.find(Service);
-  if (Found == this->Rings.end())
+  const HashRing *Ring = this->ringOf(Service, ServerGroup::Default);
+  if (!Ring)
+    Ring = this->ringOf(Service, ServerGroup::Canary);
+  if (!Ring)
     return std::nullopt;
   std::vector<ServerIncarnation> Servers;
-  for (const Common::BackendServerId &Id : Found->second.Servers)
+  for (const Common::BackendServerId &Id : Ring->Servers)
     if (const auto *Entry = this->Registry.find(Id))
       Servers.push_back(incarnationOf(Entry->Record));
   return this->Conditions.restEnd(Servers, Now);
@@ -512,6 +569,10 @@
 
 bool ServerTable::mayWrite(const PlacementChoice &At,
                            Common::TimePoint Now) const {
+  // A canary server may have been opened to all requests since.
+  const ServerGroup Group = this->groupOf(At.Id);
+  if (Group != At.Group && Group != ServerGroup::Default)
+    return false;
   const ServerCondition *Condition = this->Conditions.find(incarnationOf(At));
   return !Condition || Condition->mayWrite(At.ChosenAt, Now);
 }
--- a/Source/Core/Routing/ServerTable.h
+++ b/Source/Core/Routing/ServerTable.h
@@ -32,6 +32,15 @@
   Abandoned,
 };
 
+/// Divides the servers of a service during a rollout.
+enum class ServerGroup : std::uint8_t {
+  Default,
+  /// Takes the requests of the rollout's share only.
+  Canary,
+  /// Takes no requests.
+  Excluded,
+};
+
 struct ServerTableOptions {
   Common::DataCentreId LocalDataCentre;
   /// A server without an announcement for longer than this is used only as a
@@ -49,6 +58,9 @@
   std::set<Common::BackendServerId> Excluded;
   /// Target time until the first output; zero if the route has none.
   Common::Duration Target{};
+  /// A request for a canary server goes to the default group if no server of
+  /// the canary group can take it without making it wait.
+  ServerGroup Group = ServerGroup::Default;
 };
 
 /// The chosen server and the figures behind the choice.
@@ -73,6 +85,8 @@
   std::uint32_t RemoteRequests = 0;
   Common::Duration AnnouncementAge{};
   Common::TimePoint ChosenAt;
+  /// The server's group when it was chosen.
+  ServerGroup Group = ServerGroup::Default;
 };
 
 /// An entry daemon's view of the backend servers: which ones serve, the load on
@@ -91,6 +105,15 @@
                std::uint64_t Sequence, Membership::ServerPhase Phase,
                Common::TimePoint Now);
   void removeExpired(Common::TimePoint Now);
+  /// Keeps the software version of an incarnation, which may not be known yet.
+  void setVersion(const Common::BackendServerId &Id, std::uint64_t StartedAt,
+                  const Common::SoftwareVersion &Version,
+                  Common::TimePoint Now) {
+    this->Registry.setVersion(Id, StartedAt, Version, Now);
+  }
+  /// Servers without a call of this are in the default group.
+  void setGroup(const Common::BackendServerId &Id, ServerGroup Group);
+  ServerGroup groupOf(const Common::BackendServerId &Id) const;
   struct Load {
     Common::BackendServerId Id;
     std::uint32_t Requests = 0;
@@ -118,7 +141,8 @@
   bool recordStart(const PlacementChoice &At, const ModelPrompt *Prompt,
                    Common::TimePoint Now);
   /// Whether the request may be written to the server that was chosen for it:
-  /// false if the server has asked for rest since.
+  /// false if the server has asked for rest since, or its group no longer takes
+  /// the request.
   bool mayWrite(const PlacementChoice &At, Common::TimePoint Now) const;
   /// Records the Retry-After of an answer. Returns the end of the server's rest
   /// if this changed it, and nothing if another lifetime of it is known.
@@ -183,12 +207,21 @@
   /// record.
   void updateRing(const Common::BackendServerId &Id);
   static void removeFromRing(HashRing &Ring, const Common::BackendServerId &Id);
+  /// Null if the group has no servers.
+  const HashRing *ringOf(const Common::ServiceName &Service,
+                         ServerGroup Group) const;
   /// The first distinct servers of the ring, starting at Key.
   static std::vector<Common::BackendServerId> ringServers(const HashRing &Ring,
                                                           std::uint64_t Key);
   std::vector<Common::BackendServerId>
   candidates(const HashRing &Ring,
              const std::vector<Common::BackendServerId> &RingServers);
+  /// Sets Overloaded to whether the request would probably wait.
+  std::optional<PlacementChoice> chooseInGroup(const PlacementRequest &Request,
+                                               Common::TimePoint Now,
+                                               bool *Overloaded = nullptr);
+  std::optional<PlacementChoice> chooseCanary(const PlacementRequest &Request,
+                                              Common::TimePoint Now);
   /// Whether the server is healthy and can take another prompt without making
   /// it wait.
   bool hasRoom(const Common::BackendServerId &Id,
@@ -230,10 +263,13 @@
   Membership::ServerRegistry Registry;
   std::map<Common::BackendServerId, ServerState> States;
   ServerConditions Conditions;
-  std::map<Common::ServiceName, HashRing> Rings;
+  using RingKey = std::pair<Common::ServiceName, ServerGroup>;
+  std::map<RingKey, HashRing> Rings;
   std::map<Common::ServiceName, PrefillRate> PrefillRates;
-  /// The service whose ring lists the server.
-  std::map<Common::BackendServerId, Common::ServiceName> RingServices;
+  /// The ring that lists the server.
+  std::map<Common::BackendServerId, RingKey> ListedIn;
+  /// Of servers that are not in the default group.
+  std::map<Common::BackendServerId, ServerGroup> Groups;
   Common::TimePoint LastServerActivityAt;
 };
 
--- a/Source/UnitTests/Routing/ServerTableTest.cpp
+++ b/Source/UnitTests/Routing/ServerTableTest.cpp
@@ -318,6 +318,45 @@
     BOOST_TEST(Test.startRequest(makePrompt("d", 10, 10, I)).Id.str() == "e1");
 }
 
+// Guards against requests that reach a version without being allowed to.
+BOOST_AUTO_TEST_CASE(GroupsSeparateTheServersOfAService) {
+  Fixture Test(4);
+  const Common::BackendServerId Canary("e0");
+  const Common::BackendServerId Excluded("e1");
+  Test.Servers.setGroup(Canary, ServerGroup::Canary);
+  Test.Servers.setGroup(Excluded, ServerGroup::Excluded);
+  for (int I = 0; I < 100; ++I) {
+    const auto Prompt = makePrompt("doc-" + std::to_string(I), 500, 100, I);
+    PlacementRequest Request{Models, &Prompt, {}, {}};
+    const auto Default = Test.Servers.choose(Request, Test.Now);
+    BOOST_REQUIRE(Default.has_value());
+    BOOST_TEST((Default->Id != Canary && Default->Id != Excluded));
+    Request.Group = ServerGroup::Canary;
+    BOOST_REQUIRE(Test.Servers.choose(Request, Test.Now)->Id == Canary);
+    // Already tried there.
+    Request.Excluded.insert(Canary);
+    const auto Other = Test.Servers.choose(Request, Test.Now);
+    BOOST_REQUIRE(Other.has_value());
+    BOOST_TEST((Other->Id != Canary && Other->Id != Excluded));
+  }
+}
+
+// Guards against a request that was placed before its server's version was
+// restricted, and is written afterwards.
+BOOST_AUTO_TEST_CASE(ARequestIsNotWrittenIfItsServersGroupWasRestricted) {
+  Fixture Test(1);
+  const auto At = Test.Servers.choose({Models, nullptr, {}, {}}, Test.Now);
+  BOOST_REQUIRE(At.has_value());
+  BOOST_TEST(Test.Servers.mayWrite(*At, Test.Now));
+  Test.Servers.setGroup(At->Id, ServerGroup::Canary);
+  BOOST_TEST(!Test.Servers.mayWrite(*At, Test.Now));
+  Test.Servers.setGroup(At->Id, ServerGroup::Excluded);
+  BOOST_TEST(!Test.Servers.mayWrite(*At, Test.Now));
+  BOOST_TEST(!Test.Servers.hasServing(Models));
+  Test.Servers.setGroup(At->Id, ServerGroup::Default);
+  BOOST_TEST(Test.Servers.mayWrite(*At, Test.Now));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace UnitTests
