EntryDaemon: Obeys rollouts, and reports what it observes

RolloutControl connects VersionPolicy and Observer with ServerTable. It exists only with SYCAMORE_ROLLOUTS=1. Streams move with MoveStreams by the resumption that failed streams use.

--- a/Source/Core/Telemetry/LogEvents.h
+++ b/Source/Core/Telemetry/LogEvents.h
@@ -192,6 +192,19 @@
 inline constexpr LogEvent<1> FrameUndecodable{
     LogLevel::Error, "frame_undecodable", {"detail"}};
 
+// Rollouts, at an entry daemon.
+inline constexpr LogEvent<9> VersionStanding{LogLevel::Info,
+                                             "version_standing",
+                                             {"service", "version", "standing",
+                                              "rollout", "revision", "target",
+                                              "share", "valid", "stopped"}};
+inline constexpr LogEvent<4> RolloutStoppedLocally{
+    LogLevel::Warning,
+    "rollout_stopped_locally",
+    {"service", "version", "rollout", "revision"}};
+inline constexpr LogEvent<3> StreamMoved{
+    LogLevel::Info, "stream_moved", {"request", "server", "last_event"}};
+
 // Duties, which only one daemon at a time performs.
 inline constexpr LogEvent<2> UsageReport{
     LogLevel::Info, "usage_report", {"window", "status"}};
--- a/Source/EntryDaemon/CallFailure.cpp
+++ b/Source/EntryDaemon/CallFailure.cpp
@@ -13,7 +13,7 @@
       "content_refused", "no_server",         "overloaded",
       "servers_resting", "server_rejected",   "server_lost",
       "server_silent",   "bad_answer",        "deadline_passed",
-      "shutting_down"};
+      "shutting_down",   "version_replaced"};
   return FailureNames[static_cast<std::size_t>(Failure)];
 }
 
--- a/Source/EntryDaemon/CallFailure.h
+++ b/Source/EntryDaemon/CallFailure.h
@@ -22,6 +22,8 @@
   BadAnswer,
   DeadlinePassed,
   ShuttingDown,
+  /// A stream was moved to the version that is rolled out.
+  VersionReplaced,
 };
 
 /// The name used in logs, metrics and error responses.
--- a/Source/EntryDaemon/Gateway.cpp
+++ b/Source/EntryDaemon/Gateway.cpp
@@ -139,6 +139,10 @@
   };
   Handlers.OnConnected = [this] { this->repeatTokenRequests(); };
   this->setReportHandlers(Handlers);
+  if (this->Context.Settings.Rollouts)
+    this->Context.Rollouts = std::make_unique<RolloutControl>(
+        this->Context.Servers, this->Context.Metrics,
+        [this] { this->Control->pollSoon(); });
   this->Control = std::make_unique<ControlLink>(
       this->Loop, std::move(LinkOptions), std::move(Handlers));
   this->Context.RequestTokensSoon = [this] {
@@ -163,6 +167,7 @@
   }));
   this->EventHandles.push_back(this->Loop.callEvery(
       ReadinessCheckPeriod, [this] { this->logReadinessChange(); }));
+  this->startRolloutTimers();
   Telemetry::log(Events::GatewayStarted, this->Context.Settings.Http.str());
   this->Loop.run();
   return 0;
@@ -213,6 +218,8 @@
   for (const State::ServerRefresh &Each : Delta.Refreshed)
     this->Context.Servers.refresh(Each.Id, Each.StartedAt, Each.Sequence,
                                   Each.Phase, Now);
+  if (this->Context.Rollouts)
+    this->Context.Rollouts->refresh(Now);
 }
 
 void Gateway::applyDeclaration(const State::DeclarationPush &Push) {
--- a/Source/EntryDaemon/Gateway.h
+++ b/Source/EntryDaemon/Gateway.h
@@ -45,6 +45,9 @@
                        std::optional<Common::TimePoint> PollSentAt);
   void applyServerSpeeds(const State::ServerSpeeds &Speeds);
   void applyServerVersions(const State::ServerVersions &Versions);
+  /// Does nothing unless rollouts are enabled.
+  void startRolloutTimers();
+  void moveStreams();
   void sendTokenRequest();
   /// Requests the tokens of all waiting calls again.
   void repeatTokenRequests();
--- a/Source/EntryDaemon/GatewayContext.h
+++ b/Source/EntryDaemon/GatewayContext.h
@@ -8,6 +8,7 @@
 #include "EntryDaemon/GatewaySettings.h"
 #include "EntryDaemon/PromptCrashReporter.h"
 #include "EntryDaemon/RefusalList.h"
+#include "EntryDaemon/RolloutControl.h"
 #include "EntryDaemon/UsageCounter.h"
 #include "Fleet/DemandMeter.h"
 #include "Network/Http1Client.h"
@@ -58,6 +59,8 @@
   CrashingContentTracker CrashingContents;
   PromptCrashReporter PromptCrashes;
   RefusalList Refusals;
+  /// Null unless rollouts are enabled.
+  std::unique_ptr<RolloutControl> Rollouts;
   /// Calls that wait for tokens of their team's allowance, by the number of
   /// their need.
   std::map<std::uint64_t, std::shared_ptr<RoutedCall>> CallsAwaitingTokens;
--- a/Source/EntryDaemon/GatewayReports.cpp
+++ b/Source/EntryDaemon/GatewayReports.cpp
@@ -20,13 +20,26 @@
   };
 }
 
-void Gateway::fillReport(State::EntryReport &) {}
+void Gateway::fillReport(State::EntryReport &Report) {
+  if (this->Context.Rollouts)
+    this->Context.Rollouts->fillReport(Report, this->Loop.now());
+}
 
-void Gateway::applyDirectives(const State::EntryDirectives &,
-                              std::optional<Common::TimePoint>) {}
+void Gateway::applyDirectives(const State::EntryDirectives &Directives,
+                              std::optional<Common::TimePoint> PollSentAt) {
+  if (this->Context.Rollouts)
+    this->Context.Rollouts->applyDirectives(Directives, PollSentAt,
+                                            this->Loop.now());
+}
 
 void Gateway::applyServerSpeeds(const State::ServerSpeeds &) {}
 
-void Gateway::applyServerVersions(const State::ServerVersions &) {}
+void Gateway::applyServerVersions(const State::ServerVersions &Versions) {
+  for (const State::ServerVersion &Each : Versions.Versions)
+    this->Context.Servers.setVersion(Each.Id, Each.StartedAt, Each.Version,
+                                     this->Loop.now());
+  if (this->Context.Rollouts)
+    this->Context.Rollouts->refresh(this->Loop.now());
+}
 
 } // namespace EntryDaemon
--- a/Source/EntryDaemon/GatewaySettings.h
+++ b/Source/EntryDaemon/GatewaySettings.h
@@ -17,6 +17,8 @@
   Routing::RetryShareOptions Retries;
   Admission::AllowanceTolerance Tolerance;
   Common::Duration UsageWindow = std::chrono::seconds(5);
+  /// Whether the versions of servers restrict which requests they get.
+  bool Rollouts = false;
 
   /// Invalid settings are recorded in Reader.
   static GatewaySettings create(Settings::SettingsReader &Reader);
--- a/Source/EntryDaemon/RoutedAttempt.cpp
+++ b/Source/EntryDaemon/RoutedAttempt.cpp
@@ -189,9 +189,14 @@
   const auto Self = this->shared_from_this();
   Network::Http1CallHandlers Handlers;
   Handlers.MayWrite = [Self, To] {
-    return Self->Context.Servers.mayWrite(To, Self->Context.Loop.now());
+    const Common::TimePoint Now = Self->Context.Loop.now();
+    return Self->Context.Rollouts ? Self->Context.Rollouts->mayWrite(To, Now)
+                                  : Self->Context.Servers.mayWrite(To, Now);
+  };
+  Handlers.OnSent = [Self] {
+    Self->logLateWrite();
+    Self->observeSent();
   };
-  Handlers.OnSent = [Self] { Self->logLateWrite(); };
   Handlers.OnHead = [Self](const Network::Http1Head &Head) {
     return Self->handleHead(Head);
   };
@@ -215,6 +220,9 @@
   if (IsProbe)
     Telemetry::log(Events::ServerCondition, To.Id.str(), To.ServerStartedAt,
                    "probed", "rest_over", this->CallerHeaders.RequestId, "");
+  if (this->Context.Rollouts)
+    this->CurrentAttempt->Observed = this->Context.Rollouts->recordStart(
+        To, this->route().Name, this->Context.Loop.now());
   this->CurrentAttempt->Call =
       this->Context.Client.start(std::move(Request), std::move(Handlers));
   this->checkServerSilence();
@@ -282,6 +290,9 @@
   Result.Excluded.insert(this->ServersThatMayHaveExecuted.begin(),
                          this->ServersThatMayHaveExecuted.end());
   Result.Target = this->route().Target;
+  if (this->Context.Rollouts && !this->FailedAtCanary)
+    Result.Group = this->Context.Rollouts->groupFor(
+        this->Service, this->CallerHeaders.RequestId, this->Context.Loop.now());
   return Result;
 }
 
@@ -422,6 +433,7 @@
     this->Context.Servers.recordPrefillTime(Current.Server,
                                             this->Context.Loop.now());
   this->recordExecutionStarted();
+  this->observeOutput();
   if (Current.Splitter->lastEventId())
     this->LastEventId = Current.Splitter->lastEventId();
   this->LastEventAt = this->Context.Loop.now();
@@ -429,6 +441,7 @@
   if (this->Exchange->unsentBytes() <= MaxUnsentBytes || Current.ReadingPaused)
     return;
   Current.ReadingPaused = true;
+  this->observePause();
   Network::Http1Client::pauseReading(Current.Call, true);
   Current.BackpressureTimer = this->Context.Loop.callEvery(
       BackpressureCheckPeriod, [Self = this->shared_from_this()] {
@@ -527,6 +540,7 @@
   const Platform::ResponseHeaders Decoded =
       Platform::decodeResponseHeaders(Head.Status, Head.Headers);
   const bool Success = isSuccess(Head.Status);
+  this->observeStatus(Head.Status);
   if (Success && !isTrustworthy(Head, Decoded)) {
     this->handleAttemptFailure(AttemptResult::MayHaveExecuted,
                                CallFailure::BadAnswer,
@@ -573,6 +587,7 @@
     this->Context.Servers.recordFirstOutput(Current.Server);
   this->Context.Servers.recordEnd(Current.Server, Outcome,
                                   this->Context.Loop.now());
+  this->observeEnd(Outcome);
   this->TriedServers.insert(Current.Server.Id);
   this->CurrentAttempt.reset();
 }
--- a/Source/EntryDaemon/RoutedCall.h
+++ b/Source/EntryDaemon/RoutedCall.h
@@ -34,6 +34,9 @@
   void handleTokenDecision(const State::TokenDecision &Decision);
   /// Ends the call because the process is about to stop.
   void endBeforeStop();
+  /// Resumes the stream at a server of the version that is rolled out, if its
+  /// server's version is to be left. Returns whether it did.
+  bool moveStream();
 
 private:
   enum class AttemptResult {
@@ -68,6 +71,7 @@
     /// Whether the attempt has produced output.
     bool OutputStarted = false;
     bool ReadingPaused = false;
+    Rollout::ObservedNumber Observed;
     Network::EventHandle BackpressureTimer;
     Network::EventHandle SilenceTimer;
   };
@@ -152,6 +156,12 @@
     return this->MayHaveExecuted || this->CurrentAttempt.has_value();
   }
   const Configuration::Route &route() const { return *this->Route; }
+  // What rollouts observe of the current attempt; no effect without rollouts.
+  void observeSent();
+  void observeOutput();
+  void observePause();
+  void observeStatus(int Status);
+  void observeEnd(Routing::ServerOutcome Outcome);
   std::uint64_t contentHash() const;
 
   GatewayContext &Context;
@@ -189,6 +199,8 @@
   bool RetryReserved = false;
   /// Whether any attempt may have executed the request.
   bool MayHaveExecuted = false;
+  /// An attempt failed at a server that gets only a share of the requests.
+  bool FailedAtCanary = false;
   /// Servers that were tried in this round of attempts.
   std::set<Common::BackendServerId> TriedServers;
   std::set<Common::BackendServerId> ServersThatMayHaveExecuted;
