--- a/Source/EntryDaemon/GatewayReports.cpp
+++ b/Source/EntryDaemon/GatewayReports.cpp
@@ -26,13 +26,17 @@
                                            At))
       Report.DisprovedCrashes.push_back(Crash.Number);
   Report.Timings = this->Context.Speeds.take(this->Loop.now());
+  if (this->Context.Rollouts)
+    this->Context.Rollouts->fillReport(Report, this->Loop.now());
 }
 
 void Gateway::applyDirectives(const State::EntryDirectives &Directives,
                               std::optional<Common::TimePoint> PollSentAt) {
+  const Common::TimePoint Now = this->Loop.now();
+  if (this->Context.Rollouts)
+    this->Context.Rollouts->applyDirectives(Directives, PollSentAt, Now);
   if (!PollSentAt)
     return;
-  const Common::TimePoint Now = this->Loop.now();
   this->Context.SupposedCrashes.clear();
   for (const State::SupposedCrash &Each : Directives.Crashes) {
     const Common::TimePoint At =
@@ -47,6 +51,12 @@
   this->Context.Servers.setSpeeds(Speeds.Engines, Speeds.Servers);
 }
 
-void Gateway::applyServerVersions(const State::ServerVersions &) {}
+void Gateway::applyServerVersions(const State::ServerVersions &Versions) {
+  for (const State::ServerVersion &Each : Versions.Versions)
+    this->Context.Servers.setVersion(Each.Id, Each.StartedAt, Each.Version,
+                                     this->Loop.now());
+  if (this->Context.Rollouts)
+    this->Context.Rollouts->refresh(this->Loop.now());
+}
 
 } // namespace EntryDaemon
