Rollout, StateDaemon: Rollouts recorded in the log and decided by the leader

Operators order a rollout at any state daemon; it is recorded in the replicated log (RolloutsLevel) before the 200. The leader moves the share of requests by the entry daemons' observations, and records the verdict. The autoscaler reduces no orders for a service while its rollout is running.

--- a/Source/Core/Fleet/Autoscaler.cpp
+++ b/Source/Core/Fleet/Autoscaler.cpp
@@ -134,11 +134,18 @@
 
 std::optional<ScalingAction> Autoscaler::scalingActionFor(
     const ServerPoolKey &Key, std::uint32_t Target, std::uint32_t Healthy,
-    Common::Duration StartupTime, Common::TimePoint Now) {
+    Common::Duration StartupTime, Common::TimePoint Now, bool Held) {
   PoolState &State = this->Pools[Key];
   if (State.ActionPending || Now < State.RetryAt)
     return std::nullopt;
   const std::uint32_t CurrentCount = State.AcceptedCount.value_or(Healthy);
+  // A rollout starts servers beyond those that were ordered, so more healthy
+  // ones are no reason to repeat an order either.
+  if (Held && (Target < CurrentCount ||
+               (Target == CurrentCount && Healthy >= CurrentCount))) {
+    State.SurplusSince.reset();
+    return std::nullopt;
+  }
   if (Target < CurrentCount) {
     if (!State.SurplusSince)
       State.SurplusSince = Now;
@@ -165,7 +172,8 @@
 Autoscaler::plan(const Configuration::ServiceMap &Services,
                  const Membership::ServerRegistry &Servers,
                  const std::map<Common::ServiceName, double> &BusyEngines,
-                 Common::TimePoint Now) {
+                 Common::TimePoint Now,
+                 const std::set<Common::ServiceName> &Held) {
   std::vector<ScalingAction> Result;
   const PoolCounts Healthy = this->countHealthy(Servers, Now);
   for (const auto &[Service, Engines] : BusyEngines)
@@ -187,7 +195,7 @@
       const auto Found = Healthy.find(Key);
       const auto Action = this->scalingActionFor(
           Key, Count, Found == Healthy.end() ? 0 : Found->second,
-          Service.Scaling->StartupTime, Now);
+          Service.Scaling->StartupTime, Now, Held.contains(Service.Name));
       if (Action)
         Result.push_back(*Action);
     }
--- a/Source/Core/Fleet/Autoscaler.h
+++ b/Source/Core/Fleet/Autoscaler.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace Fleet {
@@ -68,12 +69,13 @@
   explicit Autoscaler(AutoscalerOptions Options = {}) : Options(Options) {}
 
   /// The actions to execute now. A pool gets no other action until one of
-  /// onAccepted, onRefused and onUnconfirmed is called for this one.
+  /// onAccepted, onRefused and onUnconfirmed is called for this one. The number
+  /// of servers ordered for the services in Held is not reduced.
   std::vector<ScalingAction>
   plan(const Configuration::ServiceMap &Services,
        const Membership::ServerRegistry &Servers,
        const std::map<Common::ServiceName, double> &BusyEngines,
-       Common::TimePoint Now);
+       Common::TimePoint Now, const std::set<Common::ServiceName> &Held = {});
   void onAccepted(const ScalingAction &Action, Common::TimePoint Now);
   /// The pool has no servers available.
   void onRefused(const ScalingAction &Action, Common::TimePoint Now);
@@ -110,11 +112,10 @@
   bool awaitsFirstDemand() const {
     return this->Options.NewCluster && !this->DemandSeen;
   }
-  std::optional<ScalingAction> scalingActionFor(const ServerPoolKey &Key,
-                                                std::uint32_t Target,
-                                                std::uint32_t Healthy,
-                                                Common::Duration StartupTime,
-                                                Common::TimePoint Now);
+  std::optional<ScalingAction>
+  scalingActionFor(const ServerPoolKey &Key, std::uint32_t Target,
+                   std::uint32_t Healthy, Common::Duration StartupTime,
+                   Common::TimePoint Now, bool Held);
 
   AutoscalerOptions Options;
   std::map<ServerPoolKey, PoolState> Pools;
--- a/Source/Core/State/ControlState.cpp
+++ b/Source/Core/State/ControlState.cpp
@@ -96,16 +96,20 @@
   return Result;
 }
 
-std::string ControlState::endOfSnapshotWithoutServerEnds() {
+std::string ControlState::snapshotEndUnknownAt(ProtocolLevel Level) {
   const ControlState Empty;
-  return Network::encode(Empty.Level) + Network::encode(Empty.Ends) +
-         Network::encode(Empty.LastEndNumber);
+  std::string Result;
+  if (Level < ServerEndsLevel)
+    Result += Network::encode(Empty.Level) + Network::encode(Empty.Ends) +
+              Network::encode(Empty.LastEndNumber);
+  if (Level < RolloutsLevel)
+    Result += Network::encode(Empty.Rollouts);
+  return Result;
 }
 
 std::string ControlState::snapshot() const {
   std::string Result = Network::encode(*this);
-  if (this->Level < ServerEndsLevel)
-    Result.resize(Result.size() - endOfSnapshotWithoutServerEnds().size());
+  Result.resize(Result.size() - snapshotEndUnknownAt(this->Level).size());
   return Result;
 }
 
@@ -115,9 +119,10 @@
   absl::StatusOr<ControlState> Result = Network::decode<ControlState>(Bytes);
   // Earlier releases, and groups at an earlier level, write only the first
   // members.
-  const std::string NoServerEnds = endOfSnapshotWithoutServerEnds();
+  const std::string NoServerEnds = snapshotEndUnknownAt(ProtocolLevel{0});
   const std::string NoRefusals = Network::encode(std::vector<Refusal>());
-  for (const std::string &Missing : {NoServerEnds, NoRefusals + NoServerEnds}) {
+  for (const std::string &Missing : {snapshotEndUnknownAt(ServerEndsLevel),
+                                     NoServerEnds, NoRefusals + NoServerEnds}) {
     if (Result.ok())
       break;
     if (auto Older = Network::decode<ControlState>(Bytes + Missing); Older.ok())
--- a/Source/Core/State/ControlState.h
+++ b/Source/Core/State/ControlState.h
@@ -5,6 +5,7 @@
 #include "Common/Ids.h"
 #include "Configuration/ServiceMap.h"
 #include "Membership/ServerEnd.h"
+#include "Rollout/RolloutBook.h"
 
 #include <absl/status/statusor.h>
 #include <cstdint>
@@ -25,7 +26,9 @@
 using ProtocolLevel = Common::StrongNumber<struct ProtocolLevelTag>;
 /// RecordServerEndsCommand, ServerEndRequest and ServerEndConfirmation.
 inline constexpr ProtocolLevel ServerEndsLevel{1};
-inline constexpr ProtocolLevel SupportedProtocolLevel = ServerEndsLevel;
+/// The commands of Rollout::RolloutBook.
+inline constexpr ProtocolLevel RolloutsLevel{2};
+inline constexpr ProtocolLevel SupportedProtocolLevel = RolloutsLevel;
 
 /// Replaces the declaration by Document, the complete text sent by the
 /// operator. Ignored unless Version is higher than the current one.
@@ -103,7 +106,9 @@
 using ControlCommand =
     std::variant<DeclareCommand, RecordUsageCommand, MarkUsageReportedCommand,
                  RefuseCommand, EndRefusalCommand, ProbeRefusalCommand,
-                 RaiseProtocolLevelCommand, RecordServerEndsCommand>;
+                 RaiseProtocolLevelCommand, RecordServerEndsCommand,
+                 Rollout::BeginRolloutCommand, Rollout::AdvanceRolloutCommand,
+                 Rollout::EndRolloutCommand>;
 
 /// Requests with all of these causes are refused.
 struct Refusal {
@@ -118,7 +123,8 @@
 
 /// The replicated state of `sycamore-state control`: the current declaration, a
 /// text document, the usage windows that are being reported, what is refused
-/// because it crashes servers, and the servers that accept no new requests.
+/// because it crashes servers, the servers that accept no new requests, and the
+/// rollouts.
 /// Deterministic: equal logs produce equal states.
 class ControlState {
 public:
@@ -160,13 +166,15 @@
   /// a heartbeat.
   static constexpr std::size_t MaxServerEnds = 2048;
 
-  /// Below ServerEndsLevel in the encoding of the releases before it.
+  const Rollout::RolloutBook &rollouts() const { return this->Rollouts; }
+
+  /// Below the supported level in the encoding of the release of that level.
   std::string snapshot() const;
   static absl::StatusOr<ControlState> restore(const std::string &Bytes);
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(this->Version, this->Document, this->Usage, this->Refusals, this->Level,
-       this->Ends, this->LastEndNumber);
+       this->Ends, this->LastEndNumber, this->Rollouts);
   }
 
 private:
@@ -187,10 +195,19 @@
   void applyCommand(const ProbeRefusalCommand &Command);
   void applyCommand(const RaiseProtocolLevelCommand &Command);
   void applyCommand(const RecordServerEndsCommand &Command);
+  void applyCommand(const Rollout::BeginRolloutCommand &Command) {
+    this->Rollouts.apply(Command);
+  }
+  void applyCommand(const Rollout::AdvanceRolloutCommand &Command) {
+    this->Rollouts.apply(Command);
+  }
+  void applyCommand(const Rollout::EndRolloutCommand &Command) {
+    this->Rollouts.apply(Command);
+  }
   void recordServerEnd(const Membership::ServerEnd &End);
-  /// The bytes by which the encoding of a state below ServerEndsLevel is longer
-  /// than that of the releases before it.
-  static std::string endOfSnapshotWithoutServerEnds();
+  /// The bytes by which the encoding of a state at Level is longer than that of
+  /// the release of that level.
+  static std::string snapshotEndUnknownAt(ProtocolLevel Level);
 
   Common::ConfigurationVersion Version;
   std::string Document;
@@ -199,6 +216,7 @@
   ProtocolLevel Level;
   std::map<Common::BackendServerId, RecordedEnd> Ends;
   std::uint64_t LastEndNumber = 0;
+  Rollout::RolloutBook Rollouts;
 };
 
 } // namespace State
--- a/Source/Core/Telemetry/LogEvents.h
+++ b/Source/Core/Telemetry/LogEvents.h
@@ -192,6 +192,23 @@
 inline constexpr LogEvent<1> FrameUndecodable{
     LogLevel::Error, "frame_undecodable", {"detail"}};
 
+// Rollouts.
+inline constexpr LogEvent<5> RolloutOrdered{
+    LogLevel::Info,
+    "rollout_ordered",
+    {"service", "rollout", "target", "duration_ms", "outcome"}};
+inline constexpr LogEvent<1> RolloutRefused{
+    LogLevel::Warning, "rollout_refused", {"detail"}};
+inline constexpr LogEvent<10> RolloutShare{
+    LogLevel::Info,
+    "rollout_share",
+    {"service", "rollout", "target", "phase", "share", "trial_servers",
+     "target_requests", "requests", "finding", "figures"}};
+inline constexpr LogEvent<6> RolloutEnded{
+    LogLevel::Warning,
+    "rollout_ended",
+    {"service", "rollout", "target", "result", "cause", "figures"}};
+
 // Duties, which only one daemon at a time performs.
 inline constexpr LogEvent<2> UsageReport{
     LogLevel::Info, "usage_report", {"window", "status"}};
--- a/Source/FaultTests/RoutedCluster.cpp
+++ b/Source/FaultTests/RoutedCluster.cpp
@@ -420,7 +420,7 @@
 
 bool RoutedCluster::hasProtocolLevel() {
   for (int I = 1; I <= StateDaemons; ++I)
-    if (!this->hasMetric(I, "protocol_level 1"))
+    if (!this->hasMetric(I, "protocol_level 2"))
       return false;
   return true;
 }
--- a/Source/StateDaemon/Controller.cpp
+++ b/Source/StateDaemon/Controller.cpp
@@ -557,6 +557,11 @@
       "protocol_level", static_cast<double>(this->State.protocolLevel().Value));
   this->Metrics.setGauge("server_ends_pending",
                          static_cast<double>(this->ServerEnds.pending()));
+  std::size_t RunningRollouts = 0;
+  for (const auto &Each : this->State.rollouts().services())
+    RunningRollouts += Each.second.isRunning() ? 1 : 0;
+  this->Metrics.setGauge("rollouts_running",
+                         static_cast<double>(RunningRollouts));
   this->Metrics.setGauge("entries_connected",
                          static_cast<double>(this->Entries.size()));
   this->Metrics.setGauge("leading", this->Driver->holdsLeadership() ? 1 : 0);
--- a/Source/StateDaemon/Controller.h
+++ b/Source/StateDaemon/Controller.h
@@ -21,6 +21,10 @@
 #include <set>
 #include <vector>
 
+namespace Platform {
+struct RolloutOrder;
+}
+
 namespace StateDaemon {
 
 /// The state daemon of `sycamore-state control`. Serves the control interface
@@ -121,7 +125,27 @@
   /// daemon leads.
   void raiseProtocolLevel();
 
+  // Rollouts.
+  RolloutDirector::Dependencies rolloutDependencies();
+  /// Proposes phases and verdicts of rollouts while this daemon leads.
+  void planRollouts(Common::TimePoint Now);
+  void
+  handleBeginRollout(const std::shared_ptr<Network::Http1Exchange> &Exchange);
+  /// Responds to an order without a new rollout where that is right. Returns
+  /// whether it did.
+  bool answerWithoutRollout(Network::Http1Exchange &Exchange,
+                            const Platform::RolloutOrder &Order);
+  void proposeRollout(const std::shared_ptr<Network::Http1Exchange> &Exchange,
+                      const Platform::RolloutOrder &Order);
+  void handleReadRollout(Network::Http1Exchange &Exchange,
+                         const Common::ServiceName &Service, bool Explain);
+
   // HTTP.
+  static void replyError(Network::Http1Exchange &Exchange, int Status,
+                         std::string_view Detail);
+  /// Replies with 503 and `Retry-After`: the call may be sent again soon.
+  static void replyRetry(Network::Http1Exchange &Exchange,
+                         std::string_view Detail);
   static void replyAccepted(Network::Http1Exchange &Exchange);
   static void replyUnavailable(Network::Http1Exchange &Exchange,
                                std::string_view Detail);
--- a/Source/StateDaemon/ControllerGroup.cpp
+++ b/Source/StateDaemon/ControllerGroup.cpp
@@ -67,7 +67,8 @@
     this->LeadingSince = Now;
     this->Tracker =
         std::make_unique<EntryDaemonTracker>(this->Settings.Tolerance, Now);
-    this->Reports = std::make_unique<ReportHandler>();
+    this->Reports =
+        std::make_unique<ReportHandler>(this->rolloutDependencies());
     this->Tracker->addOwnClock(this->Settings.Name, this->Loop.wallNow(), Now);
     if (!this->Settings.DutyAddress.empty()) {
       this->Duties = std::make_unique<DutyRunner>(DutyRunner::Dependencies{
--- a/Source/StateDaemon/ControllerHttp.cpp
+++ b/Source/StateDaemon/ControllerHttp.cpp
@@ -40,6 +40,16 @@
   Exchange.reply(503, JsonType, errorBody(Detail));
 }
 
+void Controller::replyError(Network::Http1Exchange &Exchange, int Status,
+                            std::string_view Detail) {
+  Exchange.reply(Status, JsonType, errorBody(Detail));
+}
+
+void Controller::replyRetry(Network::Http1Exchange &Exchange,
+                            std::string_view Detail) {
+  Exchange.reply(503, {{"Retry-After", "0.3"}}, errorBody(Detail));
+}
+
 void Controller::handleHttp(
     const std::shared_ptr<Network::Http1Exchange> &Exchange) {
   const Platform::ControlRequest Call =
@@ -53,6 +63,13 @@
     this->handleDeclare(Exchange);
   else if (std::holds_alternative<Platform::ReadConfigurationRequest>(Call))
     this->handleReadDeclaration(*Exchange);
+  else if (std::holds_alternative<Platform::BeginRolloutRequest>(Call))
+    this->handleBeginRollout(Exchange);
+  else if (const auto *Read = std::get_if<Platform::ReadRolloutRequest>(&Call))
+    this->handleReadRollout(*Exchange, Read->Service, false);
+  else if (const auto *Explain =
+               std::get_if<Platform::ExplainRolloutRequest>(&Call))
+    this->handleReadRollout(*Exchange, Explain->Service, true);
   else
     Exchange->reply(404, JsonType, errorBody("unknown route or method"));
 }
@@ -161,8 +178,7 @@
   const Consensus::Member *Leader =
       Replica ? Replica->membership().find(Replica->leader()) : nullptr;
   if (!Leader || Leader->Id == Replica->self()) {
-    Exchange.reply(503, {{"Retry-After", "0.3"}},
-                   errorBody("no leader is known; retry shortly"));
+    replyRetry(Exchange, "no leader is known; retry shortly");
     return;
   }
   const Network::Address LeaderHttp{Leader->Address.Ip,
--- a/Source/StateDaemon/ControllerSettings.cpp
+++ b/Source/StateDaemon/ControllerSettings.cpp
@@ -28,6 +28,16 @@
                                      std::chrono::milliseconds(1));
   Result.UsageWindow = Reader.duration("--usage-window", Result.UsageWindow,
                                        std::chrono::seconds(1));
+  Result.Rollouts = Reader.text("--rollouts", "false") == "true";
+  Result.Exposure.Share =
+      Reader.decimal("--expose-share", Result.Exposure.Share);
+  Result.Exposure.Slack =
+      Reader.decimal("--expose-slack", Result.Exposure.Slack);
+  Result.Exposure.RollbackTime =
+      Reader.duration("--rollback-time", Result.Exposure.RollbackTime,
+                      std::chrono::milliseconds(1));
+  Result.AckTime = Reader.duration("--ack-time", Result.AckTime,
+                                   std::chrono::milliseconds(1));
   return Result;
 }
 
--- a/Source/StateDaemon/ControllerSettings.h
+++ b/Source/StateDaemon/ControllerSettings.h
@@ -2,6 +2,7 @@
 #define SYCAMOREREACH_STATEDAEMON_CONTROLLERSETTINGS_H
 
 #include "Admission/AllowanceLedger.h"
+#include "Rollout/Coordinator.h"
 #include "Settings/RoutedSettings.h"
 
 #include <string>
@@ -33,6 +34,11 @@
   /// of the next.
   Common::Duration DutyLease = std::chrono::seconds(3);
   Common::Duration UsageWindow = std::chrono::seconds(5);
+  /// Whether operators may order rollouts.
+  bool Rollouts = false;
+  Rollout::ExposureLimits Exposure;
+  /// How long an operator repeats a call that was not acknowledged.
+  Common::Duration AckTime = std::chrono::seconds(5);
 
   /// Errors are collected in Reader.
   static ControllerSettings create(Settings::SettingsReader &Reader);
--- a/Source/StateDaemon/DutyRunner.cpp
+++ b/Source/StateDaemon/DutyRunner.cpp
@@ -152,9 +152,13 @@
 
 void DutyRunner::scaleServices() {
   const Common::TimePoint Now = this->Deps.Loop.now();
+  std::set<Common::ServiceName> RollingOut;
+  for (const auto &[Service, Rollout] : this->Deps.State.rollouts().services())
+    if (Rollout.isRunning())
+      RollingOut.insert(Service);
   const auto Planned = this->Autoscaler.plan(
       *this->Declaration, this->Deps.Registry,
-      this->Deps.Tracker.engineDemand(this->Deps.Registry), Now);
+      this->Deps.Tracker.engineDemand(this->Deps.Registry), Now, RollingOut);
   for (const Fleet::ScalingAction &Each : Planned) {
     if (!this->tryTakeRateToken()) {
       this->Autoscaler.onUnconfirmed(Each, Now);
--- a/Source/StateDaemon/ReportHandler.cpp
+++ b/Source/StateDaemon/ReportHandler.cpp
@@ -4,17 +4,23 @@
 
 State::EntryDirectives
 ReportHandler::handleReport(const State::EntryReport &Report,
-                            Common::TimePoint) {
+                            Common::TimePoint Now) {
   State::EntryDirectives Result;
   Result.Entry = Report.Entry;
   Result.Incarnation = Report.Incarnation;
   Result.Sequence = Report.Sequence;
+  this->Rollouts.handleReport(Report, Now);
+  Result.Rollouts = this->Rollouts.directives(Now);
   return Result;
 }
 
 std::optional<State::EntryDirectives>
 ReportHandler::takeUrgent(Common::TimePoint) {
-  return std::nullopt;
+  State::EntryDirectives Result;
+  Result.Rollouts = this->Rollouts.takeUrgent();
+  if (Result.Rollouts.empty())
+    return std::nullopt;
+  return Result;
 }
 
 std::optional<State::ServerSpeeds>
--- a/Source/StateDaemon/ReportHandler.h
+++ b/Source/StateDaemon/ReportHandler.h
@@ -3,6 +3,7 @@
 
 #include "Common/Time.h"
 #include "State/ControlProtocol.h"
+#include "StateDaemon/RolloutDirector.h"
 
 #include <optional>
 
@@ -13,6 +14,9 @@
 /// leader starts with an empty one.
 class ReportHandler {
 public:
+  explicit ReportHandler(RolloutDirector::Dependencies Rollouts)
+      : Rollouts(std::move(Rollouts)) {}
+
   /// Takes in a report and returns the answer to it.
   State::EntryDirectives handleReport(const State::EntryReport &Report,
                                       Common::TimePoint Now);
@@ -21,6 +25,10 @@
   std::optional<State::EntryDirectives> takeUrgent(Common::TimePoint Now);
   /// Speeds that changed since the last call, or all of them when that is due.
   std::optional<State::ServerSpeeds> takeSpeeds(Common::TimePoint Now);
+  RolloutDirector &rollouts() { return this->Rollouts; }
+
+private:
+  RolloutDirector Rollouts;
 };
 
 } // namespace StateDaemon
--- a/Source/UnitTests/Platform/PlatformTest.cpp
+++ b/Source/UnitTests/Platform/PlatformTest.cpp
@@ -3,6 +3,7 @@
 #include "platform/DutyRequests.h"
 #include "platform/Heartbeat.h"
 #include "platform/RequestHeaders.h"
+#include "platform/RolloutDocuments.h"
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
@@ -144,6 +145,11 @@
   BOOST_TEST(RequestIndex("POST", "/sycamorereach/replicas/a/b/heartbeat") ==
              4u);
   BOOST_TEST(RequestIndex("POST", "/") == 4u);
+  BOOST_TEST(RequestIndex("POST", "/sycamorereach/rollouts/begin") == 5u);
+  BOOST_TEST(RequestIndex("GET", "/sycamorereach/rollouts/chat/read") == 6u);
+  BOOST_TEST(RequestIndex("GET", "/sycamorereach/rollouts/chat/explain") == 7u);
+  BOOST_TEST(RequestIndex("GET", "/sycamorereach/rollouts/begin") == 4u);
+  BOOST_TEST(RequestIndex("GET", "/sycamorereach/rollouts//read") == 4u);
 }
 
 BOOST_AUTO_TEST_CASE(DecodesOrRejectsCallerHeaders) {
@@ -284,6 +290,34 @@
   }
 }
 
+// An order with a fault must get a typed refusal, not start a rollout.
+BOOST_AUTO_TEST_CASE(InvalidRolloutOrdersAreRefused) {
+  const auto IsValid = [](const std::string &Body) {
+    return Platform::decodeRolloutOrder(Body).ok();
+  };
+  const auto Order = Platform::decodeRolloutOrder(
+      R"({"service":"chat","target":"v2","duration-s":1.5})");
+  BOOST_REQUIRE(Order.ok());
+  BOOST_TEST(Order->DurationMilliseconds == 1500u);
+  for (const char *Duration : {"0", "-1", "86401", "1e999", "\"12\"", "null"})
+    BOOST_TEST(
+        !IsValid(absl::StrCat(
+            R"({"service":"chat","target":"v2","duration-s":)", Duration, "}")),
+        Duration);
+  const std::string Longest(64, 'v');
+  BOOST_TEST(
+      IsValid(R"({"service":"a","duration-s":1,"target":")" + Longest + "\"}"));
+  BOOST_TEST(!IsValid(R"({"service":"a","duration-s":1,"target":")" + Longest +
+                      "v\"}"));
+  for (const char *Target : {"\"\"", "2", "\"a\\u0001\"", "null"})
+    BOOST_TEST(!IsValid(absl::StrCat(
+                   R"({"service":"a","duration-s":1,"target":)", Target, "}")),
+               Target);
+  BOOST_TEST(!IsValid(R"({"target":"v2","duration-s":1})"));
+  BOOST_TEST(!IsValid("[]"));
+  BOOST_TEST(!IsValid("v2"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace UnitTests
