--- a/Source/Core/Rollout/Coordinator.cpp
+++ b/Source/Core/Rollout/Coordinator.cpp
@@ -20,24 +20,31 @@
 constexpr double LightLoad = 0.5;
 /// Load of the trial servers at the end of the trial, relative to the others.
 constexpr double FullLoad = 1.1;
+/// Shortest time of full load that begins on a suspicion, in seconds.
+constexpr double LoadTime = 0.5;
 /// Requests of this long are not reported yet: a poll period and its way.
 constexpr double ReportDelay = 0.6;
-constexpr Common::Duration ShiftTime = std::chrono::milliseconds(1200);
+/// The shift takes the longer the more time there is.
+constexpr Common::Duration MinShiftTime = std::chrono::milliseconds(700);
+constexpr Common::Duration MaxShiftTime = std::chrono::milliseconds(1500);
+constexpr double ShiftFraction = 0.07;
 /// The share that a shift without a trial at this leader starts from.
 constexpr double ShiftStart = 0.1;
 /// For the last reports and the log.
-constexpr Common::Duration FinalMargin = std::chrono::milliseconds(1100);
+constexpr Common::Duration FinalMargin = std::chrono::milliseconds(1200);
 /// Faults may begin some seconds after a server has started.
 constexpr Common::Duration MinTrialTime = std::chrono::milliseconds(5000);
 /// Shortest trial of a new leader, or after a restart of all hosts.
 constexpr Common::Duration MinOwnTrialTime = std::chrono::milliseconds(2000);
 /// Streams that would take longer are moved.
 constexpr Common::Duration MoveTime = std::chrono::milliseconds(2000);
+/// Most streams that cannot be moved are shorter.
+constexpr Common::Duration LeastDrainTime = std::chrono::milliseconds(2600);
 constexpr Common::Duration MaxDrainTime = std::chrono::seconds(6);
 /// The full load must be observed for a moment.
 constexpr Common::Duration MinDrainTime = std::chrono::milliseconds(1200);
 /// Number of mean durations that nearly all streams are shorter than.
-constexpr double LongestToMean = 2.5;
+constexpr double LongestToMean = 4;
 /// All entry daemons in contact poll within this time.
 constexpr Common::Duration LearningTime = std::chrono::milliseconds(900);
 /// An entry daemon that reports nothing for longer is not in contact.
@@ -46,6 +53,7 @@
 /// How long more servers are observed before the version is condemned.
 constexpr Common::Duration SuspicionTime = std::chrono::milliseconds(1500);
 constexpr std::uint32_t SuspicionServers = 5;
+constexpr std::uint32_t MinTrialServers = 2;
 constexpr Common::Duration RateWindow = std::chrono::seconds(2);
 /// Smallest relative change of a share that is worth a new directive.
 constexpr double MinShareChange = 0.15;
@@ -146,7 +154,11 @@
 }
 
 void Coordinator::updateRate(Common::TimePoint Now) {
-  this->RateSamples.push_back({Now, this->TotalSent, this->OthersEnded});
+  const Common::Duration For = this->RateSamples.empty()
+                                   ? Common::Duration{}
+                                   : Now - this->RateSamples.back().At;
+  this->RateSamples.push_back({Now, For, this->TotalSent, this->OthersEnded,
+                               this->Directed.TargetShare});
   std::erase_if(this->RateSamples, [Now](const RateSample &Each) {
     return Now - Each.At > RateWindow;
   });
@@ -170,8 +182,21 @@
                     Common::Duration(MaxDrainTime));
 }
 
+Common::Duration Coordinator::shiftTime() const {
+  return std::clamp(std::chrono::duration_cast<Common::Duration>(
+                        (this->EndsAt - this->BegunAt) * ShiftFraction),
+                    Common::Duration(MinShiftTime),
+                    Common::Duration(MaxShiftTime));
+}
+
 Common::TimePoint Coordinator::trialEndsAt(Common::Duration DrainTime) const {
-  return this->EndsAt - FinalMargin - ShiftTime - DrainTime;
+  return this->EndsAt - FinalMargin - this->shiftTime() - DrainTime;
+}
+
+Common::TimePoint Coordinator::latestTrialEnd() const {
+  return std::max(
+      this->CreatedAt + MinOwnTrialTime,
+      this->trialEndsAt(std::min(this->expectedDrainTime(), LeastDrainTime)));
 }
 
 bool Coordinator::knowsEnoughEntries(const View &Current,
@@ -198,10 +223,12 @@
   return Any;
 }
 
-double Coordinator::trialShare(Common::TimePoint Now) const {
+double Coordinator::trialShare(Common::TimePoint Now) {
   const double Fraction = TrialFraction * this->Limits.Share;
-  const double Unreported =
-      this->Directed.TargetShare * this->Rate * ReportDelay;
+  double Unreported = 0;
+  for (const RateSample &Each : this->RateSamples)
+    if (Now - Each.At <= Common::fromSeconds(ReportDelay))
+      Unreported += Each.TargetShare * this->Rate * Common::toSeconds(Each.For);
   const double Allowed = Fraction * static_cast<double>(this->TotalSent) +
                          TrialSlackFraction * this->Limits.Slack -
                          static_cast<double>(this->TargetSent) - Unreported;
@@ -210,27 +237,29 @@
       Common::toSeconds(this->trialEndsAt(this->expectedDrainTime()) - Now));
   const double Rate = std::max(1.0, this->Rate);
   const double Mean = Fraction + Allowed / Rate / Remaining;
-  // Faults that occur only under load must become visible, so the trial ends
-  // with the load that the others have, for as long as the limit allows.
+  // As many servers as the mean share can load fully, but never fewer than
+  // before: that would leave those with evidence out.
+  const double Loaded =
+      Mean * static_cast<double>(this->OtherServers) / FullLoad;
+  this->TrialServers = std::max(
+      {this->TrialServers, static_cast<std::uint32_t>(std::max(0.0, Loaded)),
+       this->SuspiciousSince ? SuspicionServers : MinTrialServers});
+  // Faults that occur only under load must become visible, so the servers get
+  // the load that the others have, for as long as the limit allows.
   const double Full =
       std::min(MaxTrialShare,
-               FullLoad * this->trialServerCount() /
+               FullLoad * this->TrialServers /
                    std::max(1.0, static_cast<double>(this->OtherServers)));
   if (Allowed <= 0)
     return 0;
-  if (Mean >= Full)
-    return std::min(Mean, Full);
   const bool IsLoaded =
       this->Directed.TargetShare >= Full * (1 - MinShareChange);
-  return IsLoaded ? Full : LightLoad * Mean;
-}
-
-std::uint32_t Coordinator::trialServerCount() const {
-  const double Share = TrialFraction * this->Limits.Share;
-  const auto Count = static_cast<std::uint32_t>(
-      Share * static_cast<double>(this->OtherServers));
-  const std::uint32_t Least = this->SuspiciousSince ? SuspicionServers : 2;
-  return std::max({Count, Least, this->Directed.TrialServers});
+  // A time of full load is worth it only if it lasts.
+  const bool MayBeginLoad =
+      this->SuspiciousSince ? Allowed >= Full * Rate * LoadTime : Mean >= Full;
+  if (IsLoaded || MayBeginLoad)
+    return Full;
+  return std::min(Full, LightLoad * Mean);
 }
 
 std::string Coordinator::figures() const {
@@ -252,14 +281,15 @@
     this->FirstTargetServerAt = Now;
   this->updateRate(Now);
   if (this->Recorded > Phase::Waiting) {
-    const bool InTrial = this->Recorded == Phase::Trial;
-    this->Assessed = this->Seen.assess(
-        InTrial && this->Directed.TrialServers != 0
-            ? std::min<std::size_t>(
-                  this->TargetServers,
-                  std::max(this->Directed.TrialServers, SuspicionServers))
-            : this->TargetServers,
-        Now);
+    Evidence::Scope Of{this->TargetServers};
+    if (this->Directed.TrialServers != 0)
+      Of.TargetServers = std::min<std::size_t>(
+          this->TargetServers,
+          std::max(this->Directed.TrialServers, SuspicionServers));
+    if (this->Recorded == Phase::Trial) {
+      Of.IsFinal = Now >= this->latestTrialEnd();
+    }
+    this->Assessed = this->Seen.assess(Of, Now);
     if (this->Assessed.Result < Finding::Suspicious)
       this->SuspiciousSince.reset();
     else if (!this->SuspiciousSince)
@@ -313,7 +343,7 @@
   if (this->Recorded == Phase::Trial)
     this->decideInTrial(Current, Now, Result);
   else if (this->Recorded == Phase::Shift) {
-    if (this->ShiftProgress >= ShiftTime)
+    if (this->ShiftProgress >= this->shiftTime())
       Result.Advance = Phase::Drain;
   } else if (this->DrainStartedAt && this->Directed.OthersExcluded &&
              Now - *this->DrainStartedAt >= MinDrainTime &&
@@ -329,9 +359,7 @@
       this->Ended = Verdict{false, "no_servers", this->figures()};
     return;
   }
-  const Common::TimePoint OwnEnd = this->CreatedAt + MinOwnTrialTime;
-  const Common::TimePoint Latest = std::max(
-      OwnEnd, this->trialEndsAt(std::min(this->expectedDrainTime(), MoveTime)));
+  const Common::TimePoint Latest = this->latestTrialEnd();
   const Common::TimePoint Earliest =
       std::max(this->trialEndsAt(this->expectedDrainTime()),
                *this->FirstTargetServerAt + MinTrialTime);
@@ -341,7 +369,7 @@
                       2 * this->TargetServers >= this->OtherServers;
   if (!IsFine && Now < Latest)
     return;
-  if (this->Assessed.Result == Finding::Suspicious &&
+  if (this->Assessed.Result == Finding::Suspicious && Now < Latest &&
       Now - *this->SuspiciousSince < SuspicionTime)
     return;
   // Requests arrive and none of them was answered by the target.
@@ -366,22 +394,33 @@
   switch (this->Recorded) {
   case Phase::Trial: {
     Result.TargetShare = this->trialShare(Now);
-    Result.TrialServers = this->trialServerCount();
+    Result.TrialServers = this->TrialServers;
     this->ShiftStartShare = Result.TargetShare;
     break;
   }
   case Phase::Shift: {
     if (!this->ShiftStartedAt)
       this->ShiftStartedAt = this->ShiftUpdatedAt = Now;
-    // No further while there is a suspicion that is not refuted.
-    if (!this->SuspiciousSince)
+    // No further while there is a new suspicion and time is left.
+    if (!this->SuspiciousSince ||
+        Now - *this->SuspiciousSince > SuspicionTime ||
+        this->EndsAt - Now < FinalMargin + LeastDrainTime)
       this->ShiftProgress += Now - this->ShiftUpdatedAt;
     this->ShiftUpdatedAt = Now;
     const double Start = std::max(this->ShiftStartShare, ShiftStart);
     const double Progress =
         std::min(1.0, Common::toSeconds(this->ShiftProgress) /
-                          Common::toSeconds(ShiftTime));
+                          Common::toSeconds(this->shiftTime()));
     Result.TargetShare = std::pow(Start, 1 - Progress);
+    // No more servers than have the load of the others, so that a fault that
+    // occurs only under load shows while others serve for comparison.
+    const double Loaded =
+        std::ceil(Result.TargetShare * static_cast<double>(this->OtherServers) /
+                  FullLoad);
+    if (Result.TargetShare < 1 &&
+        Loaded < static_cast<double>(this->TargetServers))
+      Result.TrialServers =
+          std::max(this->TrialServers, static_cast<std::uint32_t>(Loaded));
     break;
   }
   case Phase::Drain:
--- a/Source/Core/Rollout/Coordinator.h
+++ b/Source/Core/Rollout/Coordinator.h
@@ -103,11 +103,13 @@
   void updateRate(Common::TimePoint Now);
   /// Time after the end of the trial that the rest of the rollout needs.
   Common::Duration expectedDrainTime() const;
+  Common::Duration shiftTime() const;
   Common::TimePoint trialEndsAt(Common::Duration DrainTime) const;
+  Common::TimePoint latestTrialEnd() const;
   bool knowsEnoughEntries(const View &Current, Common::TimePoint Now) const;
   bool isDrained(Common::TimePoint Now) const;
-  double trialShare(Common::TimePoint Now) const;
-  std::uint32_t trialServerCount() const;
+  /// Chooses the number of trial servers as well.
+  double trialShare(Common::TimePoint Now);
   void decide(const View &Current, Common::TimePoint Now, Decision &Result);
   void decideInTrial(const View &Current, Common::TimePoint Now,
                      Decision &Result);
@@ -132,12 +134,16 @@
   double OthersEndedRate = 0;
   struct RateSample {
     Common::TimePoint At;
+    /// Time since the sample before it, with this share.
+    Common::Duration For;
     std::uint64_t Sent;
     std::uint64_t OthersEnded;
+    double TargetShare;
   };
   std::vector<RateSample> RateSamples;
   std::size_t TargetServers = 0;
   std::size_t OtherServers = 0;
+  std::uint32_t TrialServers = 0;
   std::optional<Common::TimePoint> FirstTargetServerAt;
   std::optional<Common::TimePoint> ShiftStartedAt;
   Common::TimePoint ShiftUpdatedAt;
--- a/Source/Core/Rollout/Evidence.cpp
+++ b/Source/Core/Rollout/Evidence.cpp
@@ -20,15 +20,19 @@
 constexpr Common::Duration ReportPeriod = std::chrono::milliseconds(450);
 
 /// Logarithm of the likelihood ratio that condemns a version: a good one
-/// reaches it with a probability of about 1 in 3,000 for each test.
-constexpr double VersionThreshold = 8;
+/// reaches it with a probability of about 1 in 1,000 for each test.
+constexpr double VersionThreshold = 7;
 /// The same for one server to count as worse.
-constexpr double ServerThreshold = 1.5;
-/// Fraction of the servers that must be worse. Individual servers are faulty
-/// too, but rarely nearly all of them.
-constexpr double WorseServerFraction = 0.8;
+constexpr double ServerThreshold = 1;
+constexpr double MaxServerScore = 4;
+/// Servers that are not worse for each one that is. Individual servers are
+/// faulty too, but rarely nearly all of them.
+constexpr double MaxFineServers = 0.25;
+/// Fraction of the servers with enough requests that must be worse; some of the
+/// others have too few to tell.
+constexpr double MinWorseServers = 0.62;
 /// With fewer servers, all of them being faulty individually is not unlikely.
-constexpr std::size_t ConclusiveServers = 4;
+constexpr std::size_t ConclusiveServers = 3;
 constexpr std::uint64_t MinRequestsAtServer = 4;
 
 /// Fraction of failures that a version may have beyond the others'.
@@ -36,15 +40,17 @@
 constexpr double BadFailures = 0.22;
 /// The same while other versions serve too few requests for a comparison: a
 /// fault of the environment cannot be told from one of the version.
-constexpr double ToleratedFailuresAlone = 0.1;
+constexpr double ToleratedFailuresAlone = 0.3;
 /// Requests at other versions that are a comparison, as a fraction of those at
 /// the target.
 constexpr double MinComparison = 0.15;
 /// A response is late at this multiple of the lower quartile. Less than the 8
 /// times of a bad version, and more than noise on top of servers that differ.
-constexpr double LateFactor = 4.2;
+constexpr double LateFactor = 4.6;
 constexpr double ToleratedLate = 0.04;
 constexpr double BadLate = 0.2;
+/// Requests of a good version that take twice as long, as its caches are cold.
+constexpr double ColdFraction = 0.2;
 /// How much slower servers of a good version may be: cold caches, and the
 /// slowest servers against average ones.
 constexpr double ToleratedSlowdown = 3.4;
@@ -99,37 +105,34 @@
 }
 
 /// Combines the scores of the servers of a version.
-Finding combine(std::vector<ServerScore> Scores, std::size_t TargetServers) {
-  std::erase_if(Scores, [](const ServerScore &Each) {
-    return Each.Requests < MinRequestsAtServer;
-  });
-  if (Scores.empty())
-    return Finding::Open;
-  const auto Worse = static_cast<std::size_t>(
-      std::count_if(Scores.begin(), Scores.end(), [](const ServerScore &Each) {
-        return Each.Score >= ServerThreshold;
-      }));
-  if (Worse == 0)
-    return Finding::Good;
-  // Without the most conspicuous server, unless it is the only one.
-  const auto Worst = std::max_element(
-      Scores.begin(), Scores.end(),
-      [](const auto &A, const auto &B) { return A.Score < B.Score; });
-  if (TargetServers > 1 && Scores.size() > 1)
-    Worst->Score = 0;
-  else if (TargetServers > 1)
-    return Finding::Suspicious;
+Finding combine(const std::vector<ServerScore> &Scores,
+                const Evidence::Scope &Of) {
+  std::size_t Worse = 0;
+  std::size_t Fine = 0;
+  std::size_t Counted = 0;
   double Sum = 0;
-  for (const ServerScore &Each : Scores)
-    Sum += Each.Score;
-  const bool NearlyAll =
-      static_cast<double>(Worse) >=
-      WorseServerFraction * static_cast<double>(Scores.size());
-  const bool Conclusive =
-      Scores.size() >= std::min(ConclusiveServers, TargetServers);
-  if (NearlyAll && Conclusive && Sum >= VersionThreshold)
+  for (const ServerScore &Each : Scores) {
+    if (Each.Requests < MinRequestsAtServer)
+      continue;
+    ++Counted;
+    Worse += Each.Score >= ServerThreshold ? 1 : 0;
+    Fine += Each.Score <= -ServerThreshold ? 1 : 0;
+    // So that no single server condemns the version.
+    Sum += std::min(Each.Score, MaxServerScore);
+  }
+  if (Worse == 0)
+    return Finding::Open;
+  const bool IsNearlyAll = static_cast<double>(Fine) <=
+                               MaxFineServers * static_cast<double>(Worse) &&
+                           static_cast<double>(Worse) >=
+                               MinWorseServers * static_cast<double>(Counted);
+  const bool IsConclusive =
+      Worse + Fine >= std::min(ConclusiveServers, Of.TargetServers);
+  const double Threshold =
+      Of.IsFinal || Of.TargetServers == 1 ? MaxServerScore : VersionThreshold;
+  if (IsNearlyAll && IsConclusive && Sum >= Threshold)
     return Finding::Bad;
-  return 2 * Worse >= Scores.size() ? Finding::Suspicious : Finding::Good;
+  return Fine <= Worse ? Finding::Suspicious : Finding::Open;
 }
 
 using ServerTallies = std::map<Common::BackendServerId, Tally>;
@@ -142,43 +145,44 @@
   return Result;
 }
 
+/// Failures come before the answers to requests that were sent at the same
+/// time, so they are related to what was sent.
+double sentOrDecided(const Tally &Requests) {
+  return static_cast<double>(std::max(Requests.Sent, Requests.decided()));
+}
+
+/// ExpectedFailures is the fraction that failed at other versions while the
+/// target got its requests.
 Assessment testFailures(const std::string &Route, const ServerTallies &Servers,
-                        std::size_t TargetServers) {
+                        double ExpectedFailures, const Evidence::Scope &Of) {
   const Tally Others = sumOf(Servers, false);
   const Tally Target = sumOf(Servers, true);
-  constexpr double PriorRequests = 20;
-  const bool IsCompared = static_cast<double>(Others.ended()) >=
-                          MinComparison * static_cast<double>(Target.ended());
-  const double Expected =
-      (IsCompared ? ToleratedFailures : ToleratedFailuresAlone) +
-      std::min(0.6, (static_cast<double>(Others.Failed) + 0.2) /
-                        (static_cast<double>(Others.ended()) + PriorRequests));
+  const double Expected = ToleratedFailures + std::min(0.6, ExpectedFailures);
   const double Bad = Expected + BadFailures * (1 - Expected);
   std::vector<ServerScore> Scores;
   for (const auto &[Server, Requests] : Servers)
     if (!Server.empty())
-      Scores.push_back({Requests.ended(),
-                        likelihoodRatio(static_cast<double>(Requests.Failed),
-                                        static_cast<double>(Requests.ended()),
-                                        Expected, Bad)});
+      Scores.push_back(
+          {std::max(Requests.Sent, Requests.decided()),
+           likelihoodRatio(static_cast<double>(Requests.Failed),
+                           sentOrDecided(Requests), Expected, Bad)});
   Assessment Result;
   Result.Cause = "failures";
-  Result.Result = combine(std::move(Scores), TargetServers);
-  Result.Figures =
-      absl::StrCat("route ", Route.empty() ? "all" : Route, ": target ",
-                   Target.Failed, " of ", Target.ended(), " failed, others ",
-                   Others.Failed, " of ", Others.ended());
+  Result.Result = combine(std::move(Scores), Of);
+  Result.Figures = absl::StrFormat(
+      "route %s: target %d of %.0f failed, others %d of %.0f",
+      Route.empty() ? "all" : Route, Target.Failed, sentOrDecided(Target),
+      Others.Failed, sentOrDecided(Others));
   return Result;
 }
 
-/// Failures on all routes of each server.
+/// Requests on all routes of each server.
 ServerTallies joinRoutes(const std::map<std::string, ServerTallies> &Routes) {
   ServerTallies Result;
   for (const auto &[Route, Servers] : Routes)
     for (const auto &[Server, Requests] : Servers) {
       Tally &Sum = Result[Server];
-      Sum.Answered += Requests.Answered;
-      Sum.Failed += Requests.Failed;
+      Sum.add(Requests);
     }
   return Result;
 }
@@ -238,6 +242,50 @@
   return Result;
 }
 
+double Evidence::expectedFailures(const std::string &Route,
+                                  Common::TimePoint Start) const {
+  // A fault of the environment during a time in which the target got more
+  // requests than usual must not count against it.
+  constexpr std::size_t SlotsInPeriod = 2;
+  constexpr double PriorRequests = 20;
+  Tally AllOthers;
+  double Weighted = 0;
+  double Weights = 0;
+  for (std::size_t I = 0; I < this->Slots.size(); I += SlotsInPeriod) {
+    Tally Others;
+    Tally Target;
+    for (std::size_t J = I; J < std::min(I + SlotsInPeriod, this->Slots.size());
+         ++J) {
+      if (this->Slots[J].StartsAt < Start)
+        continue;
+      for (const auto &[Name, Servers] : this->Slots[J].Requests)
+        if (Route.empty() || Name == Route) {
+          Others.add(sumOf(Servers, false));
+          Target.add(sumOf(Servers, true));
+        }
+    }
+    AllOthers.Sent += Others.Sent;
+    AllOthers.Failed += Others.Failed;
+    const auto Weight = static_cast<double>(Target.Sent);
+    const double Rate =
+        Others.Sent == 0 ? 0
+                         : std::min(1.0, static_cast<double>(Others.Failed) /
+                                             static_cast<double>(Others.Sent));
+    const bool IsCompared =
+        static_cast<double>(Others.Sent) >= MinComparison * Weight;
+    Weighted +=
+        Weight * (IsCompared ? Rate : std::max(Rate, ToleratedFailuresAlone));
+    Weights += Weight;
+  }
+  const double Plain = (static_cast<double>(AllOthers.Failed) + 0.2) /
+                       (static_cast<double>(AllOthers.Sent) + PriorRequests);
+  const double Rate = Weights > 0 ? std::max(Plain, Weighted / Weights) : Plain;
+  // What few requests at other versions say is uncertain.
+  return Rate +
+         std::sqrt(Rate * (1 - std::min(1.0, Rate)) /
+                   (static_cast<double>(AllOthers.Sent) + PriorRequests));
+}
+
 std::uint64_t Evidence::overdue(const std::string &Route,
                                 const Common::BackendServerId &Server,
                                 Common::Duration Age,
@@ -263,9 +311,29 @@
   return Sent > Decided ? Sent - Decided : 0;
 }
 
+double Evidence::fastSince(const std::string &Route,
+                           const Common::BackendServerId &Server,
+                           double Milliseconds, Common::TimePoint Start) const {
+  double Result = 0;
+  for (auto Each = this->Slots.rbegin();
+       Each != this->Slots.rend() && Each->StartsAt >= Start; ++Each) {
+    const auto RouteOfSlot = Each->Requests.find(Route);
+    if (RouteOfSlot == Each->Requests.end())
+      continue;
+    const auto Here = RouteOfSlot->second.find(Server);
+    if (Here == RouteOfSlot->second.end())
+      continue;
+    const DurationHistogram &Times = Here->second.FirstOutput;
+    Result +=
+        static_cast<double>(Times.total()) - countAbove(Times, Milliseconds);
+  }
+  return Result;
+}
+
 Assessment Evidence::testTimes(const std::string &Route, const Tallies &Window,
-                               std::size_t TargetServers, bool OfGaps,
-                               Common::TimePoint Now) const {
+                               const Scope &Of, bool OfGaps,
+                               Common::TimePoint Now,
+                               ScoresByServer &OnAllRoutes) const {
   const auto Member = OfGaps ? &Tally::OutputGap : &Tally::FirstOutput;
   const double Weight = OfGaps ? GapWeight : 1;
   Assessment Result;
@@ -292,8 +360,13 @@
                         : LongestGood);
   const double LimitOfOthers = LateFactor * OtherQuartile;
   const double OtherAbove = countAbove(Others, LimitOfOthers);
+  // A part of the requests meets a cold cache, which doubles their time.
+  const double OtherAboveHalf = countAbove(Others, LimitOfOthers / 2);
   const double Expected =
-      ToleratedLate + std::min(0.6, 1.3 * OtherAbove / OtherCount);
+      ToleratedLate +
+      std::min(0.6,
+               (OtherAbove + ColdFraction * (OtherAboveHalf - OtherAbove)) /
+                   OtherCount);
   const double Bad = Expected + BadLate;
   const double OtherMedian = quantile(Others, 0.5);
   std::vector<ServerScore> Late;
@@ -308,24 +381,34 @@
         OfGaps ? 0
                : static_cast<double>(this->overdue(
                      Route, Server, Common::fromSeconds(Limit / 1000), Now));
+    // Of the requests sent recently only the fast ones are known.
+    const double RecentFast =
+        OfGaps ? 0
+               : this->fastSince(
+                     Route, Server, Limit,
+                     Now - ReportPeriod -
+                         Common::fromSeconds((Limit - OtherMedian) / 1000));
     const double CountHere =
-        (static_cast<double>(Times.total()) + Overdue) * Weight;
+        (std::max(0.0, static_cast<double>(Times.total()) - RecentFast) +
+         Overdue) *
+        Weight;
     const double AboveHere = (countAbove(Times, Limit) + Overdue) * Weight;
     Above += AboveHere;
     Count += CountHere;
     if (CountHere < 1)
       continue;
     const auto Weighted = static_cast<std::uint64_t>(CountHere);
-    Late.push_back(
-        {Weighted, likelihoodRatio(AboveHere, CountHere, Expected, Bad)});
+    const double Score = likelihoodRatio(AboveHere, CountHere, Expected, Bad);
+    Late.push_back({Weighted, Score});
+    auto &[RequestSum, ScoreSum] = OnAllRoutes[Server];
+    RequestSum += Weighted;
+    ScoreSum += Score;
     // All responses of a server being slow leaves its quartile high as well.
     const bool IsSlow = quantile(Times, 0.5) > BadSlowdown * OtherMedian;
     Slow.push_back({Weighted, (IsSlow ? 0.4 : -0.4) * CountHere});
   }
-  if (Count < MinLatencies)
-    return Result;
-  Result.Result = std::max(combine(std::move(Late), TargetServers),
-                           combine(std::move(Slow), TargetServers));
+  Result.Result =
+      std::max(combine(std::move(Late), Of), combine(std::move(Slow), Of));
   Result.Figures = absl::StrFormat(
       "route %s: target median %.0f ms, %.0f of %.0f over %.0f ms; others "
       "median %.0f ms, %.0f of %.0f over %.0f ms",
@@ -351,7 +434,7 @@
   return Any;
 }
 
-Assessment Evidence::assess(std::size_t TargetServers,
+Assessment Evidence::assess(const Evidence::Scope &Of,
                             Common::TimePoint Now) const {
   Assessment Result;
   const auto Consider = [&Result](Assessment Found) {
@@ -359,25 +442,52 @@
       Result = std::move(Found);
   };
   const auto ConsiderTimes = [&](const Tallies &Window) {
-    for (const auto &Each : Window) {
-      Consider(this->testTimes(Each.first, Window, TargetServers, false, Now));
-      Consider(this->testTimes(Each.first, Window, TargetServers, true, Now));
+    for (const bool OfGaps : {false, true}) {
+      ScoresByServer OnAllRoutes;
+      Assessment Together;
+      for (const auto &Each : Window) {
+        Assessment Found =
+            this->testTimes(Each.first, Window, Of, OfGaps, Now, OnAllRoutes);
+        Together.Cause = Found.Cause;
+        if (!Found.Figures.empty())
+          absl::StrAppend(&Together.Figures,
+                          Together.Figures.empty() ? "" : "; ", Found.Figures);
+        Consider(std::move(Found));
+      }
+      std::vector<ServerScore> Scores;
+      for (const auto &[Server, Score] : OnAllRoutes)
+        Scores.push_back({Score.first, Score.second});
+      Together.Result = combine(std::move(Scores), Of);
+      Consider(std::move(Together));
     }
   };
-  const auto ConsiderFailures = [&](const Tallies &Window) {
-    Consider(testFailures("", joinRoutes(Window), TargetServers));
+  const auto ConsiderFailures = [&](const Tallies &Window,
+                                    Common::TimePoint Start) {
+    Consider(testFailures("", joinRoutes(Window),
+                          this->expectedFailures("", Start), Of));
     for (const auto &[Route, Servers] : Window)
-      Consider(testFailures(Route, Servers, TargetServers));
+      Consider(testFailures(Route, Servers,
+                            this->expectedFailures(Route, Start), Of));
   };
-  ConsiderFailures(this->sumSince(Now - ShortWindow));
+  ConsiderFailures(this->sumSince(Now - ShortWindow), Now - ShortWindow);
   const Tallies Recent = this->sumSince(Now - LongWindow);
-  ConsiderFailures(Recent);
+  ConsiderFailures(Recent, Now - LongWindow);
   ConsiderTimes(Recent);
-  ConsiderFailures(this->Total);
-  ConsiderTimes(this->Total);
-  if (Result.Result == Finding::Open) {
-    Result = testFailures("", joinRoutes(this->Total), TargetServers);
+  const Tallies Retained = this->sumSince(Now - SlotRetention);
+  ConsiderFailures(Retained, Now - SlotRetention);
+  ConsiderTimes(Retained);
+  if (Result.Result < Finding::Suspicious) {
+    std::string Times;
+    for (const auto &Each : Retained) {
+      ScoresByServer Unused;
+      const Assessment Found =
+          this->testTimes(Each.first, Retained, Of, false, Now, Unused);
+      if (!Found.Figures.empty())
+        absl::StrAppend(&Times, "; ", Found.Figures);
+    }
+    Result = testFailures("", joinRoutes(this->Total), 0, Of);
     Result.Cause.clear();
+    Result.Figures += Times;
     Result.Result =
         this->isConfirmedOnEachRoute() ? Finding::Good : Finding::Open;
   }
--- a/Source/Core/Rollout/Evidence.h
+++ b/Source/Core/Rollout/Evidence.h
@@ -61,8 +61,14 @@
   /// requests also count in the sliding windows.
   void add(const std::string &Route, const Common::BackendServerId &Server,
            const Tally &Added, bool Recent, Common::TimePoint Now);
-  /// TargetServers is the number of servers that get requests.
-  Assessment assess(std::size_t TargetServers, Common::TimePoint Now) const;
+  struct Scope {
+    /// Number of servers of the target that get requests.
+    std::size_t TargetServers = 0;
+    /// Whether the version would get more requests without a verdict, so that
+    /// less evidence against it is enough.
+    bool IsFinal = false;
+  };
+  Assessment assess(const Scope &Of, Common::TimePoint Now) const;
 
 private:
   /// By route, then by server.
@@ -73,14 +79,25 @@
     Tallies Requests;
   };
 
+  /// Fraction of failures at other versions since Start, weighted by when the
+  /// target got its requests. On all routes if Route is empty.
+  double expectedFailures(const std::string &Route,
+                          Common::TimePoint Start) const;
   /// Requests that were sent longer ago than the Age and had no output when
   /// their entry daemons last reported.
   std::uint64_t overdue(const std::string &Route,
                         const Common::BackendServerId &Server,
                         Common::Duration Age, Common::TimePoint Now) const;
+  /// First outputs since Start that took no longer than Milliseconds.
+  double fastSince(const std::string &Route,
+                   const Common::BackendServerId &Server, double Milliseconds,
+                   Common::TimePoint Start) const;
+  /// Requests and score of each server, summed over the routes.
+  using ScoresByServer =
+      std::map<Common::BackendServerId, std::pair<std::uint64_t, double>>;
   Assessment testTimes(const std::string &Route, const Tallies &Window,
-                       std::size_t TargetServers, bool OfGaps,
-                       Common::TimePoint Now) const;
+                       const Scope &Of, bool OfGaps, Common::TimePoint Now,
+                       ScoresByServer &OnAllRoutes) const;
   Tallies sumSince(Common::TimePoint Start) const;
   bool isConfirmedOnEachRoute() const;
 
