--- a/Source/StateDaemon/ReportHandler.cpp
+++ b/Source/StateDaemon/ReportHandler.cpp
@@ -11,12 +11,18 @@
   Result.Entry = Report.Entry;
   Result.Incarnation = Report.Incarnation;
   Result.Sequence = Report.Sequence;
+  this->Rollouts.handleReport(Report, Now);
+  Result.Rollouts = this->Rollouts.directives(Now);
   return Result;
 }
 
 std::optional<State::EntryDirectives>
 ReportHandler::takeUrgent(Common::TimePoint) {
-  return std::nullopt;
+  State::EntryDirectives Result;
+  Result.Rollouts = this->Rollouts.takeUrgent();
+  if (Result.Rollouts.empty())
+    return std::nullopt;
+  return Result;
 }
 
 std::optional<State::ServerSpeeds>
--- a/Source/StateDaemon/ReportHandler.h
+++ b/Source/StateDaemon/ReportHandler.h
@@ -4,6 +4,7 @@
 #include "Common/Time.h"
 #include "Routing/SpeedEstimator.h"
 #include "State/ControlProtocol.h"
+#include "StateDaemon/RolloutDirector.h"
 
 #include <optional>
 
@@ -14,6 +15,9 @@
 /// leader starts with an empty one.
 class ReportHandler {
 public:
+  explicit ReportHandler(RolloutDirector::Dependencies Rollouts)
+      : Rollouts(std::move(Rollouts)) {}
+
   /// Takes in a report and returns the answer to it.
   State::EntryDirectives handleReport(const State::EntryReport &Report,
                                       Common::TimePoint Now);
@@ -22,9 +26,11 @@
   std::optional<State::EntryDirectives> takeUrgent(Common::TimePoint Now);
   /// Speeds that changed since the last call, or all of them when that is due.
   std::optional<State::ServerSpeeds> takeSpeeds(Common::TimePoint Now);
+  RolloutDirector &rollouts() { return this->Rollouts; }
 
 private:
   Routing::SpeedEstimator Speeds;
+  RolloutDirector Rollouts;
 };
 
 } // namespace StateDaemon
