--- a/Source/Core/Routing/ServerTable.cpp
+++ b/Source/Core/Routing/ServerTable.cpp
@@ -43,6 +43,10 @@
 /// Cost of a full server's running requests while the service's engine profile
 /// is not known, so that equal servers get equally many.
 constexpr double UnknownStepMillisecondsOfAllSlots = 6;
+/// The headroom of the servers that are ordered is in engines of this cost. The
+/// learnt step time contains the prefill of other prompts, which would count
+/// twice.
+constexpr double ProvisionedMillisecondsPerOutputToken = 0.102;
 /// Estimated wait for a slot, in milliseconds per request beyond the number of
 /// slots.
 constexpr double SlotWaitMilliseconds = 60;
@@ -297,6 +301,14 @@
           Profile ? Profile->StepMillisecondsPerRequest : 0};
 }
 
+EngineCost
+ServerTable::provisioningCost(const Common::ServiceName &Service) const {
+  const auto Found = this->PrefillRates.find(Service);
+  const PrefillRate Rate =
+      Found == this->PrefillRates.end() ? PrefillRate() : Found->second;
+  return {Rate.tokensPerMillisecond(), ProvisionedMillisecondsPerOutputToken};
+}
+
 bool ServerTable::isWarmingUp(const Common::BackendServerId &Id,
                               Common::TimePoint Now) const {
   const auto Found = this->States.find(Id);
--- a/Source/Core/Routing/ServerTable.h
+++ b/Source/Core/Routing/ServerTable.h
@@ -140,6 +140,9 @@
   const EngineProfile *profile(const Common::ServiceName &Service) const;
   /// What requests of the service cost at a server of speed 1.
   EngineCost engineCost(const Common::ServiceName &Service) const;
+  /// The same in the unit in which servers are ordered, from the prefill of
+  /// almost idle engines.
+  EngineCost provisioningCost(const Common::ServiceName &Service) const;
   /// Whether the server announced reduced performance that is not over yet.
   bool isWarmingUp(const Common::BackendServerId &Id,
                    Common::TimePoint Now) const;
--- a/Source/EntryDaemon/RoutedAttempt.cpp
+++ b/Source/EntryDaemon/RoutedAttempt.cpp
@@ -113,7 +113,7 @@
                : this->CallerHeaders.Prompt->PromptTokens;
     this->Context.Demand.record(
         this->Service,
-        this->Context.Servers.engineCost(this->Service)
+        this->Context.Servers.provisioningCost(this->Service)
             .milliseconds(PrefillTokens, ExpectedOutput),
         Now);
   }
