EntryDaemon: A silent server is left only when another one has accepted

A stream was taken away from a server that paused, as another one would accept it by this daemon's figures. That one rejected it, and the stream was broken off, although the first server would have gone on.

The second attempt is now opened beside the first, with its retry reserved as before. Once the second server's head accepts the request, the first attempt is cancelled and the second one goes on. If the first server sends first, the second attempt is cancelled. If the second one rejects or is lost, the first one is kept, and another server may be asked later, less often each time. If the first attempt fails meanwhile, the second one replaces it without another retry.

moveAway moves a running stream in the same way: reading from the first server pauses, so that no event arrives twice, for 400 ms at most.

--- a/Source/EntryDaemon/RoutedAttempt.cpp
+++ b/Source/EntryDaemon/RoutedAttempt.cpp
@@ -161,9 +161,13 @@
                    this->route().MaxEventGap * AbandonPauseMultiple});
 }
 
-void RoutedCall::sendTo(const Routing::PlacementChoice &To) {
-  this->CurrentAttempt.emplace(To, this->Context.Loop.now());
-  this->CurrentAttempt->ResumedAfter = this->LastEventId;
+void RoutedCall::sendTo(const Routing::PlacementChoice &To, bool AsSecond) {
+  std::optional<Attempt> &Started =
+      AsSecond ? this->SecondAttempt : this->CurrentAttempt;
+  Started.emplace(To, this->Context.Loop.now());
+  Started->ResumedAfter = this->LastEventId;
+  const auto IsSecond = std::make_shared<bool>(AsSecond);
+  Started->IsSecond = IsSecond;
   Platform::ForwardedHeaders Forwarded;
   Forwarded.TimeLeft = this->timeLeft();
   Forwarded.Server = To.Id;
@@ -189,15 +193,22 @@
   Handlers.MayWrite = [Self, To] {
     return Self->Context.Servers.mayWrite(To, Self->Context.Loop.now());
   };
-  Handlers.OnSent = [Self] { Self->logLateWrite(); };
-  Handlers.OnHead = [Self](const Network::Http1Head &Head) {
-    return Self->handleHead(Head);
+  Handlers.OnSent = [Self, IsSecond] {
+    if (!*IsSecond)
+      Self->logLateWrite();
   };
-  Handlers.OnBody = [Self](const std::string &Bytes) {
-    Self->handleBody(Bytes);
+  Handlers.OnHead = [Self, IsSecond](const Network::Http1Head &Head) {
+    return *IsSecond ? Self->handleSecondHead(Head) : Self->handleHead(Head);
   };
-  Handlers.OnDone = [Self](Network::Http1CallResult End) {
-    Self->handleAttemptEnd(End);
+  Handlers.OnBody = [Self, IsSecond](const std::string &Bytes) {
+    if (!*IsSecond)
+      Self->handleBody(Bytes);
+  };
+  Handlers.OnDone = [Self, IsSecond](Network::Http1CallResult End) {
+    if (*IsSecond)
+      Self->handleSecondEnd(End);
+    else
+      Self->handleAttemptEnd(End);
   };
   Telemetry::log(Events::RequestSent, this->CallerHeaders.RequestId,
                  this->route().Name, this->Team ? this->Team->Name.str() : "",
@@ -213,13 +224,14 @@
   if (IsProbe)
     Telemetry::log(Events::ServerCondition, To.Id.str(), To.ServerStartedAt,
                    "probed", "rest_over", this->CallerHeaders.RequestId, "");
-  this->startMeasuring();
-  this->CurrentAttempt->Call =
+  this->startMeasuring(*Started);
+  Started->Call =
       this->Context.Client.start(std::move(Request), std::move(Handlers));
-  this->checkServerSilence();
+  if (!AsSecond)
+    this->checkServerSilence();
 }
 
-/// Retries on another server if the current one has sent nothing to this
+/// Asks another server as well if the current one has sent nothing to this
 /// daemon, for any request, for too long. A server that answers other requests
 /// is assumed to have queued this one, so it is not abandoned.
 void RoutedCall::checkServerSilence() {
@@ -227,7 +239,7 @@
     return;
   Attempt &Current = *this->CurrentAttempt;
   Current.SilenceTimer.cancel();
-  if (!this->canRetry(AttemptResult::MayHaveExecuted))
+  if (this->SecondAttempt || !this->canRetry(AttemptResult::MayHaveExecuted))
     return;
   Common::Duration Limit;
   if (Current.OutputStarted)
@@ -244,32 +256,36 @@
   // If no other server has sent anything either, the fault may be on this host.
   const bool OthersResponding =
       this->Context.Servers.lastActivity() > Now - SilentFor + Limit / 2;
-  // The attempt may still be answered, so it is ended only if another server
-  // would accept the request and the retry budget allows it.
-  if (SilentFor >= Limit && OthersResponding && !Current.ReadingPaused &&
-      this->reserveRetry()) {
-    this->RetryReserved = true;
-    this->abandonSilentServer();
-    return;
-  }
+  // The attempt may still be answered, so it is ended only when another server
+  // has accepted the request.
+  if (SilentFor >= Limit && OthersResponding && !Current.ReadingPaused)
+    if (const auto Chosen = this->reserveRetry()) {
+      Telemetry::log(Events::ServerSilent, this->CallerHeaders.RequestId,
+                     Current.Server.Id.str(),
+                     Common::toMilliseconds(SilentFor));
+      this->openSecond(*Chosen, nameOf(CallFailure::ServerSilent));
+      return;
+    }
   Current.SilenceTimer = this->Context.Loop.callAfter(
       std::max(MinServerSilence, Limit - SilentFor),
       [Self = this->shared_from_this()] { Self->checkServerSilence(); });
 }
 
-bool RoutedCall::reserveRetry() {
+std::optional<Routing::PlacementChoice> RoutedCall::reserveRetry() {
   const Common::TimePoint Now = this->Context.Loop.now();
   Routing::PlacementRequest Alternative = this->placement();
   if (this->CurrentAttempt)
     Alternative.Excluded.insert(this->CurrentAttempt->Server.Id);
   const auto Chosen = this->Context.Servers.choose(Alternative, Now);
   if (!Chosen)
-    return false;
+    return std::nullopt;
   // A stream without a server goes to any that accepts it.
   const bool MayQueue = this->Streaming && !this->CurrentAttempt;
   if (!MayQueue && Chosen->QueuedPrefillTime > this->maxQueueingTime())
-    return false;
-  return this->Context.Retries.tryConsume(this->Service, Now);
+    return std::nullopt;
+  if (!this->Context.Retries.tryConsume(this->Service, Now))
+    return std::nullopt;
+  return Chosen;
 }
 
 Routing::PlacementRequest RoutedCall::placement() const {
@@ -284,19 +300,6 @@
   return Result;
 }
 
-void RoutedCall::abandonSilentServer() {
-  const Attempt &Current = *this->CurrentAttempt;
-  Telemetry::log(Events::ServerSilent, this->CallerHeaders.RequestId,
-                 Current.Server.Id.str(),
-                 Common::toMilliseconds(this->Context.Servers.silenceDuration(
-                     Current.Server, this->Context.Loop.now())));
-  Network::Http1Client::cancel(Current.Call);
-  this->handleAttemptFailure(
-      Current.OutputStarted ? AttemptResult::StreamInterrupted
-                            : AttemptResult::MayHaveExecuted,
-      CallFailure::ServerSilent, Routing::ServerOutcome::Unreachable);
-}
-
 void RoutedCall::logLateWrite() const {
   if (!this->CurrentAttempt)
     return;
@@ -355,6 +358,8 @@
     return false;
   }
   this->noteServerActivity();
+  if (isSuccess(Head.Status))
+    this->cancelSecond("first_went_on");
   if (!Decoded.NotExecuted && !HttpStatus::impliesNotExecuted(Head.Status))
     this->noteAcceptance();
   this->CurrentAttempt->ResponseHead = Head;
@@ -371,6 +376,16 @@
   return true;
 }
 
+bool RoutedCall::isAcceptance(const Network::Http1Head &Head,
+                              const Platform::ResponseHeaders &Decoded) const {
+  if (!isSuccess(Head.Status) || Decoded.NotExecuted ||
+      !isTrustworthy(Head, Decoded))
+    return false;
+  const auto Type = Network::findHeader(Head.Headers, "Content-Type");
+  return !this->Streaming || (!Network::hasNoBody(Head.Status) && Type &&
+                              absl::StartsWith(*Type, "text/event-stream"));
+}
+
 void RoutedCall::startStream(const Network::Http1Head &Head) {
   this->CurrentAttempt->Splitter.emplace();
   if (this->Streaming)
@@ -390,6 +405,9 @@
   if (this->Done)
     return;
   this->noteServerActivity();
+  if (this->CurrentAttempt->ResponseHead &&
+      isSuccess(this->CurrentAttempt->ResponseHead->Status))
+    this->cancelSecond("first_went_on");
   Attempt &Current = *this->CurrentAttempt;
   if (!Current.OutputAt)
     Current.OutputAt = this->Context.Loop.now();
@@ -726,7 +744,7 @@
   const std::string ServerId =
       this->CurrentAttempt ? this->CurrentAttempt->Server.Id.str() : "";
   this->endAttempt(Outcome);
-  const bool Retry = this->canRetry(Result) &&
+  const bool Retry = !this->SecondAttempt && this->canRetry(Result) &&
                      (Result == AttemptResult::NotSent || this->RetryReserved ||
                       this->Context.Retries.tryConsume(this->Service, Now));
   this->RetryReserved = false;
@@ -742,7 +760,10 @@
     this->recordExecutionStarted();
   }
   Telemetry::log(Events::AttemptFailed, this->CallerHeaders.RequestId, ServerId,
-                 nameOf(Failure), this->Attempts, Retry ? "1" : "0");
+                 nameOf(Failure), this->Attempts,
+                 Retry || this->SecondAttempt ? "1" : "0");
+  if (this->adoptSecond())
+    return;
   if (Retry) {
     this->Context.Metrics.incrementLabelledCounter("call_retries_total",
                                                    "reason", nameOf(Failure));
--- a/Source/EntryDaemon/RoutedCall.cpp
+++ b/Source/EntryDaemon/RoutedCall.cpp
@@ -389,6 +389,7 @@
   this->stopAwaitingTokens();
   this->StartupWaitTimer.cancel();
   this->RetryTimer.cancel();
+  this->cancelSecond("call_ended");
   if (this->CurrentAttempt) {
     const Network::Http1Client::CallPtr OpenCall = this->CurrentAttempt->Call;
     this->MayHaveExecuted = true;
--- a/Source/EntryDaemon/RoutedCall.h
+++ b/Source/EntryDaemon/RoutedCall.h
@@ -34,6 +34,10 @@
   void handleTokenDecision(const State::TokenDecision &Decision);
   /// Ends the call because the process is about to stop.
   void endBeforeStop();
+  /// Moves a running stream that can be resumed to another server, because of
+  /// Reason: reading from its server pauses until the other one has accepted,
+  /// for 400 ms at most. Returns whether another server was asked.
+  bool moveAway(const std::string &Reason);
 
 private:
   enum class AttemptResult {
@@ -70,6 +74,8 @@
     bool ReadingPaused = false;
     Network::EventHandle BackpressureTimer;
     Network::EventHandle SilenceTimer;
+    /// Whether this is the second of two attempts; null if it never was.
+    std::shared_ptr<bool> IsSecond;
     /// 0 if the attempt's times are not measured.
     Routing::SpeedMeter::StreamNumber Measured = 0;
   };
@@ -92,10 +98,15 @@
   Common::Duration maxQueueingTime() const;
   /// Pause after which callers abandon a stream.
   Common::Duration abandonPause() const;
-  void sendTo(const Routing::PlacementChoice &To);
+  /// With AsSecond, beside the current attempt.
+  void sendTo(const Routing::PlacementChoice &To, bool AsSecond = false);
   void logLateWrite() const;
-  /// Begins to measure the times of the attempt that starts.
-  void startMeasuring();
+  /// Begins to measure the times of an attempt that starts.
+  void startMeasuring(Attempt &Started);
+  /// Whether a server that answers with this head has accepted the request, so
+  /// that it can go on with it.
+  bool isAcceptance(const Network::Http1Head &Head,
+                    const Platform::ResponseHeaders &Decoded) const;
   /// Records for how long a server that rejects requests wants none.
   void noteRetryAfter(int Status, const Platform::ResponseHeaders &Decoded);
   /// Records that the server takes requests.
@@ -108,10 +119,23 @@
   void handleAttemptEnd(Network::Http1CallResult End);
   void noteServerActivity();
   void checkServerSilence();
-  void abandonSilentServer();
-  /// Takes a retry from the retry budget if another server would accept the
-  /// request now. Returns whether it did.
-  bool reserveRetry();
+  /// The server to which a reserved retry would go.
+  std::optional<Routing::PlacementChoice> reserveRetry();
+  /// Asks another server beside the current one, which is left once the other
+  /// one has accepted.
+  void openSecond(const Routing::PlacementChoice &To,
+                  const std::string &Reason);
+  bool handleSecondHead(const Network::Http1Head &Head);
+  void handleSecondEnd(Network::Http1CallResult End);
+  /// Leaves the current server, as the second one has accepted.
+  void leaveFirst();
+  /// Makes the second attempt the current one. Returns false if there is none.
+  bool adoptSecond();
+  /// Ends the second attempt, as the current one goes on or the call ends.
+  void cancelSecond(const char *Cause);
+  void recordSecondEnd(Routing::ServerOutcome Outcome, bool MayHaveRun,
+                       const char *Cause);
+  void resumePausedFirst();
   Routing::PlacementRequest placement() const;
   void handleAttemptFailure(AttemptResult Result, CallFailure Failure,
                             Routing::ServerOutcome Outcome);
@@ -201,6 +225,13 @@
   std::optional<Common::TimePoint> RetryingLaterSince;
   /// Absent between attempts.
   std::optional<Attempt> CurrentAttempt;
+  /// Beside the current one, until one of the two goes on.
+  std::optional<Attempt> SecondAttempt;
+  std::string TakeoverReason;
+  /// Reading from the current server is paused for a move.
+  bool PausedForMove = false;
+  std::uint32_t FailedTakeovers = 0;
+  Network::EventHandle MoveTimer;
   /// Id of the last complete event sent to the caller, over all attempts.
   std::optional<std::string> LastEventId;
   bool Streaming = false;
--- a/Source/EntryDaemon/RoutedTiming.cpp
+++ b/Source/EntryDaemon/RoutedTiming.cpp
@@ -13,9 +13,8 @@
 
 } // namespace
 
-void RoutedCall::startMeasuring() {
-  Attempt &Current = *this->CurrentAttempt;
-  const Routing::PlacementChoice &At = Current.Server;
+void RoutedCall::startMeasuring(Attempt &Started) {
+  const Routing::PlacementChoice &At = Started.Server;
   const Configuration::ServiceEntry *Entry =
       this->Declaration->service(this->Service);
   if (!this->CallerHeaders.Prompt || !Entry || !Entry->Engine ||
@@ -27,12 +26,12 @@
   Begun.Service = this->Service;
   Begun.TokensPerEvent = Entry->Engine->TokensPerEvent;
   // How much of a resumed stream the server has to process again is unknown.
-  if (!Current.ResumedAfter &&
+  if (!Started.ResumedAfter &&
       At.QueuedTokens <= MaxQueuedMultiple * At.UncachedTokens) {
     Begun.PrefillTokens = At.QueuedTokens + At.UncachedTokens;
     Begun.ExpectedWait = At.ExpectedWait;
   }
-  Current.Measured =
+  Started.Measured =
       this->Context.Speeds.begin(std::move(Begun), this->Context.Loop.now());
 }
 
