--- a/Source/Core/Routing/ServerTable.cpp
+++ b/Source/Core/Routing/ServerTable.cpp
@@ -254,6 +254,15 @@
   return Found == this->States.end() ? ServerSpeed() : Found->second.Speed;
 }
 
+std::size_t ServerTable::countOfOtherSpeed() const {
+  return static_cast<std::size_t>(
+      std::count_if(this->RingServices.begin(), this->RingServices.end(),
+                    [this](const auto &Each) {
+                      const ServerSpeed Speed = this->speed(Each.first);
+                      return Speed.Prefill != 1 || Speed.Decode != 1;
+                    }));
+}
+
 const EngineProfile *
 ServerTable::profile(const Common::ServiceName &Service) const {
   const auto Found = this->Profiles.find(Service);
--- a/Source/Core/Routing/ServerTable.h
+++ b/Source/Core/Routing/ServerTable.h
@@ -113,6 +113,8 @@
                  const std::vector<ServerSpeed> &Servers);
   /// 1 if nothing else is known.
   ServerSpeed speed(const Common::BackendServerId &Id) const;
+  /// Servers whose speed is not 1.
+  std::size_t countOfOtherSpeed() const;
   /// Null before the service's profile is known.
   const EngineProfile *profile(const Common::ServiceName &Service) const;
   /// What requests of the service cost at a server of speed 1.
--- a/Source/Core/Routing/SpeedEstimator.cpp
+++ b/Source/Core/Routing/SpeedEstimator.cpp
@@ -211,8 +211,10 @@
     };
     const bool Changed = Differs(Speed.Prefill, Of.Published.Prefill) ||
                          Differs(Speed.Decode, Of.Published.Decode);
-    if (Changed)
+    if (Changed) {
       Of.Published = Speed;
+      Result.Changed.push_back(Speed);
+    }
     const bool IsOne = Of.Published.Prefill == 1 && Of.Published.Decode == 1;
     if (Changed || (All && !IsOne))
       Result.Servers.push_back(Of.Published);
--- a/Source/Core/Routing/SpeedEstimator.h
+++ b/Source/Core/Routing/SpeedEstimator.h
@@ -19,6 +19,8 @@
   struct Update {
     std::vector<EngineProfile> Engines;
     std::vector<ServerSpeed> Servers;
+    /// Those of Servers that differ from what was published before.
+    std::vector<ServerSpeed> Changed;
   };
 
   void record(const ServerTiming &Timing, Common::TimePoint Now);
--- a/Source/Core/Telemetry/LogEvents.h
+++ b/Source/Core/Telemetry/LogEvents.h
@@ -77,6 +77,10 @@
     {"entry", "number", "team", "tokens", "retry_after_ms"}};
 inline constexpr LogEvent<3> ServerSilent{
     LogLevel::Warning, "server_silent", {"request", "server", "silent_ms"}};
+inline constexpr LogEvent<4> ServerSpeed{
+    LogLevel::Info,
+    "server_speed",
+    {"server", "started", "prefill", "decode"}};
 inline constexpr LogEvent<5> Takeover{
     LogLevel::Info, "takeover", {"request", "from", "to", "step", "reason"}};
 inline constexpr LogEvent<7> RestRequested{LogLevel::Info,
--- a/Source/EntryDaemon/Gateway.cpp
+++ b/Source/EntryDaemon/Gateway.cpp
@@ -104,6 +104,9 @@
             "servers_resting",
             static_cast<double>(
                 this->Context.Servers.countResting(this->Loop.now())));
+        this->Context.Metrics.setGauge(
+            "servers_of_other_speed",
+            static_cast<double>(this->Context.Servers.countOfOtherSpeed()));
         return this->Context.Metrics.render();
       });
   if (!MetricsListener.ok())
--- a/Source/StateDaemon/ReportHandler.cpp
+++ b/Source/StateDaemon/ReportHandler.cpp
@@ -1,5 +1,7 @@
 #include "StateDaemon/ReportHandler.h"
 
+#include "Telemetry/LogEvents.h"
+
 namespace StateDaemon {
 
 State::EntryDirectives
@@ -24,6 +26,9 @@
   auto Learnt = this->Speeds.take(Now);
   if (!Learnt)
     return std::nullopt;
+  for (const Routing::ServerSpeed &Each : Learnt->Changed)
+    Telemetry::log(Telemetry::Events::ServerSpeed, Each.Id.str(),
+                   Each.StartedAt, Each.Prefill, Each.Decode);
   return State::ServerSpeeds{std::move(Learnt->Engines),
                              std::move(Learnt->Servers)};
 }
