--- a/Source/FaultTests/RoutedServingTest.cpp
+++ b/Source/FaultTests/RoutedServingTest.cpp
@@ -540,6 +540,89 @@
   BOOST_TEST((Response->Result == Network::Http1CallResult::Complete));
 }
 
+// A server pauses within a stream, and the other one accepts it late, or is
+// lost with it. Guards against events that are lost or passed on twice, and
+// against a first server that goes on working on a stream that has left it.
+BOOST_AUTO_TEST_CASE(AStreamLeavesASilentServerOnceAnotherAccepts) {
+  for (const bool Accepts : {true, false}) {
+    RoutedCluster Fixture;
+    Fixture.startAll();
+    Fixture.announce("ready", 2);
+    std::shared_ptr<Network::Http1Exchange> Active;
+    std::shared_ptr<Network::Http1Exchange> Paused;
+    bool FirstLeft = false;
+    int Resumed = 0;
+    Network::EventHandle AcceptTimer;
+    Fixture.OnServerRequest =
+        [&](const std::shared_ptr<Network::Http1Exchange> &Exchange) {
+          const bool AtFirst =
+              Exchange->header("X-Sycamorereach-Expect-Replica") == "shop-1";
+          const bool Slow = Exchange->path() == "/a/slow-flow/x";
+          const Network::HttpHeaders Headers =
+              RoutedCluster::eventStreamHeaders(*Exchange);
+          if (Exchange->header("Last-Event-Id")) {
+            ++Resumed;
+            AcceptTimer = Fixture.loop().callAfter(
+                std::chrono::milliseconds(300), [&, Headers, Exchange] {
+                  if (!Accepts) {
+                    Exchange->abort();
+                    return;
+                  }
+                  Exchange->startStream(200, Headers);
+                  Exchange->sendChunk(SecondEvent);
+                  Exchange->endStream();
+                });
+          } else if (AtFirst == Slow && !(Slow ? Paused : Active)) {
+            (Slow ? Paused : Active) = Exchange;
+            Exchange->startStream(200, Headers);
+            Exchange->sendChunk(FirstEvent);
+            if (Slow)
+              Exchange->onCallerDisconnected([&] { FirstLeft = true; });
+          } else {
+            Exchange->reply(200, Headers, FirstEvent);
+          }
+        };
+    std::shared_ptr<RoutedResponse> Response;
+    const auto StartUntil = [&](const char *Path, const auto &Reached) {
+      return Fixture.waitUntil([&] {
+        if (!Reached && (!Response || Response->Done))
+          Response =
+              Fixture.startCall(Fixture.entryAddress(), "POST", Path, "",
+                                {{"X-Sycamorereach-Request-Id", "stream"},
+                                 {"X-Sycamorereach-Request-Deadline", "10000"},
+                                 {"Authorization", "Bearer key-1"}});
+        return Reached != nullptr;
+      });
+    };
+    BOOST_REQUIRE(StartUntil("/a/flow/x", Active));
+    int LastEventId = 1;
+    const auto EventTimer =
+        Fixture.loop().callEvery(std::chrono::milliseconds(50), [&] {
+          Active->sendChunk("id: " + std::to_string(++LastEventId) +
+                            "\ndata: a\n\n");
+        });
+    Response.reset();
+    BOOST_REQUIRE(StartUntil("/a/slow-flow/x", Paused));
+    BOOST_REQUIRE(Fixture.waitUntil([&] { return Resumed > 0; }));
+    BOOST_TEST(!FirstLeft);
+    if (Accepts) {
+      BOOST_TEST(Fixture.waitUntil([&] { return FirstLeft; }));
+    } else {
+      const Common::TimePoint End =
+          Fixture.loop().now() + std::chrono::milliseconds(600);
+      BOOST_REQUIRE(
+          Fixture.waitUntil([&] { return Fixture.loop().now() > End; }));
+      BOOST_TEST(!FirstLeft);
+      Paused->sendChunk(SecondEvent);
+      Paused->endStream();
+    }
+    BOOST_REQUIRE(Fixture.waitUntil([&] { return Response->Done; }));
+    BOOST_TEST(Response->Body == std::string(FirstEvent) + SecondEvent);
+    BOOST_TEST((Response->Result == Network::Http1CallResult::Complete));
+    BOOST_TEST(Resumed == 1);
+  }
+}
+
 // LOST: a stream that broke shortly before its deadline was given up at once,
 // which is excused only once the deadline has passed.
 BOOST_AUTO_TEST_CASE(AStreamThatBreaksLateIsKeptUntilItsDeadline) {
