--- a/Source/EntryDaemon/RoutedRollout.cpp
+++ b/Source/EntryDaemon/RoutedRollout.cpp
@@ -57,17 +57,11 @@
   if (!Current.OutputStarted || Current.ReadingPaused ||
       !this->Context.Rollouts->shouldMove(Current.Server,
                                           this->Context.Loop.now()) ||
-      !this->canRetry(AttemptResult::StreamInterrupted) ||
-      !this->reserveRetry())
+      !this->moveAway("version_replaced"))
     return false;
-  this->RetryReserved = true;
   this->Context.Metrics.incrementCounter("streams_moved_total");
   Telemetry::log(Events::StreamMoved, this->CallerHeaders.RequestId,
-                 Current.Server.Id.str(), *this->LastEventId);
-  Network::Http1Client::cancel(Current.Call);
-  this->handleAttemptFailure(AttemptResult::StreamInterrupted,
-                             CallFailure::VersionReplaced,
-                             Routing::ServerOutcome::Abandoned);
+                 this->CurrentAttempt->Server.Id.str(), *this->LastEventId);
   return true;
 }
 
