UnitTests: Unasked directives are bound by earlier answers

The random test accepted any share after an unasked directive. With std::min removed from VersionPolicy::reduce it now fails; before, it passed.

--- a/Source/UnitTests/Rollout/VersionPolicyTest.cpp
+++ b/Source/UnitTests/Rollout/VersionPolicyTest.cpp
@@ -224,9 +224,13 @@
     int InShare = 0;
     for (int I = 0; I < 200; ++I)
       InShare += this->Policy.isInShare(Shop, std::to_string(I), this->Now);
-    double Share = Valid ? Valid->Answer.TargetShare : 1;
-    if (IsNewest && !Valid)
-      Share = 0;
+    // An unasked directive allows no more than the answers before it.
+    double Share = 0;
+    for (const Poll &Each : this->Answers)
+      if ((&Each == Valid || !IsNewest) &&
+          this->Now < Each.SentAt + std::chrono::milliseconds(
+                                        Each.Answer.ValidMilliseconds))
+        Share = std::max(Share, Each.Answer.TargetShare);
     // Six standard deviations of a binomial distribution.
     BOOST_REQUIRE(InShare <= 200 * Share + 6 * std::sqrt(50.0) + 1e-9);
     if (Share == 0)
