--- a/Source/FaultTests/RoutedCluster.cpp
+++ b/Source/FaultTests/RoutedCluster.cpp
@@ -164,6 +164,7 @@
           "--ready=" + Network::Address{entryIp(Number), ReadyPort}.str(),
           "--link-port=" + std::to_string(LinkPort),
           "--seeds=" + seedAddresses(), "--revoke-time=5000",
+          std::string("--rollouts=") + (this->Rollouts ? "1" : "0"),
           "--shutdown-time=" + std::to_string(this->ShutdownSeconds)},
       this->newLogPath(Name));
 }
@@ -337,12 +338,12 @@
 }
 
 void RoutedCluster::announce(const std::string &State, int Server,
-                             std::uint64_t Born) {
+                             std::uint64_t Born, const std::string &Version) {
   const Json Heartbeat = {
       {"service", "shop"},
       {"address", Network::Address{ServerIps.at(Server - 1), ServerPort}.str()},
       {"zone", "dcstate1"},
-      {"version", "v1"},
+      {"version", Version},
       {"slots", 8},
       {"state", State},
       {"sequence", ++this->HeartbeatSequence},
--- a/Source/FaultTests/RoutedCluster.h
+++ b/Source/FaultTests/RoutedCluster.h
@@ -94,7 +94,7 @@
   /// started at Born. The fake servers shop-1 and shop-2 accept connections;
   /// shop-3 refuses them.
   void announce(const std::string &State, int Server = 1,
-                std::uint64_t Born = 1000);
+                std::uint64_t Born = 1000, const std::string &Version = "v1");
   /// A configuration document whose routes lie under Prefix.
   static std::string declaration(std::uint64_t Version,
                                  const std::string &Prefix);
@@ -128,6 +128,8 @@
   std::function<void(std::shared_ptr<Network::Http1Exchange>)> OnServerRequest;
   /// The --shutdown-time of entry daemons that are started from now on.
   int ShutdownSeconds = 8;
+  /// Whether entry daemons that are started from now on obey rollouts.
+  bool Rollouts = false;
   /// Number of requests that have reached the fake servers.
   int ServerRequests = 0;
   Network::EventLoop &loop() { return *this->Loop; }
