Rollout: A long wait counts once in the reported histograms

The present age of a waiting request was added to each report anew, so a count moved from bucket to bucket. The leader adds up the increases of each bucket and would have counted one wait several times. It is now counted when it becomes long, and not again.

--- a/Source/Core/Rollout/Observer.cpp
+++ b/Source/Core/Rollout/Observer.cpp
@@ -108,12 +108,15 @@
     return;
   Request &Current = Found->second;
   Stats *Of = this->statsOf(Current);
-  if (Of && !Current.LastOutputAt)
-    Of->Sums.FirstOutput.add(elapsed(*Current.SentAt, Now));
-  else if (Of && !Current.Paused)
-    Of->Sums.OutputGap.add(elapsed(*Current.LastOutputAt, Now));
+  if (Of && !Current.WaitCounted) {
+    if (!Current.LastOutputAt)
+      Of->Sums.FirstOutput.add(elapsed(*Current.SentAt, Now));
+    else if (!Current.Paused)
+      Of->Sums.OutputGap.add(elapsed(*Current.LastOutputAt, Now));
+  }
   Current.LastOutputAt = Now;
   Current.Paused = false;
+  Current.WaitCounted = false;
 }
 
 void Observer::recordPause(ObservedNumber Number) {
@@ -127,7 +130,7 @@
   const auto Found = this->Running.find(Number);
   if (Found == this->Running.end())
     return;
-  const Request Ended = std::move(Found->second);
+  Request Ended = std::move(Found->second);
   this->Running.erase(Found);
   if (!Ended.SentAt)
     return;
@@ -137,7 +140,7 @@
   switch (How) {
   case End::Answered:
     ++Of->Sums.Answered;
-    if (!Ended.LastOutputAt)
+    if (!Ended.LastOutputAt && !Ended.WaitCounted)
       Of->Sums.FirstOutput.add(elapsed(*Ended.SentAt, Now));
     return;
   case End::Failed:
@@ -145,7 +148,7 @@
     return;
   case End::Abandoned:
     // Otherwise the longest waits, which callers abandon, would not count.
-    addPresentWait(Ended, this->Rollouts.at(Ended.Service), Of->Sums, Now);
+    this->countLongWait(Ended, Now);
     return;
   case End::Lost:
     return;
@@ -162,37 +165,43 @@
   return quantile(Others->second.Sums.*Times, UsualQuantile) * LongWaitMultiple;
 }
 
-void Observer::addPresentWait(const Request &Waiting, const RolloutState &Of,
-                              Observation &To, Common::TimePoint Now) {
-  if (!Waiting.SentAt || Waiting.Paused)
+void Observer::countLongWait(Request &Waiting, Common::TimePoint Now) {
+  if (!Waiting.SentAt || Waiting.Paused || Waiting.WaitCounted)
+    return;
+  const auto Rollout = this->Rollouts.find(Waiting.Service);
+  if (Rollout == this->Rollouts.end() ||
+      Rollout->second.Number != Waiting.Rollout)
     return;
   const auto Times = Waiting.LastOutputAt ? &Observation::OutputGap
                                           : &Observation::FirstOutput;
   const Common::Duration Wait =
       elapsed(Waiting.LastOutputAt.value_or(*Waiting.SentAt), Now);
-  if (Wait >= longWait(Of, Waiting.Key.first, Times))
-    (To.*Times).add(Wait);
+  if (Wait < longWait(Rollout->second, Waiting.Key.first, Times))
+    return;
+  Waiting.WaitCounted = true;
+  if (Stats *Of = this->statsOf(Waiting))
+    (Of->Sums.*Times).add(Wait);
 }
 
 std::vector<Observation> Observer::takeReport(Common::TimePoint Now) {
-  std::vector<std::pair<RolloutState *, Stats *>> Order;
+  for (auto &[Number, Each] : this->Running)
+    this->countLongWait(Each, Now);
+  std::vector<Stats *> Order;
   for (auto &[Service, State] : this->Rollouts)
     for (auto &[Key, Each] : State.Entries)
-      Order.emplace_back(&State, &Each);
+      Order.push_back(&Each);
   std::stable_sort(Order.begin(), Order.end(),
-                   [](const auto &Left, const auto &Right) {
-                     const Stats &First = *Left.second;
-                     const Stats &Second = *Right.second;
-                     if (First.Changed != Second.Changed)
-                       return First.Changed;
-                     return First.LastReport < Second.LastReport;
+                   [](const Stats *Left, const Stats *Right) {
+                     if (Left->Changed != Right->Changed)
+                       return Left->Changed;
+                     return Left->LastReport < Right->LastReport;
                    });
   if (Order.size() > MaxReported)
     Order.resize(MaxReported);
   ++this->Reports;
   std::vector<Observation> Result;
   Result.reserve(Order.size());
-  for (auto &[State, Each] : Order) {
+  for (Stats *Each : Order) {
     Each->LastReport = this->Reports;
     Each->Changed = false;
     Observation &Reported = Result.emplace_back(Each->Sums);
@@ -205,7 +214,6 @@
         ++Reported.Running;
       // Changes with time, so it is reported again.
       Each->Changed = true;
-      addPresentWait(Request, *State, Reported, Now);
     }
   }
   return Result;
--- a/Source/Core/Rollout/Observer.h
+++ b/Source/Core/Rollout/Observer.h
@@ -82,6 +82,8 @@
     std::optional<Common::TimePoint> SentAt;
     std::optional<Common::TimePoint> LastOutputAt;
     bool Paused = false;
+    /// The present wait has been counted.
+    bool WaitCounted = false;
   };
 
   /// Null if the request does not belong to a rollout that is going on.
@@ -91,9 +93,10 @@
   static Common::Duration longWait(const RolloutState &Of,
                                    const std::string &Route,
                                    DurationHistogram Observation::*Times);
-  /// Adds the waiting time of the request up to now if it is long.
-  static void addPresentWait(const Request &Waiting, const RolloutState &Of,
-                             Observation &To, Common::TimePoint Now);
+  /// Counts the present wait of the request, once, if it is long. Counting it
+  /// with its final time as well would take from one bucket and add to another,
+  /// and the leader adds up increases.
+  void countLongWait(Request &Waiting, Common::TimePoint Now);
 
   std::map<Common::ServiceName, RolloutState> Rollouts;
   std::map<ObservedNumber, Request> Running;
--- a/Source/UnitTests/Rollout/ObserverTest.cpp
+++ b/Source/UnitTests/Rollout/ObserverTest.cpp
@@ -70,8 +70,11 @@
   Test.Now += 30ms;
   BOOST_TEST(Test.report("c").FirstOutput.total() == 0u);
   Test.Now += 500ms;
+  const auto First = Test.report("c").FirstOutput.Counts;
   BOOST_TEST(Test.report("c").FirstOutput.total() == 1u);
-  BOOST_TEST(Test.report("c").FirstOutput.total() == 1u);
+  // The leader adds up increases, so it must not move to a later bucket.
+  Test.Now += 3s;
+  BOOST_TEST(Test.report("c").FirstOutput.Counts == First);
   Test.Observed.recordOutput(Waiting, Test.Now);
   BOOST_TEST(Test.report("c").FirstOutput.total() == 1u);
   Test.Now += 2s;
