--- a/Source/FaultTests/RoutedRolloutTest.cpp
+++ b/Source/FaultTests/RoutedVersionTest.cpp
@@ -36,7 +36,7 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(RoutedRollout)
+BOOST_AUTO_TEST_SUITE(RoutedVersions)
 
 // Guards against a planned release, without a rollout, whose new version gets
 // nothing because no directive names it.
