--- a/Source/Core/Rollout/Coordinator.cpp
+++ b/Source/Core/Rollout/Coordinator.cpp
@@ -25,13 +25,14 @@
 /// Requests of this long are not reported yet: a poll period and its way.
 constexpr double ReportDelay = 0.6;
 /// The shift takes the longer the more time there is.
-constexpr Common::Duration MinShiftTime = std::chrono::milliseconds(700);
-constexpr Common::Duration MaxShiftTime = std::chrono::milliseconds(1500);
-constexpr double ShiftFraction = 0.07;
-/// The share that a shift without a trial at this leader starts from.
-constexpr double ShiftStart = 0.1;
+constexpr Common::Duration MinShiftTime = std::chrono::milliseconds(1300);
+constexpr Common::Duration MaxShiftTime = std::chrono::milliseconds(2200);
+constexpr double ShiftFraction = 0.11;
+/// The share during the first part of the shift, and that part.
+constexpr double HeldShare = 0.35;
+constexpr double HeldFraction = 0.8;
 /// For the last reports and the log.
-constexpr Common::Duration FinalMargin = std::chrono::milliseconds(1200);
+constexpr Common::Duration FinalMargin = std::chrono::milliseconds(1400);
 /// Faults may begin some seconds after a server has started.
 constexpr Common::Duration MinTrialTime = std::chrono::milliseconds(5000);
 /// Shortest trial of a new leader, or after a restart of all hosts.
@@ -39,9 +40,11 @@
 /// Streams that would take longer are moved.
 constexpr Common::Duration MoveTime = std::chrono::milliseconds(2000);
 /// Most streams that cannot be moved are shorter.
-constexpr Common::Duration LeastDrainTime = std::chrono::milliseconds(2600);
+constexpr Common::Duration LeastDrainTime = std::chrono::milliseconds(2900);
 constexpr Common::Duration MaxDrainTime = std::chrono::seconds(6);
 /// The full load must be observed for a moment.
+constexpr Common::Duration FullLoadTime = std::chrono::milliseconds(3000);
+/// The same when little time is left.
 constexpr Common::Duration MinDrainTime = std::chrono::milliseconds(1200);
 /// Number of mean durations that nearly all streams are shorter than.
 constexpr double LongestToMean = 4;
@@ -346,7 +349,9 @@
     if (this->ShiftProgress >= this->shiftTime())
       Result.Advance = Phase::Drain;
   } else if (this->DrainStartedAt && this->Directed.OthersExcluded &&
-             Now - *this->DrainStartedAt >= MinDrainTime &&
+             (Now - *this->DrainStartedAt >= FullLoadTime ||
+              (Now - *this->DrainStartedAt >= MinDrainTime &&
+               this->EndsAt - Now < FinalMargin)) &&
              this->knowsEnoughEntries(Current, Now) && this->isDrained(Now)) {
     this->Ended = Verdict{true, "good", this->figures()};
   }
@@ -395,7 +400,6 @@
   case Phase::Trial: {
     Result.TargetShare = this->trialShare(Now);
     Result.TrialServers = this->TrialServers;
-    this->ShiftStartShare = Result.TargetShare;
     break;
   }
   case Phase::Shift: {
@@ -407,11 +411,13 @@
         this->EndsAt - Now < FinalMargin + LeastDrainTime)
       this->ShiftProgress += Now - this->ShiftUpdatedAt;
     this->ShiftUpdatedAt = Now;
-    const double Start = std::max(this->ShiftStartShare, ShiftStart);
-    const double Progress =
-        std::min(1.0, Common::toSeconds(this->ShiftProgress) /
-                          Common::toSeconds(this->shiftTime()));
-    Result.TargetShare = std::pow(Start, 1 - Progress);
+    // Held where many servers have full load and the others still serve enough
+    // requests for comparison.
+    const double Progress = Common::toSeconds(this->ShiftProgress) /
+                            Common::toSeconds(this->shiftTime());
+    const double Rest =
+        std::clamp((Progress - HeldFraction) / (1 - HeldFraction), 0.0, 1.0);
+    Result.TargetShare = std::pow(HeldShare, 1 - Rest);
     // No more servers than have the load of the others, so that a fault that
     // occurs only under load shows while others serve for comparison.
     const double Loaded =
--- a/Source/Core/Rollout/Coordinator.h
+++ b/Source/Core/Rollout/Coordinator.h
@@ -148,7 +148,6 @@
   std::optional<Common::TimePoint> ShiftStartedAt;
   Common::TimePoint ShiftUpdatedAt;
   Common::Duration ShiftProgress{};
-  double ShiftStartShare = 0;
   std::optional<Common::TimePoint> DrainStartedAt;
   std::uint64_t DrainRevision = 0;
   std::optional<Common::TimePoint> SuspiciousSince;
--- a/Source/Core/Rollout/Evidence.cpp
+++ b/Source/Core/Rollout/Evidence.cpp
@@ -31,6 +31,8 @@
 /// Fraction of the servers with enough requests that must be worse; some of the
 /// others have too few to tell.
 constexpr double MinWorseServers = 0.62;
+constexpr std::size_t ManyServers = 6;
+constexpr double ManyWorse = 0.75;
 /// With fewer servers, all of them being faulty individually is not unlikely.
 constexpr std::size_t ConclusiveServers = 3;
 constexpr std::uint64_t MinRequestsAtServer = 4;
@@ -50,12 +52,18 @@
 constexpr double ToleratedLate = 0.04;
 constexpr double BadLate = 0.2;
 /// Requests of a good version that take twice as long, as its caches are cold.
-constexpr double ColdFraction = 0.2;
+constexpr double ColdFraction = 0.1;
 /// How much slower servers of a good version may be: cold caches, and the
 /// slowest servers against average ones.
 constexpr double ToleratedSlowdown = 3.4;
 constexpr double BadSlowdown = 4.4;
 constexpr std::uint64_t MinLatencies = 12;
+/// Responses that tell the speed of one server.
+constexpr double MinRequestsForSpeed = 6;
+/// How much slower than the lower quartile of its version a server may be.
+constexpr double UnknownSpeed = 1.2;
+/// The same for a server whose own speed is known.
+constexpr double SlowestToFast = 1.8;
 /// Output gaps of one stream depend on each other, so each counts as a part.
 constexpr double GapWeight = 0.1;
 /// Requests without a fault that confirm a route.
@@ -110,11 +118,13 @@
   std::size_t Worse = 0;
   std::size_t Fine = 0;
   std::size_t Counted = 0;
+  std::size_t Tending = 0;
   double Sum = 0;
   for (const ServerScore &Each : Scores) {
     if (Each.Requests < MinRequestsAtServer)
       continue;
     ++Counted;
+    Tending += Each.Score > 0 ? 1 : 0;
     Worse += Each.Score >= ServerThreshold ? 1 : 0;
     Fine += Each.Score <= -ServerThreshold ? 1 : 0;
     // So that no single server condemns the version.
@@ -122,10 +132,15 @@
   }
   if (Worse == 0)
     return Finding::Open;
-  const bool IsNearlyAll = static_cast<double>(Fine) <=
+  const bool IsEachWorse = static_cast<double>(Fine) <=
                                MaxFineServers * static_cast<double>(Worse) &&
                            static_cast<double>(Worse) >=
                                MinWorseServers * static_cast<double>(Counted);
+  // With many servers, a tendency of each is enough.
+  const bool AreManyWorse =
+      Counted >= ManyServers &&
+      static_cast<double>(Tending) >= ManyWorse * static_cast<double>(Counted);
+  const bool IsNearlyAll = IsEachWorse || AreManyWorse;
   const bool IsConclusive =
       Worse + Fine >= std::min(ConclusiveServers, Of.TargetServers);
   const double Threshold =
@@ -168,7 +183,7 @@
                            sentOrDecided(Requests), Expected, Bad)});
   Assessment Result;
   Result.Cause = "failures";
-  Result.Result = combine(std::move(Scores), Of);
+  Result.Result = combine(Scores, Of);
   Result.Figures = absl::StrFormat(
       "route %s: target %d of %.0f failed, others %d of %.0f",
       Route.empty() ? "all" : Route, Target.Failed, sentOrDecided(Target),
@@ -351,14 +366,25 @@
   constexpr double Quartile = 0.25;
   const double OtherQuartile = quantile(Others, Quartile);
   const double LongestGood = ToleratedSlowdown * OtherQuartile;
-  // Too few responses are no measure of the version's own speed.
-  const bool HasOwnSpeed =
-      static_cast<double>(Target.total()) * Weight >= MinLatencies;
-  const double Limit =
-      LateFactor * (HasOwnSpeed
-                        ? std::min(quantile(Target, Quartile), LongestGood)
-                        : LongestGood);
-  const double LimitOfOthers = LateFactor * OtherQuartile;
+  // A server with too few responses is taken for as fast as its version.
+  const double VersionQuartile =
+      static_cast<double>(Target.total()) * Weight >= MinLatencies
+          ? std::min(UnknownSpeed * quantile(Target, Quartile), LongestGood)
+          : LongestGood;
+  const auto LimitAt = [&](const Common::BackendServerId &Server) {
+    const auto Known = this->Total.at(Route).find(Server);
+    const bool HasOwn =
+        Known != this->Total.at(Route).end() &&
+        static_cast<double>((Known->second.*Member).total()) * Weight >=
+            MinRequestsForSpeed;
+    return LateFactor *
+           (HasOwn ? std::min(quantile(Known->second.*Member, Quartile),
+                              SlowestToFast / UnknownSpeed * VersionQuartile)
+                   : VersionQuartile);
+  };
+  double LongestLimit = 0;
+  // The others' servers are known only together, the slow and the fast ones.
+  const double LimitOfOthers = SlowestToFast * LateFactor * OtherQuartile;
   const double OtherAbove = countAbove(Others, LimitOfOthers);
   // A part of the requests meets a cold cache, which doubles their time.
   const double OtherAboveHalf = countAbove(Others, LimitOfOthers / 2);
@@ -377,6 +403,8 @@
     if (Server.empty())
       continue;
     const DurationHistogram &Times = Requests.*Member;
+    const double Limit = LimitAt(Server);
+    LongestLimit = std::max(LongestLimit, Limit);
     const double Overdue =
         OfGaps ? 0
                : static_cast<double>(this->overdue(
@@ -407,12 +435,11 @@
     const bool IsSlow = quantile(Times, 0.5) > BadSlowdown * OtherMedian;
     Slow.push_back({Weighted, (IsSlow ? 0.4 : -0.4) * CountHere});
   }
-  Result.Result =
-      std::max(combine(std::move(Late), Of), combine(std::move(Slow), Of));
+  Result.Result = std::max(combine(Late, Of), combine(Slow, Of));
   Result.Figures = absl::StrFormat(
       "route %s: target median %.0f ms, %.0f of %.0f over %.0f ms; others "
       "median %.0f ms, %.0f of %.0f over %.0f ms",
-      Route, quantile(Target, 0.5), Above, Count, Limit, OtherMedian,
+      Route, quantile(Target, 0.5), Above, Count, LongestLimit, OtherMedian,
       OtherAbove * Weight, OtherCount * Weight, LimitOfOthers);
   return Result;
 }
@@ -457,7 +484,7 @@
       std::vector<ServerScore> Scores;
       for (const auto &[Server, Score] : OnAllRoutes)
         Scores.push_back({Score.first, Score.second});
-      Together.Result = combine(std::move(Scores), Of);
+      Together.Result = combine(Scores, Of);
       Consider(std::move(Together));
     }
   };
