Admission: Levels decide which requests go first when room is short

Cause: on the routed path the order of arrival decided what was served while a service was short of room, so that urgent requests were late behind others.

Change: entry daemons report offered, begun and refused work by rank; the leader limits the admitted work of a service whose requests find no server in time, and all entry daemons apply the same level by rank, team and work, deterministically by request id. Without contact to a leader a daemon decides from its own counts. Requests that cannot be read before their deadline are refused at placement.

Ruled out: strict priority with 5 % for the others.

--- a/Source/Core/Admission/AdmissionLevel.h
+++ b/Source/Core/Admission/AdmissionLevel.h
@@ -13,15 +13,19 @@
 struct RankLoad {
   std::uint32_t Rank = 0;
   float OfferedMilliseconds = 0;
+  /// Of requests whose output a server has begun.
   float AdmittedMilliseconds = 0;
   std::uint32_t Offered = 0;
   std::uint32_t Refused = 0;
+  /// Admitted requests for which no server had room: the shortest queue was
+  /// longer than their target allows, or servers rejected them.
+  std::uint32_t WithoutRoom = 0;
   /// Held back by this daemon now.
   std::uint32_t Waiting = 0;
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(this->Rank, this->OfferedMilliseconds, this->AdmittedMilliseconds,
-       this->Offered, this->Refused, this->Waiting);
+       this->Offered, this->Refused, this->WithoutRoom, this->Waiting);
   }
 };
 
@@ -45,14 +49,17 @@
   std::uint32_t Rank = 0;
   /// Fraction of the work of this rank that is admitted.
   float Share = 1;
+  /// The same for the ranks after it: more than the guaranteed share for ranks
+  /// whose requests need so little work that to refuse them gains little.
+  std::vector<float> LesserShares;
   /// Time until room is expected, at which callers may return.
   std::uint32_t RetryAfterMilliseconds = 0;
   /// The level ends this long after the poll was sent to which it belongs.
   std::uint32_t ValidMilliseconds = 0;
 
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(this->Service, this->Rank, this->Share, this->RetryAfterMilliseconds,
-       this->ValidMilliseconds);
+    Ar(this->Service, this->Rank, this->Share, this->LesserShares,
+       this->RetryAfterMilliseconds, this->ValidMilliseconds);
   }
 };
 
--- a/Source/Core/Telemetry/LogEvents.h
+++ b/Source/Core/Telemetry/LogEvents.h
@@ -71,6 +71,16 @@
                                             {"request", "team", "tokens",
                                              "number", "rate", "burst",
                                              "waited_ms", "retry_after_ms"}};
+inline constexpr LogEvent<9> AdmissionRefused{
+    LogLevel::Warning,
+    "admission_refused",
+    {"request", "service", "rank", "level_rank", "share", "fraction", "by",
+     "work_ms", "retry_after_ms"}};
+inline constexpr LogEvent<8> AdmissionLevelChanged{
+    LogLevel::Warning,
+    "admission_level",
+    {"service", "rank", "share", "limit_ms", "offered_ms", "served_ms",
+     "without_room", "retry_after_ms"}};
 inline constexpr LogEvent<5> TokensRefused{
     LogLevel::Warning,
     "tokens_refused",
--- a/Source/EntryDaemon/CallFailure.h
+++ b/Source/EntryDaemon/CallFailure.h
@@ -12,6 +12,7 @@
   UnknownRoute,
   UnknownKey,
   OverAllowance,
+  AdmissionLimited,
   ContentRefused,
   NoServer,
   Overloaded,
--- a/Source/EntryDaemon/EntrySettings.cpp
+++ b/Source/EntryDaemon/EntrySettings.cpp
@@ -40,6 +40,8 @@
   --retry-extra=N          Additional retries allowed for all daemons together.
   --retry-window=S         Window over which retries are counted.
   --usage-window=S         Length of a usage window.
+  --admission=0|1          Whether requests are admitted by priority, team and
+                           work while a service is short of room.
   --allowance-slack=N      Tokens tolerated above a team's limits per window.
   --allowance-over=N       Fraction of the limits tolerated above them.
   --allowance-window=S     Window over which a team's use is counted.
--- a/Source/EntryDaemon/GatewayContext.h
+++ b/Source/EntryDaemon/GatewayContext.h
@@ -1,6 +1,7 @@
 #ifndef SYCAMOREREACH_ENTRYDAEMON_GATEWAYCONTEXT_H
 #define SYCAMOREREACH_ENTRYDAEMON_GATEWAYCONTEXT_H
 
+#include "Admission/AdmissionGate.h"
 #include "Admission/GrantHistory.h"
 #include "Admission/ShutdownSchedule.h"
 #include "Configuration/ServiceMap.h"
@@ -34,7 +35,7 @@
         Grants(this->Settings.Tolerance.Window),
         Usage(this->Settings.UsageWindow),
         Shutdown(shutdownOptions(this->Settings)), Refusals(Loop.now()),
-        StartedAt(Loop.now()) {}
+        StartedAt(Loop.now()), Gate(Loop.now()) {}
 
   Network::EventLoop &Loop;
   GatewaySettings Settings;
@@ -67,6 +68,7 @@
   /// Calls that arrived before this daemon had a confirmed declaration.
   std::vector<std::shared_ptr<RoutedCall>> CallsAwaitingDeclaration;
   Common::TimePoint StartedAt;
+  Admission::AdmissionGate Gate;
   /// Sends PendingTokens within a millisecond.
   std::function<void()> RequestTokensSoon;
 
--- a/Source/EntryDaemon/GatewayReports.cpp
+++ b/Source/EntryDaemon/GatewayReports.cpp
@@ -20,10 +20,16 @@
   };
 }
 
-void Gateway::fillReport(State::EntryReport &) {}
+void Gateway::fillReport(State::EntryReport &Report) {
+  if (this->Context.Settings.AdmissionControl)
+    Report.Services = this->Context.Gate.takeReport(this->Loop.now());
+}
 
-void Gateway::applyDirectives(const State::EntryDirectives &,
-                              std::optional<Common::TimePoint>) {}
+void Gateway::applyDirectives(const State::EntryDirectives &Directives,
+                              std::optional<Common::TimePoint> PollSentAt) {
+  if (PollSentAt)
+    this->Context.Gate.setLevels(Directives.Levels, *PollSentAt);
+}
 
 void Gateway::applyServerSpeeds(const State::ServerSpeeds &) {}
 
--- a/Source/EntryDaemon/GatewaySettings.cpp
+++ b/Source/EntryDaemon/GatewaySettings.cpp
@@ -33,6 +33,7 @@
       Reader.duration("--retry-window", Result.Retries.Window, Second);
   Result.UsageWindow =
       Reader.duration("--usage-window", Result.UsageWindow, Second);
+  Result.AdmissionControl = Reader.number("--admission", 0, 0, 1) != 0;
   Result.Tolerance = Settings::readAllowanceTolerance(Reader);
   return Result;
 }
--- a/Source/EntryDaemon/GatewaySettings.h
+++ b/Source/EntryDaemon/GatewaySettings.h
@@ -17,6 +17,9 @@
   Routing::RetryShareOptions Retries;
   Admission::AllowanceTolerance Tolerance;
   Common::Duration UsageWindow = std::chrono::seconds(5);
+  /// Whether requests are admitted by priority, team and work while a service
+  /// is short of room.
+  bool AdmissionControl = false;
 
   /// Invalid settings are recorded in Reader.
   static GatewaySettings create(Settings::SettingsReader &Reader);
--- a/Source/EntryDaemon/RoutedAttempt.cpp
+++ b/Source/EntryDaemon/RoutedAttempt.cpp
@@ -103,12 +103,6 @@
   const auto Chosen = this->Context.Servers.choose(this->placement(), Now);
   if (this->CallerHeaders.Prompt && this->Attempts == 0 &&
       this->TriedServers.empty()) {
-    const auto Mean = this->Context.MeanOutputTokens.find(this->route().Name);
-    const double ExpectedOutput =
-        Mean != this->Context.MeanOutputTokens.end()
-            ? Mean->second
-            : static_cast<double>(this->CallerHeaders.Prompt->MaxOutputTokens) /
-                  2;
     const std::uint64_t PrefillTokens =
         Chosen ? Chosen->UncachedTokens
                : this->CallerHeaders.Prompt->PromptTokens;
@@ -116,7 +110,7 @@
         this->Service,
         Routing::EngineCost::milliseconds(
             PrefillTokens, this->Context.Servers.prefillRate(this->Service),
-            ExpectedOutput),
+            this->expectedOutputTokens()),
         Now);
   }
   if (!Chosen) {
@@ -135,13 +129,18 @@
   // Refuse now if the queue of the chosen server is longer than the caller
   // waits for the first output.
   const Common::Duration MaxQueueing = this->maxQueueingTime();
-  if (Chosen->QueuedPrefillTime > MaxQueueing && !this->Streaming) {
+  this->noteRoom(*Chosen);
+  if ((Chosen->QueuedPrefillTime > MaxQueueing ||
+       this->missesDeadline(*Chosen)) &&
+      !this->Streaming) {
     if (this->retryLater())
       return;
-    this->fail(CallFailure::Overloaded,
-               this->MayHaveExecuted ? HttpStatus::BadGateway
-                                     : HttpStatus::Unavailable,
-               Chosen->QueuedPrefillTime - MaxQueueing / 2);
+    this->fail(
+        CallFailure::Overloaded,
+        this->MayHaveExecuted ? HttpStatus::BadGateway
+                              : HttpStatus::Unavailable,
+        this->retryAfterShortage(std::max(
+            RetryAfterRejected, Chosen->QueuedPrefillTime - MaxQueueing / 2)));
     return;
   }
   this->sendTo(*Chosen);
@@ -748,6 +747,8 @@
   const bool NeverExecuted =
       !this->MayHaveExecuted && (Result == AttemptResult::NotSent ||
                                  Result == AttemptResult::NotExecuted);
+  if (Result == AttemptResult::NotExecuted)
+    this->recordWithoutRoom();
   if (NeverExecuted)
     this->fail(Failure, HttpStatus::Unavailable, this->retryAfterRejection());
   else
@@ -758,12 +759,9 @@
   const Common::TimePoint Now = this->Context.Loop.now();
   const auto RestEnd = this->Context.Servers.restEnd(this->Service, Now);
   if (!RestEnd)
-    return RetryAfterRejected;
-  const double Timeout = Common::toSeconds(this->route().Timeout);
-  const double TimeLeftShare =
-      Timeout > 0 ? Common::toSeconds(this->timeLeft()) / Timeout : 1;
+    return this->retryAfterShortage(RetryAfterRejected);
   return this->Context.Returns.add(
-      this->Service, {this->priority(), TimeLeftShare}, *RestEnd, Now);
+      this->Service, {this->priority(), this->timeLeftShare()}, *RestEnd, Now);
 }
 
 } // namespace EntryDaemon
--- a/Source/EntryDaemon/RoutedCall.cpp
+++ b/Source/EntryDaemon/RoutedCall.cpp
@@ -199,6 +199,8 @@
 }
 
 void RoutedCall::admit() {
+  if (this->refuseByLevel())
+    return;
   if (!this->Team || this->Team->TokenRate <= 0) {
     this->dispatch();
     return;
@@ -294,6 +296,9 @@
   if (this->ExecutionStartRecorded)
     return;
   this->ExecutionStartRecorded = true;
+  if (this->OfferedWork > 0)
+    this->Context.Gate.meter().recordServed(this->Service, this->priority(),
+                                            this->OfferedWork);
   this->Context.Metrics.observeHistogram(
       "call_first_output_seconds", this->metricLabels(),
       this->Context.Loop.now() - this->ArrivedAt);
--- a/Source/EntryDaemon/RoutedCall.h
+++ b/Source/EntryDaemon/RoutedCall.h
@@ -82,6 +82,24 @@
   /// Returns whether it did.
   bool failIfRefused();
   void admit();
+  /// Refuses the call if the service is short of room and the level in force
+  /// does not admit it. Returns whether it did.
+  bool refuseByLevel();
+  /// Engine time that the request needs, at speed 1 and with the shared parts
+  /// of its prompt cached, in milliseconds; 1 for a plain request.
+  double estimateWork() const;
+  double expectedOutputTokens() const;
+  /// Reports that no server has room for the request in time. Once per call.
+  void recordWithoutRoom();
+  void noteRoom(const Routing::PlacementChoice &Chosen);
+  /// Whether the prompt cannot be read at the chosen server before the call's
+  /// deadline.
+  bool missesDeadline(const Routing::PlacementChoice &Chosen) const;
+  /// When a caller that is refused for lack of room should return: Otherwise
+  /// unless a level is in force.
+  Common::Duration retryAfterShortage(Common::Duration Otherwise);
+  Common::Duration spreadReturn(const Admission::AdmissionLevel &Level);
+  double timeLeftShare() const;
   void refuseOverAllowance(Common::Duration RetryAfter);
   void stopAwaitingTokens();
   void dispatch();
@@ -173,6 +191,9 @@
   /// Tokens that the request takes from its team's allowance.
   double TokenCost = 0;
   bool TokensCharged = false;
+  /// Work that was counted when the call was offered; 0 before.
+  double OfferedWork = 0;
+  bool WithoutRoomRecorded = false;
   bool Resolved = false;
   /// Number of the token need while the call waits for the tokens; 0 otherwise.
   std::uint64_t TokenNeedNumber = 0;
--- a/Source/StateDaemon/ControllerReports.cpp
+++ b/Source/StateDaemon/ControllerReports.cpp
@@ -30,6 +30,7 @@
   if (!this->Reports || !this->Driver->holdsLeadership())
     return;
   const Common::TimePoint Now = this->Loop.now();
+  this->Reports->setServers(this->Registry, Now);
   if (const auto Urgent = this->Reports->takeUrgent(Now)) {
     this->broadcastToPeers(*Urgent);
     this->broadcastToEntries(*Urgent);
--- a/Source/StateDaemon/ReportHandler.h
+++ b/Source/StateDaemon/ReportHandler.h
@@ -1,7 +1,9 @@
 #ifndef SYCAMOREREACH_STATEDAEMON_REPORTHANDLER_H
 #define SYCAMOREREACH_STATEDAEMON_REPORTHANDLER_H
 
+#include "Admission/LevelPlanner.h"
 #include "Common/Time.h"
+#include "Membership/ServerRegistry.h"
 #include "State/ControlProtocol.h"
 
 #include <optional>
@@ -21,6 +23,19 @@
   std::optional<State::EntryDirectives> takeUrgent(Common::TimePoint Now);
   /// Speeds that changed since the last call, or all of them when that is due.
   std::optional<State::ServerSpeeds> takeSpeeds(Common::TimePoint Now);
+  /// Takes in which servers serve. Called before the urgent directives are
+  /// taken.
+  void setServers(const Membership::ServerRegistry &Servers,
+                  Common::TimePoint Now);
+
+private:
+  void updateLevels(Common::TimePoint Now);
+
+  /// Exists from the first call on.
+  std::optional<Admission::LevelPlanner> Planner;
+  /// The same for all entry daemons until the next update.
+  std::vector<Admission::AdmissionLevel> Levels;
+  Common::TimePoint LevelsUpdatedAt;
 };
 
 } // namespace StateDaemon
