EntryDaemon: Rejections by all servers count as missing room

A call whose only servers all rejected it ended as no_server and was not counted, so that a service with fewer than three servers never got a level.

--- a/Source/EntryDaemon/RoutedAttempt.cpp
+++ b/Source/EntryDaemon/RoutedAttempt.cpp
@@ -114,6 +114,8 @@
         Now);
   }
   if (!Chosen) {
+    if (this->Rejections > 0)
+      this->recordWithoutRoom();
     if (this->retryLater())
       return;
     if (this->MayHaveExecuted)
--- a/Source/UnitTests/Admission/OverloadModel.h
+++ b/Source/UnitTests/Admission/OverloadModel.h
@@ -249,7 +249,7 @@
       const View &Own = this->OwnSent[Sent.Daemon][I];
       const int Work = this->Published[I].Work + Own.Work;
       const auto Occupied = this->Published[I].Occupied + Own.Occupied;
-      const int Excess = Occupied + 1 > Slots * 0.8 ? 15'000 : 0;
+      const int Excess = 10 * (Occupied + 1) > 8 * Slots ? 15'000 : 0;
       Order.push_back(
           {Work + Excess + static_cast<int>(this->Randomness.below(20)), I});
     }
--- a/Source/UnitTests/Admission/OverloadTest.cpp
+++ b/Source/UnitTests/Admission/OverloadTest.cpp
@@ -70,7 +70,7 @@
 
 /// Checks what holds in every scenario.
 Comparison compare(const OverloadScenario &Scenario) {
-  const Comparison Result{sumOf(Scenario, false), sumOf(Scenario, true)};
+  Comparison Result{sumOf(Scenario, false), sumOf(Scenario, true)};
   const auto Kinds = kinds();
   for (std::size_t I = 0; I < Kinds.size(); ++I)
     BOOST_TEST_MESSAGE(Scenario.Name
