--- a/Source/EntryDaemon/CallFailure.h
+++ b/Source/EntryDaemon/CallFailure.h
@@ -12,6 +12,7 @@
   UnknownRoute,
   UnknownKey,
   OverAllowance,
+  AdmissionLimited,
   ContentRefused,
   NoServer,
   Overloaded,
@@ -22,8 +23,6 @@
   BadAnswer,
   DeadlinePassed,
   ShuttingDown,
-  /// A stream was moved to the version that is rolled out.
-  VersionReplaced,
 };
 
 /// The name used in logs, metrics and error responses.
--- a/Source/EntryDaemon/GatewayReports.cpp
+++ b/Source/EntryDaemon/GatewayReports.cpp
@@ -28,6 +28,8 @@
   Report.Timings = this->Context.Speeds.take(this->Loop.now());
   if (this->Context.Rollouts)
     this->Context.Rollouts->fillReport(Report, this->Loop.now());
+  if (this->Context.Settings.AdmissionControl)
+    Report.Services = this->Context.Gate.takeReport(this->Loop.now());
 }
 
 void Gateway::applyDirectives(const State::EntryDirectives &Directives,
@@ -37,6 +39,7 @@
     this->Context.Rollouts->applyDirectives(Directives, PollSentAt, Now);
   if (!PollSentAt)
     return;
+  this->Context.Gate.setLevels(Directives.Levels, *PollSentAt);
   this->Context.SupposedCrashes.clear();
   for (const State::SupposedCrash &Each : Directives.Crashes) {
     const Common::TimePoint At =
--- a/Source/EntryDaemon/GatewaySettings.cpp
+++ b/Source/EntryDaemon/GatewaySettings.cpp
@@ -34,6 +34,7 @@
   Result.UsageWindow =
       Reader.duration("--usage-window", Result.UsageWindow, Second);
   Result.Rollouts = Reader.number("--rollouts", 0, 0, 1) == 1;
+  Result.AdmissionControl = Reader.number("--admission", 0, 0, 1) != 0;
   Result.Tolerance = Settings::readAllowanceTolerance(Reader);
   return Result;
 }
--- a/Source/EntryDaemon/GatewaySettings.h
+++ b/Source/EntryDaemon/GatewaySettings.h
@@ -19,6 +19,9 @@
   Common::Duration UsageWindow = std::chrono::seconds(5);
   /// Whether the versions of servers restrict which requests they get.
   bool Rollouts = false;
+  /// Whether requests are admitted by priority, team and work while a service
+  /// is short of room.
+  bool AdmissionControl = false;
 
   /// Invalid settings are recorded in Reader.
   static GatewaySettings create(Settings::SettingsReader &Reader);
--- a/Source/StateDaemon/ControllerReports.cpp
+++ b/Source/StateDaemon/ControllerReports.cpp
@@ -36,6 +36,7 @@
     return;
   const Common::TimePoint Now = this->Loop.now();
   this->planRollouts(Now);
+  this->Reports->setServers(this->Registry, Now);
   if (const auto Urgent = this->Reports->takeUrgent(Now)) {
     this->broadcastToPeers(*Urgent);
     this->broadcastToEntries(*Urgent);
