--- a/Source/FaultTests/RoutedCluster.cpp
+++ b/Source/FaultTests/RoutedCluster.cpp
@@ -235,6 +235,10 @@
   return {stateDaemonIp(Number), ControlPort};
 }
 
+Network::Address RoutedCluster::metricsAddress(int Number) {
+  return {stateDaemonIp(Number), MetricsPort};
+}
+
 Network::Address RoutedCluster::linkAddress(int Number) {
   return {stateDaemonIp(Number), LinkPort};
 }
@@ -338,20 +342,30 @@
 
 void RoutedCluster::announce(const std::string &State, int Server,
                              std::uint64_t Born) {
-  const Json Heartbeat = {
-      {"service", "shop"},
-      {"address", Network::Address{ServerIps.at(Server - 1), ServerPort}.str()},
-      {"zone", "dcstate1"},
-      {"version", "v1"},
-      {"slots", 8},
-      {"state", State},
-      {"sequence", ++this->HeartbeatSequence},
-      {"born", Born}};
+  this->sendHeartbeat("shop-" + std::to_string(Server),
+                      ServerIps.at(Server - 1), State, Born);
+}
+
+void RoutedCluster::announceAt(const std::string &Id, const std::string &Ip) {
+  constexpr std::uint64_t Born = 1000;
+  this->sendHeartbeat(Id, Ip, "ready", Born);
+}
+
+void RoutedCluster::sendHeartbeat(const std::string &Id, const std::string &Ip,
+                                  const std::string &State,
+                                  std::uint64_t Born) {
+  const Json Heartbeat = {{"service", "shop"},
+                          {"address", Network::Address{Ip, ServerPort}.str()},
+                          {"zone", "dcstate1"},
+                          {"version", "v1"},
+                          {"slots", 8},
+                          {"state", State},
+                          {"sequence", ++this->HeartbeatSequence},
+                          {"born", Born}};
   BOOST_REQUIRE(this->waitUntil([&] {
     for (int I = 1; I <= StateDaemons; ++I)
       if (this->call(this->controlAddress(I), "POST",
-                     "/sycamorereach/replicas/shop-" + std::to_string(Server) +
-                         "/heartbeat",
+                     "/sycamorereach/replicas/" + Id + "/heartbeat",
                      Heartbeat.dump())
               .Status == 200)
         return true;
@@ -402,8 +416,7 @@
 }
 
 std::string RoutedCluster::metrics(int Number) {
-  return this->call({stateDaemonIp(Number), MetricsPort}, "GET", "/metrics")
-      .Body;
+  return this->call(metricsAddress(Number), "GET", "/metrics").Body;
 }
 
 bool RoutedCluster::hasMetric(int Number, const std::string &Line) {
--- a/Source/FaultTests/RoutedCluster.h
+++ b/Source/FaultTests/RoutedCluster.h
@@ -95,6 +95,9 @@
   /// shop-3 refuses them.
   void announce(const std::string &State, int Server = 1,
                 std::uint64_t Born = 1000);
+  /// Sends a heartbeat for a ready server with 8 slots, whose port is that of
+  /// the fake servers.
+  void announceAt(const std::string &Id, const std::string &Ip);
   /// A configuration document whose routes lie under Prefix.
   static std::string declaration(std::uint64_t Version,
                                  const std::string &Prefix);
@@ -119,6 +122,7 @@
   Network::Address entryAddress(int Number = 1) const;
   Network::Address readinessAddress() const;
   Network::Address controlAddress(int Number) const;
+  static Network::Address metricsAddress(int Number);
   /// Where other daemons reach a state daemon.
   static Network::Address linkAddress(int Number);
   /// The key that all daemons share.
@@ -142,6 +146,8 @@
   eventStreamHeaders(const Network::Http1Exchange &Exchange);
 
 private:
+  void sendHeartbeat(const std::string &Id, const std::string &Ip,
+                     const std::string &State, std::uint64_t Born);
   static Network::HttpHeaders
   signedHeaders(const Network::Http1Exchange &Exchange);
 
