Network: A budget for what is held for peers

A process held whatever its callers, peers and servers sent: 60 bodies of 4 MB took 209 to 269 MB. Each process now has one budget of bytes and of accepted connections, from SYCAMORE_MEMORY and SYCAMORE_DESCRIPTORS, and ends stalled messages first, then the largest unfinished ones, never a complete or running request. A body is shared by the exchange, its attempts and the output. A successful response that is not signed is dropped at its head instead of at its end.

Chunked bodies far over the limit held the most because a rejected request kept its body (up to the limit, in a string that doubles) for the time that its connection lingered; found by reading the code, not by a trace of the 1,223 MB. The body is now freed at the rejection.

Not covered yet: the own interface (evhttp).

--- a/Source/Core/Network/EventLoop.cpp
+++ b/Source/Core/Network/EventLoop.cpp
@@ -46,6 +46,8 @@
   if (!Loop->Base)
     return absl::ResourceExhaustedError(
         "cannot create the event loop; raise the limit on open files");
+  Loop->Resources = std::make_shared<ResourceGuard>(
+      [Self = Loop.get()] { return Self->now(); });
   return Loop;
 }
 
--- a/Source/Core/Network/EventLoop.h
+++ b/Source/Core/Network/EventLoop.h
@@ -3,6 +3,8 @@
 
 #include "Common/Time.h"
 
+#include "Network/ResourceGuard.h"
+
 #include <absl/status/statusor.h>
 #include <functional>
 #include <memory>
@@ -58,6 +60,8 @@
   void stop();
 
   event_base *base() { return this->Base; }
+  /// The limits on what this process holds for its peers.
+  ResourceGuard &resources() { return *this->Resources; }
 
 private:
   EventLoop() = default;
@@ -65,6 +69,7 @@
                        const Common::Duration *Delay);
 
   event_base *Base = nullptr;
+  std::shared_ptr<ResourceGuard> Resources;
 };
 
 } // namespace Network
--- a/Source/Core/Network/FrameSocket.cpp
+++ b/Source/Core/Network/FrameSocket.cpp
@@ -1,5 +1,7 @@
 #include "Network/FrameSocket.h"
 
+#include "Network/BufferGrowth.h"
+#include "Network/ResourceGuard.h"
 #include "Network/SocketAddress.h"
 
 #include <absl/strings/str_cat.h>
@@ -24,6 +26,10 @@
 /// each connection of a server. A server has hundreds of them.
 constexpr std::size_t MaxOutputBufferBytes = 64u << 20;
 constexpr std::size_t MaxServerOutputBytes = 8u << 20;
+/// Charged for a connection itself.
+constexpr std::size_t ConnectionBytes = 4u << 10;
+/// A larger input buffer is freed when all of its frames are handled.
+constexpr std::size_t MaxRetainedBytes = 64u << 10;
 
 void setNoDelay(int Descriptor) {
   const int On = 1;
@@ -34,6 +40,7 @@
   evbuffer *Input = bufferevent_get_input(Socket);
   const std::size_t Size = evbuffer_get_length(Input);
   const std::size_t Before = Buffer.size();
+  growTo(Buffer, capacityFor(Buffer, Before + Size));
   Buffer.resize(Before + Size);
   evbuffer_remove(Input, Buffer.data() + Before, Size);
 }
@@ -52,10 +59,25 @@
   ConnectionId Id;
   bufferevent *Socket = nullptr;
   std::string Buffer;
+  /// Whether a frame with the cluster key has arrived.
+  bool Authenticated = false;
+  /// Closed by the next turn of the event loop.
+  bool Ending = false;
+  MemoryAccount Account;
+
   ~Connection() {
     if (this->Socket)
       bufferevent_free(this->Socket);
   }
+  MemoryBudget::Holder holder() const {
+    return this->Authenticated    ? MemoryBudget::Holder::Kept
+           : this->Buffer.empty() ? MemoryBudget::Holder::Idle
+                                  : MemoryBudget::Holder::Incoming;
+  }
+  void updateCharge() {
+    this->Account.charge(this->holder(),
+                         ConnectionBytes + this->Buffer.capacity());
+  }
 };
 
 FrameServer::FrameServer(EventLoop &Loop, const ClusterKey &Key,
@@ -107,16 +129,51 @@
       NewConnection.get());
   bufferevent_set_timeouts(NewConnection->Socket, &ServerIdleTimeout, nullptr);
   bufferevent_enable(NewConnection->Socket, EV_READ | EV_WRITE);
-  this->Connections[NewConnection->Id] = std::move(NewConnection);
+  Connection *Accepted = NewConnection.get();
+  Accepted->Account =
+      MemoryAccount(this->Loop.resources(), MemoryBudget::Holder::Idle, true,
+                    [this, Accepted] { this->giveWay(*Accepted); });
+  this->Connections[Accepted->Id] = std::move(NewConnection);
+  Accepted->updateCharge();
+}
+
+void FrameServer::giveWay(Connection &Ended) {
+  Ended.Ending = true;
+  Ended.Buffer = std::string();
+  bufferevent_disable(Ended.Socket, EV_READ | EV_WRITE);
+  Ended.Account.close();
+  // Deferred, as a function of this connection may be running.
+  this->Loop.defer(
+      [this, Id = Ended.Id, Alive = std::weak_ptr<bool>(this->Alive)] {
+        if (Alive.lock())
+          this->close(Id);
+      });
 }
 
 void FrameServer::read(Connection &Source) {
+  const std::size_t Arrived =
+      evbuffer_get_length(bufferevent_get_input(Source.Socket));
+  Source.Account.recordProgress();
+  // Charged before the memory is taken.
+  Source.Account.charge(
+      Source.Authenticated ? MemoryBudget::Holder::Kept
+                           : MemoryBudget::Holder::Incoming,
+      ConnectionBytes +
+          capacityFor(Source.Buffer, Source.Buffer.size() + Arrived));
+  if (Source.Ending)
+    return;
   drainInput(Source.Socket, Source.Buffer);
   const ConnectionId Id = Source.Id;
   while (true) {
     auto Result = this->Codec.decodeFrame(Source.Buffer);
-    if (std::holds_alternative<FrameCodec::Incomplete>(Result))
+    if (std::holds_alternative<FrameCodec::Incomplete>(Result)) {
+      if (Source.Buffer.empty() && Source.Buffer.capacity() > MaxRetainedBytes)
+        Source.Buffer = std::string();
+      Source.updateCharge();
       return;
+    }
+    if (std::holds_alternative<FrameCodec::Payload>(Result))
+      Source.Authenticated = true;
     if (const auto *Reason = std::get_if<Common::RefusalReason>(&Result)) {
       this->EventHandlers.OnRefused(*Reason);
       this->close(Id);
--- a/Source/Core/Network/FrameSocket.h
+++ b/Source/Core/Network/FrameSocket.h
@@ -51,6 +51,8 @@
   FrameServer(EventLoop &Loop, const ClusterKey &Key, Handlers EventHandlers);
   void accept(int Descriptor);
   void read(Connection &Source);
+  /// Frees what a connection holds, since the process exceeds its limits.
+  void giveWay(Connection &Ended);
   void close(ConnectionId Connection);
   void write(ConnectionId To,
              const std::shared_ptr<const std::string> &EncodedFrame);
--- a/Source/Core/Network/Http1Client.cpp
+++ b/Source/Core/Network/Http1Client.cpp
@@ -45,6 +45,24 @@
   return std::chrono::seconds(Seconds);
 }
 
+/// Adds the bytes to a buffer without a copy; the buffer shares them.
+void addSharedBytes(evbuffer *Output,
+                    std::shared_ptr<const std::string> Bytes) {
+  if (Bytes->empty())
+    return;
+  using Shared = std::shared_ptr<const std::string>;
+  auto Reference = std::make_unique<Shared>(std::move(Bytes));
+  const int Added = evbuffer_add_reference(
+      Output, (*Reference)->data(), (*Reference)->size(),
+      [](const void *, size_t, void *Owner) {
+        delete static_cast<Shared *>(Owner);
+      },
+      Reference.get());
+  if (Added == 0)
+    // Deleted by the buffer.
+    static_cast<void>(Reference.release());
+}
+
 } // namespace
 
 struct Http1Client::Connection {
@@ -183,22 +201,26 @@
 }
 
 void Http1Client::writeRequest(ActiveCall &Call) {
-  const Http1Call &Request = Call.Request;
+  Http1Call &Request = Call.Request;
+  auto Body =
+      Request.SharedBody
+          ? std::move(Request.SharedBody)
+          : std::make_shared<const std::string>(std::move(Request.Body));
+  Request.Body = std::string();
   std::string Head =
       absl::StrCat(Request.Method, " ", Request.Target, " HTTP/1.1\r\n");
   for (const HttpHeader &Header : Request.Headers)
     absl::StrAppend(&Head, Header.Name, ": ", Header.Value, "\r\n");
-  const bool NeedsLength = !Request.Body.empty() || Request.Method == "POST" ||
+  const bool NeedsLength = !Body->empty() || Request.Method == "POST" ||
                            Request.Method == "PUT" || Request.Method == "PATCH";
   if (NeedsLength)
-    absl::StrAppend(&Head, "Content-Length: ", Request.Body.size(), "\r\n");
+    absl::StrAppend(&Head, "Content-Length: ", Body->size(), "\r\n");
   Head += "\r\n";
   Call.Sent = true;
   Call.ActiveConnection->Reader.expectNoBody(Request.Method == "HEAD");
   evbuffer *Output = bufferevent_get_output(Call.ActiveConnection->Socket);
   evbuffer_add(Output, Head.data(), Head.size());
-  evbuffer_add(Output, Request.Body.data(), Request.Body.size());
-  Call.Request.Body.clear();
+  addSharedBytes(Output, std::move(Body));
   const CallPtr SharedCall = this->ActiveCalls[&Call];
   Call.Timer = this->Loop.callAfter(Request.IdleTimeout, [this, SharedCall] {
     if (!SharedCall->Finished)
--- a/Source/Core/Network/Http1Client.h
+++ b/Source/Core/Network/Http1Client.h
@@ -37,6 +37,8 @@
   std::string Target;
   HttpHeaders Headers;
   std::string Body;
+  /// Sent instead of Body if it is set, without a copy.
+  std::shared_ptr<const std::string> SharedBody;
   /// Maximum time to open a connection.
   Common::Duration ConnectTimeout = std::chrono::milliseconds(250);
   /// Maximum time until the response starts, and between parts of the response.
--- a/Source/Core/Network/Http1Reader.cpp
+++ b/Source/Core/Network/Http1Reader.cpp
@@ -223,6 +223,12 @@
   return this->CurrentState == State::Complete;
 }
 
+std::size_t Http1Reader::headMemory() const {
+  // Strings grow by doubling, so the text may take twice its size.
+  return 2 * this->HeaderBytes +
+         this->Head.Headers.capacity() * sizeof(HttpHeader);
+}
+
 std::string Http1Reader::takeBody() {
   std::string Result;
   Result.swap(this->Body);
--- a/Source/Core/Network/Http1Reader.h
+++ b/Source/Core/Network/Http1Reader.h
@@ -68,6 +68,9 @@
   /// Whether any byte of the current message has been parsed.
   bool isStarted() const { return this->Started; }
   const Http1Head &head() const { return this->Head; }
+  /// Bytes that the head of the current message takes in memory, with the
+  /// containers of its fields.
+  std::size_t headMemory() const;
   /// Returns the body bytes decoded since the last call.
   std::string takeBody();
   /// The parse error, as http-parser describes it.
--- a/Source/Core/Network/Http1Server.cpp
+++ b/Source/Core/Network/Http1Server.cpp
@@ -1,5 +1,7 @@
 #include "Network/Http1Server.h"
 
+#include "Network/BufferGrowth.h"
+#include "Network/ResourceGuard.h"
 #include "Network/SocketAddress.h"
 
 #include <absl/strings/str_cat.h>
@@ -17,10 +19,19 @@
 /// How often connections are checked against the idle and header timeouts.
 constexpr Common::Duration ExpiryCheckInterval = std::chrono::milliseconds(500);
 /// Input buffered while a request is in progress; reading pauses beyond it.
-constexpr std::size_t MaxBufferedInputBytes = 64u << 10;
+constexpr std::size_t MaxBufferedInputBytes = 16u << 10;
 /// How long input is read and discarded after the last response, before the
 /// connection is closed.
 constexpr Common::Duration LingerTimeout = std::chrono::seconds(1);
+/// Input that is discarded at most before the connection is closed; more than
+/// is underway when a response arrives at a caller.
+constexpr std::size_t MaxLingerBytes = 256u << 10;
+/// Buffers of the kernel for each accepted connection. Bytes in them count
+/// towards the memory of the host, and would otherwise grow to several MB.
+constexpr int ReceiveBufferBytes = 64 << 10;
+constexpr int SendBufferBytes = 128 << 10;
+/// Charged for a connection itself: its bufferevent, parser and socket.
+constexpr std::size_t ConnectionBytes = 4u << 10;
 /// Maximum number of connections that wait to be accepted.
 constexpr int ListenBacklog = 1024;
 
@@ -34,6 +45,8 @@
     return "Unauthorized";
   case 404:
     return "Not Found";
+  case 408:
+    return "Request Timeout";
   case 413:
     return "Content Too Large";
   case 429:
@@ -55,6 +68,12 @@
   return {Limits.MaxHeaderBytes, Limits.MaxBodyBytes};
 }
 
+/// A request body, charged until its last holder releases it.
+struct ChargedBody {
+  std::string Bytes;
+  MemoryAccount Account;
+};
+
 } // namespace
 
 namespace detail {
@@ -95,8 +114,21 @@
   bool isHeadOverdue(Common::TimePoint Now) const;
   /// Sends an error response without running OnRequest, and closes.
   void reject(Http1Server::Rejection Reason);
+  /// Whether no byte of a body has arrived for longer than BodyTimeout.
+  bool isBodyOverdue(Common::TimePoint Now) const;
+  /// Charges the account with what this connection holds.
+  void updateCharge() {
+    this->Account.charge(this->holder(), this->heldBytes());
+  }
 
 private:
+  MemoryBudget::Holder holder() const;
+  std::size_t heldBytes() const;
+  /// Appends to the request body, after its memory has been charged.
+  void appendBody(const std::string &Bytes);
+  /// Frees what this connection holds, since the process exceeds its limits.
+  void giveWay();
+  void closeSoon(Http1Server::Closure Reason);
   void parse();
   static void handleOutputChange(evbuffer *, const evbuffer_cb_info *Change,
                                  void *Self);
@@ -122,15 +154,25 @@
   /// input would reset the connection, and the caller could lose the response.
   bool Lingering = false;
   bool Parsing = false;
+  bool Rejected = false;
+  std::size_t LingerBytes = 0;
+  /// When input last arrived.
+  Common::TimePoint InputProgressAt;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+  MemoryAccount Account;
 };
 
 Http1ServerConnection::Http1ServerConnection(Http1Server &Server,
                                              int Descriptor)
     : Server(Server),
       Reader(Http1Reader::Kind::Requests, readerLimits(Server.ServerLimits)),
-      PhaseStart(Server.Loop.now()) {
+      PhaseStart(Server.Loop.now()), InputProgressAt(PhaseStart),
+      Account(Server.Loop.resources(), MemoryBudget::Holder::Idle, true,
+              [this] { this->giveWay(); }) {
   const int On = 1;
   setsockopt(Descriptor, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
+  setsockopt(Descriptor, SOL_SOCKET, SO_SNDBUF, &SendBufferBytes,
+             sizeof(SendBufferBytes));
   this->Socket = bufferevent_socket_new(Server.Loop.base(), Descriptor,
                                         BEV_OPT_CLOSE_ON_FREE);
   bufferevent_setcb(
@@ -158,10 +200,81 @@
   bufferevent_free(this->Socket);
 }
 
+MemoryBudget::Holder Http1ServerConnection::holder() const {
+  if (this->CurrentExchange)
+    return MemoryBudget::Holder::Kept;
+  if (this->Reader.isStarted())
+    return MemoryBudget::Holder::Incoming;
+  return this->unsentBytes() != 0 ? MemoryBudget::Holder::Unsent
+                                  : MemoryBudget::Holder::Idle;
+}
+
+std::size_t Http1ServerConnection::heldBytes() const {
+  return ConnectionBytes + this->Reader.headMemory() +
+         this->RequestBody.capacity() + this->unsentBytes() +
+         evbuffer_get_length(bufferevent_get_input(this->Socket));
+}
+
+void Http1ServerConnection::appendBody(const std::string &Bytes) {
+  const std::size_t Capacity =
+      capacityFor(this->RequestBody, this->RequestBody.size() + Bytes.size());
+  if (Capacity != this->RequestBody.capacity()) {
+    this->Account.charge(this->holder(), this->heldBytes() + Capacity -
+                                             this->RequestBody.capacity());
+    if (this->ClosingAfterFlush)
+      return;
+    growTo(this->RequestBody, Capacity);
+  }
+  this->RequestBody += Bytes;
+}
+
+void Http1ServerConnection::giveWay() {
+  const MemoryBudget &Budget = this->Server.Loop.resources().budget();
+  const bool TooMany = Budget.connections() > Budget.limits().MaxConnections;
+  const bool Arriving = this->Reader.isStarted() && !this->ClosingAfterFlush;
+  if (Arriving) {
+    const bool Stalled = this->Server.Loop.now() - this->InputProgressAt >=
+                             Budget.limits().StallTime &&
+                         this->Reader.isHeadComplete();
+    this->reject(Stalled ? Http1Server::Rejection::BodyStalled
+                         : Http1Server::Rejection::Overloaded);
+  }
+  if (Arriving && !TooMany) {
+    this->Account.credit(MemoryBudget::Holder::Idle, this->heldBytes());
+    return;
+  }
+  // Frees the descriptor, and what a slow caller has not received.
+  this->closeSoon(Http1Server::Closure::Expired);
+}
+
+void Http1ServerConnection::closeSoon(Http1Server::Closure Reason) {
+  this->ClosingAfterFlush = true;
+  evbuffer *Output = bufferevent_get_output(this->Socket);
+  // The response that was rejected with is sent if the socket accepts it.
+  evbuffer_unfreeze(Output, 1);
+  if (this->Rejected)
+    evbuffer_write(Output, bufferevent_getfd(this->Socket));
+  evbuffer_drain(Output, evbuffer_get_length(Output));
+  evbuffer_freeze(Output, 1);
+  bufferevent_disable(this->Socket, EV_READ | EV_WRITE);
+  this->Account.close();
+  // Deferred, as a function of this connection may be running.
+  this->Server.Loop.defer(
+      [this, Reason, Watched = std::weak_ptr<bool>(this->Alive)] {
+        if (Watched.lock())
+          this->close(Reason);
+      });
+}
+
 void Http1ServerConnection::handleInput() {
+  this->InputProgressAt = this->Server.Loop.now();
+  this->Account.recordProgress();
   if (this->Lingering) {
     evbuffer *Input = bufferevent_get_input(this->Socket);
+    this->LingerBytes += evbuffer_get_length(Input);
     evbuffer_drain(Input, evbuffer_get_length(Input));
+    if (this->LingerBytes > MaxLingerBytes)
+      this->closeSoon(this->PlannedClosure);
     return;
   }
   if (this->CurrentExchange || this->ClosingAfterFlush) {
@@ -169,9 +282,11 @@
     if (evbuffer_get_length(bufferevent_get_input(this->Socket)) >
         MaxBufferedInputBytes)
       bufferevent_disable(this->Socket, EV_READ);
+    this->updateCharge();
     return;
   }
   this->parse();
+  this->updateCharge();
 }
 
 void Http1ServerConnection::parse() {
@@ -188,7 +303,9 @@
     const std::size_t Consumed = this->Reader.feed(std::string_view(
         static_cast<const char *>(Segment.iov_base), Segment.iov_len));
     evbuffer_drain(Input, Consumed);
-    this->RequestBody += this->Reader.takeBody();
+    this->appendBody(this->Reader.takeBody());
+    if (this->ClosingAfterFlush)
+      break;
     switch (this->Reader.state()) {
     case Http1Reader::State::NeedsMore:
       if (Consumed == 0)
@@ -208,10 +325,19 @@
       Exchange->Connection = this;
       Exchange->ReceivedAt = this->Server.Loop.now();
       Exchange->Head = this->Reader.head();
-      Exchange->Body = std::move(this->RequestBody);
-      this->RequestBody.clear();
+      auto Charged = std::make_shared<ChargedBody>();
+      Charged->Bytes = std::move(this->RequestBody);
+      this->RequestBody = std::string();
+      Charged->Account = MemoryAccount(this->Server.Loop.resources(),
+                                       MemoryBudget::Holder::Kept, false, {});
+      Charged->Account.credit(MemoryBudget::Holder::Kept,
+                              Charged->Bytes.capacity() +
+                                  this->Reader.headMemory());
+      Exchange->Body =
+          std::shared_ptr<const std::string>(Charged, &Charged->Bytes);
       this->Reader.reset();
       this->CurrentExchange = Exchange;
+      this->Account.credit(this->holder(), this->heldBytes());
       // Deferred, since the handler may respond at once and so destroy this
       // connection.
       this->Server.Loop.defer(
@@ -232,13 +358,21 @@
     Status = 431;
   else if (Reason == Http1Server::Rejection::BodyTooLarge)
     Status = 413;
-  else if (Reason == Http1Server::Rejection::HeaderTimeout)
+  else if (Reason == Http1Server::Rejection::HeaderTimeout ||
+           Reason == Http1Server::Rejection::BodyStalled)
     Status = 408;
+  else if (Reason == Http1Server::Rejection::Overloaded)
+    Status = 503;
+  // What has arrived is of no use, and the connection may linger.
+  this->Rejected = true;
+  this->RequestBody = std::string();
+  this->Reader.reset();
   if (this->Server.ServerHandlers.OnRejected)
     this->Server.ServerHandlers.OnRejected(Reason);
   this->write(absl::StrCat("HTTP/1.1 ", Status, " ", reasonPhrase(Status),
-                           "\r\nContent-Length: 0\r\nConnection: close\r\n"
-                           "\r\n"));
+                           "\r\nContent-Length: 0\r\nConnection: close\r\n",
+                           Status == 503 ? "Retry-After: 1\r\n" : "", "\r\n"));
+  this->Account.credit(this->holder(), this->heldBytes());
   this->closeAfterFlush();
 }
 
@@ -290,13 +424,16 @@
                                                const evbuffer_cb_info *Change,
                                                void *Self) {
   auto *Connection = static_cast<Http1ServerConnection *>(Self);
-  if (Change->n_deleted != 0 || Change->orig_size == 0)
+  if (Change->n_deleted != 0 || Change->orig_size == 0) {
     Connection->OutputProgressAt = Connection->Server.Loop.now();
+    Connection->Account.recordProgress();
+  }
 }
 
 void Http1ServerConnection::handleOutputFlushed() {
   if (this->Lingering)
     return;
+  this->Account.credit(this->holder(), this->heldBytes());
   const bool ResponseWritten = this->UnwrittenExchange != nullptr;
   if (this->PlannedClosure != Http1Server::Closure::Aborted)
     this->UnwrittenExchange.reset();
@@ -310,7 +447,7 @@
       this->close(Http1Server::Closure::Complete);
     return;
   }
-  if (!this->Reader.isStarted() && !this->hasUnreadInput()) {
+  if (!this->Rejected && !this->Reader.isStarted() && !this->hasUnreadInput()) {
     this->close(this->PlannedClosure);
     return;
   }
@@ -350,6 +487,7 @@
       this->PlannedClosure == Http1Server::Closure::Aborted)
     this->UnwrittenExchange = Exchange;
   this->PhaseStart = this->Server.Loop.now();
+  this->Account.credit(this->holder(), this->heldBytes());
   if (!Reusable || this->CloseAnnounced) {
     this->closeAfterFlush();
     return;
@@ -357,6 +495,7 @@
   bufferevent_enable(this->Socket, EV_READ);
   if (!this->Parsing)
     this->parse();
+  this->updateCharge();
 }
 
 void Http1ServerConnection::abort() {
@@ -388,6 +527,12 @@
          Now - this->PhaseStart > this->Server.ServerLimits.HeaderTimeout;
 }
 
+bool Http1ServerConnection::isBodyOverdue(Common::TimePoint Now) const {
+  return !this->CurrentExchange && this->Reader.isHeadComplete() &&
+         !this->ClosingAfterFlush &&
+         Now - this->InputProgressAt > this->Server.ServerLimits.BodyTimeout;
+}
+
 } // namespace detail
 
 std::string Http1Exchange::path() const {
@@ -423,6 +568,7 @@
   Chunk.append(Bytes);
   Chunk += "\r\n";
   this->Connection->write(Chunk);
+  this->Connection->updateCharge();
 }
 
 void Http1Exchange::endStream() {
@@ -462,6 +608,9 @@
   if (!Server->Listener)
     return absl::UnavailableError(absl::StrCat(
         "cannot listen on ", Listen.str(), "; free the port or change it"));
+  // Accepted sockets inherit it.
+  setsockopt(evconnlistener_get_fd(Server->Listener), SOL_SOCKET, SO_RCVBUF,
+             &ReceiveBufferBytes, sizeof(ReceiveBufferBytes));
   Server->ExpiryTimer =
       Loop.callEvery(ExpiryCheckInterval, [Self = Server.get()] {
         Self->closeExpiredConnections();
@@ -507,6 +656,7 @@
       std::make_unique<detail::Http1ServerConnection>(*this, Descriptor);
   detail::Http1ServerConnection *Connection = Accepted.get();
   this->Connections[Connection] = std::move(Accepted);
+  Connection->updateCharge();
 }
 
 void Http1Server::erase(detail::Http1ServerConnection *Connection,
@@ -528,16 +678,21 @@
   const Common::TimePoint Now = this->Loop.now();
   std::vector<detail::Http1ServerConnection *> Expired;
   std::vector<detail::Http1ServerConnection *> Overdue;
+  std::vector<detail::Http1ServerConnection *> Stalled;
   for (const auto &Each : this->Connections) {
     if (Each.first->isExpired(Now))
       Expired.push_back(Each.first);
     else if (Each.first->isHeadOverdue(Now))
       Overdue.push_back(Each.first);
+    else if (Each.first->isBodyOverdue(Now))
+      Stalled.push_back(Each.first);
   }
   for (detail::Http1ServerConnection *Each : Expired)
     Each->close(Closure::Expired);
   for (detail::Http1ServerConnection *Each : Overdue)
     Each->reject(Rejection::HeaderTimeout);
+  for (detail::Http1ServerConnection *Each : Stalled)
+    Each->reject(Rejection::BodyStalled);
 }
 
 void Http1Server::startShutdown(Common::Duration IdleTimeout) {
--- a/Source/Core/Network/Http1Server.h
+++ b/Source/Core/Network/Http1Server.h
@@ -25,7 +25,9 @@
 class Http1Exchange {
 public:
   const Http1Head &head() const { return this->Head; }
-  const std::string &body() const { return this->Body; }
+  const std::string &body() const { return *this->Body; }
+  /// The same body, which the holder of the pointer keeps in memory.
+  std::shared_ptr<const std::string> sharedBody() const { return this->Body; }
   Common::TimePoint receivedAt() const { return this->ReceivedAt; }
   /// The target without its query.
   std::string path() const;
@@ -63,7 +65,7 @@
 
   detail::Http1ServerConnection *Connection = nullptr;
   Http1Head Head;
-  std::string Body;
+  std::shared_ptr<const std::string> Body;
   Common::TimePoint ReceivedAt;
   bool Streaming = false;
   std::function<void()> DisconnectHandler;
@@ -78,6 +80,8 @@
     std::size_t MaxBodyBytes = 4u << 20;
     /// Maximum time from the first byte of a request to the end of its head.
     Common::Duration HeaderTimeout = std::chrono::seconds(3);
+    /// Maximum time without a byte of a body that has begun to arrive.
+    Common::Duration BodyTimeout = std::chrono::seconds(30);
     /// Maximum time without progress in sending a finished response.
     Common::Duration SendTimeout = std::chrono::seconds(30);
     /// Maximum idle time of a keep-alive connection; it runs from the moment
@@ -90,6 +94,11 @@
     HeadersTooLarge,
     BodyTooLarge,
     HeaderTimeout,
+    /// No byte of the body arrived for BodyTimeout, or for the stall time of
+    /// the memory budget while that was exceeded.
+    BodyStalled,
+    /// The memory or descriptors of the process are exhausted.
+    Overloaded,
   };
   /// Why a connection was closed.
   enum class Closure {
--- a/Source/Core/Settings/DaemonSettings.cpp
+++ b/Source/Core/Settings/DaemonSettings.cpp
@@ -12,6 +12,7 @@
   Result.Key.Secret = Reader.secret("SYCAMORE_CLUSTER_KEY", MinSecretBytes);
   Result.OperatorToken =
       Reader.secret("SYCAMORE_OPERATOR_TOKEN", MinSecretBytes);
+  Result.Host = HostLimits::create(Reader);
   const auto Parsed =
       Telemetry::parseLogLevel(Reader.text("--log-level", "info"));
   if (Parsed.ok())
--- a/Source/Core/Settings/DaemonSettings.h
+++ b/Source/Core/Settings/DaemonSettings.h
@@ -4,6 +4,7 @@
 #include "Common/Ids.h"
 #include "Network/Address.h"
 #include "Network/Frame.h"
+#include "Settings/HostLimits.h"
 #include "Settings/SettingsReader.h"
 #include "Telemetry/Log.h"
 
@@ -24,6 +25,7 @@
   Network::ClusterKey Key;
   std::string OperatorToken;
   Telemetry::LogLevel Level = Telemetry::LogLevel::Info;
+  HostLimits Host;
 
   /// Errors are collected in Reader.
   static DaemonSettings create(SettingsReader &Reader);
--- a/Source/Core/Settings/RoutedSettings.cpp
+++ b/Source/Core/Settings/RoutedSettings.cpp
@@ -21,6 +21,7 @@
     Reader.addError("--seeds", "is missing; name the state daemons' addresses");
   Result.Key.Secret =
       Reader.secret("SYCAMORE_CLUSTER_KEY", DaemonSettings::MinSecretBytes);
+  Result.Host = HostLimits::create(Reader);
   const auto Parsed =
       Telemetry::parseLogLevel(Reader.text("--log-level", "info"));
   if (Parsed.ok())
--- a/Source/Core/Settings/RoutedSettings.h
+++ b/Source/Core/Settings/RoutedSettings.h
@@ -3,6 +3,7 @@
 
 #include "Admission/AllowanceLedger.h"
 #include "Settings/DaemonSettings.h"
+#include "Settings/HostLimits.h"
 
 #include <absl/status/statusor.h>
 #include <string>
@@ -24,6 +25,7 @@
   std::vector<Network::Address> Seeds;
   Network::ClusterKey Key;
   Telemetry::LogLevel Level = Telemetry::LogLevel::Info;
+  HostLimits Host;
 
   /// Loads --settings-file if it is given, then reads the settings. Errors are
   /// collected in Reader.
--- a/Source/Core/Telemetry/LogEvents.h
+++ b/Source/Core/Telemetry/LogEvents.h
@@ -57,6 +57,11 @@
                                             "tokens", "after_ms", "version"}};
 inline constexpr LogEvent<1> RequestUnreadable{
     LogLevel::Info, "request_unreadable", {"reason"}};
+inline constexpr LogEvent<7> LoadShed{LogLevel::Warning,
+                                      "load_shed",
+                                      {"stalled", "largest", "slow_readers",
+                                       "responses", "connections", "held_bytes",
+                                       "open"}};
 inline constexpr LogEvent<5> AttemptFailed{
     LogLevel::Warning,
     "attempt_failed",
--- a/Source/Core/Telemetry/Metrics.h
+++ b/Source/Core/Telemetry/Metrics.h
@@ -48,12 +48,13 @@
   void incrementCounter(const std::string &Name, std::uint64_t Increment = 1) {
     this->Counters[Name] += Increment;
   }
-  /// Adds 1 to a counter with one label. Value must come from a fixed set, as
-  /// each value is a time series of its own.
+  /// Adds Increment to a counter with one label. Value must come from a fixed
+  /// set, as each value is a time series of its own.
   void incrementLabelledCounter(const std::string &Name,
                                 const std::string &Label,
-                                const std::string &Value) {
-    ++this->LabelledCounters[Name][Label + "=\"" + Value + "\""];
+                                const std::string &Value,
+                                std::uint64_t Increment = 1) {
+    this->LabelledCounters[Name][Label + "=\"" + Value + "\""] += Increment;
   }
   /// Adds a sample to a histogram. Labels are written as name="value" and
   /// separated by commas. When the histogram has its maximum number of label
--- a/Source/EntryDaemon/EntryDaemon.cpp
+++ b/Source/EntryDaemon/EntryDaemon.cpp
@@ -56,6 +56,7 @@
 
 absl::StatusOr<std::unique_ptr<EntryDaemon>>
 EntryDaemon::create(Network::EventLoop &Loop, EntrySettings Settings) {
+  Settings.Host.apply(Loop);
   std::unique_ptr<EntryDaemon> Daemon(
       new EntryDaemon(Loop, std::move(Settings)));
   if (absl::Status Created = Daemon->createComponents(); !Created.ok())
--- a/Source/EntryDaemon/EntrySettings.cpp
+++ b/Source/EntryDaemon/EntrySettings.cpp
@@ -23,12 +23,15 @@
   --shutdown-time=S   Time for requests in progress to end after SIGTERM; then
                       they are answered as refused or interrupted. 590 by
                       default, 8 for the gateway.
+  --memory=MB         Memory of this host for the daemon; 1,074 by default.
+  --descriptors=N     Maximum number of open descriptors; by default the limit
+                      of the process.
   --log-level=LEVEL   debug, info, warning or error; info by default.
   -h --help           Show this text.
   --version           Show the version.
 
-Gateway options: (name, datacentre, http, shutdown-time and log-level are
-                  as above)
+Gateway options: (name, datacentre, http, shutdown-time, memory, descriptors
+                  and log-level are as above)
   --settings-file=FILE     File of NAME=value lines, named like the environment
                            variables, which take precedence over it.
   --ready=IP:PORT          Address of the load balancer's readiness check.
--- a/Source/EntryDaemon/Gateway.cpp
+++ b/Source/EntryDaemon/Gateway.cpp
@@ -18,6 +18,7 @@
 constexpr Common::Duration HousekeepingPeriod = std::chrono::seconds(5);
 constexpr Common::Duration ReadinessCheckPeriod =
     std::chrono::milliseconds(500);
+constexpr Common::Duration ResourceReportPeriod = std::chrono::seconds(1);
 constexpr Common::Duration ShutdownCheckPeriod = std::chrono::milliseconds(50);
 /// Delay until the next poll when a newer declaration exists than the one that
 /// this daemon has.
@@ -39,13 +40,15 @@
 }
 
 Gateway::Gateway(Network::EventLoop &Loop, GatewaySettings Settings)
-    : Loop(Loop), Context(Loop, std::move(Settings)) {}
+    : Loop(Loop), Context(Loop, std::move(Settings)),
+      Resources(Loop.resources(), this->Context.Metrics) {}
 
 absl::StatusOr<std::unique_ptr<Gateway>> Gateway::create(
     Network::EventLoop &Loop, GatewaySettings Settings,
     std::function<absl::StatusOr<GatewaySettings>()> ReloadSettings) {
   std::unique_ptr<Gateway> Result(new Gateway(Loop, std::move(Settings)));
   Result->ReloadSettings = std::move(ReloadSettings);
+  Result->Context.Settings.Host.apply(Loop);
   if (absl::Status ListenStatus = Result->listen(); !ListenStatus.ok())
     return ListenStatus;
   Result->openControlLink();
@@ -60,12 +63,15 @@
       };
   RequestHandlers.OnRejected = [this](Network::Http1Server::Rejection Reason) {
     // In the order of the enum Rejection.
-    constexpr const char *Names[] = {"malformed", "headers_too_large",
-                                     "body_too_large", "header_timeout"};
+    constexpr const char *Names[] = {"malformed",      "headers_too_large",
+                                     "body_too_large", "header_timeout",
+                                     "body_stalled",   "overloaded"};
     const char *Name = Names[static_cast<std::size_t>(Reason)];
     this->Context.Metrics.incrementLabelledCounter("http_rejected_total",
                                                    "reason", Name);
-    Telemetry::log(Events::RequestUnreadable, Name);
+    // Of a crowd, load_shed is one line for all.
+    if (Reason < Network::Http1Server::Rejection::BodyStalled)
+      Telemetry::log(Events::RequestUnreadable, Name);
   };
   RequestHandlers.OnClosed =
       [this](const Network::Http1Server::ClosedConnection &Closed) {
@@ -161,6 +167,8 @@
   this->EventHandles.push_back(this->Loop.callEvery(HousekeepingPeriod, [this] {
     this->Context.Servers.removeExpired(this->Loop.now());
   }));
+  this->EventHandles.push_back(this->Loop.callEvery(
+      ResourceReportPeriod, [this] { this->Resources.update(); }));
   this->EventHandles.push_back(this->Loop.callEvery(
       ReadinessCheckPeriod, [this] { this->logReadinessChange(); }));
   Telemetry::log(Events::GatewayStarted, this->Context.Settings.Http.str());
--- a/Source/EntryDaemon/Gateway.h
+++ b/Source/EntryDaemon/Gateway.h
@@ -5,6 +5,7 @@
 #include "EntryDaemon/GatewayContext.h"
 #include "EntryDaemon/RoutedCall.h"
 #include "Network/Http1Server.h"
+#include "Telemetry/ResourceReport.h"
 
 #include <memory>
 #include <vector>
@@ -65,6 +66,7 @@
   /// The newest declaration version that a poll answer reported.
   Common::ConfigurationVersion NewestVersion;
   bool LastReady = false;
+  Telemetry::ResourceReport Resources;
   std::vector<Network::EventHandle> EventHandles;
   Network::EventHandle ShutdownTimer;
   /// Whether calls were ended because the process was about to stop.
--- a/Source/EntryDaemon/RoutedAttempt.cpp
+++ b/Source/EntryDaemon/RoutedAttempt.cpp
@@ -38,8 +38,6 @@
 constexpr int AbandonTargetMultiple = 4;
 constexpr int AbandonPauseMultiple = 8;
 constexpr Common::Duration MinAbandonPause = std::chrono::seconds(2);
-/// Responses that are not streamed are buffered up to this size.
-constexpr std::size_t MaxBufferedResponseBytes = 16u << 20;
 /// Reading from the server pauses while more than this is unsent to the caller.
 constexpr std::size_t MaxUnsentBytes = 256u << 10;
 constexpr Common::Duration BackpressureCheckPeriod =
@@ -181,7 +179,7 @@
   Request.Target = this->Exchange->head().Target;
   Request.Headers = Platform::encodeForwardedHeaders(
       this->Exchange->head().Headers, Forwarded);
-  Request.Body = this->Exchange->body();
+  Request.SharedBody = this->Exchange->sharedBody();
   Request.IdleTimeout = this->timeLeft() + ConnectionTimeoutMargin;
   Request.MaxReuseIdleTime = this->route().isIdempotent()
                                  ? MaxReuseIdleIdempotent
@@ -362,8 +360,12 @@
   this->CurrentAttempt->HeadAt = this->Context.Loop.now();
   if (isSuccess(Head.Status))
     this->CurrentAttempt->Progress.recordBytes(this->Context.Loop.now());
-  if (!isSuccess(Head.Status) || Network::hasNoBody(Head.Status) ||
-      !isTrustworthy(Head, Decoded))
+  if (isSuccess(Head.Status) && !isTrustworthy(Head, Decoded)) {
+    // Its body cannot make it valid, and may have no end.
+    this->rejectResponse(AttemptResult::MayHaveExecuted);
+    return true;
+  }
+  if (!isSuccess(Head.Status) || Network::hasNoBody(Head.Status))
     return true;
   const auto Type = Network::findHeader(Head.Headers, "Content-Type");
   if (this->route().Kind == Configuration::RouteKind::Streamed && Type &&
@@ -399,9 +401,13 @@
     this->noteSurvival();
   }
   if (!Current.Splitter) {
-    Current.ResponseBody += Bytes;
-    if (Current.ResponseBody.size() > MaxBufferedResponseBytes)
-      this->rejectResponse(AttemptResult::MayHaveExecuted);
+    const auto Reject = [Self = this->weak_from_this()] {
+      if (const auto Call = Self.lock())
+        Call->rejectResponse(AttemptResult::MayHaveExecuted);
+    };
+    if (Current.ResponseBody.append(this->Context.Loop, Bytes, Reject) ==
+        ResponseBuffer::Result::TooLarge)
+      Reject();
     return;
   }
   const std::string CompleteEvents = Current.Splitter->feed(Bytes);
@@ -523,7 +529,7 @@
   // The attempt ends before its response is sent.
   const Network::Http1Head Head =
       std::move(*this->CurrentAttempt->ResponseHead);
-  const std::string Body = std::move(this->CurrentAttempt->ResponseBody);
+  const std::string Body = this->CurrentAttempt->ResponseBody.take();
   const Platform::ResponseHeaders Decoded =
       Platform::decodeResponseHeaders(Head.Status, Head.Headers);
   const bool Success = isSuccess(Head.Status);
--- a/Source/EntryDaemon/RoutedCall.h
+++ b/Source/EntryDaemon/RoutedCall.h
@@ -3,6 +3,7 @@
 
 #include "EntryDaemon/CallFailure.h"
 #include "EntryDaemon/GatewayContext.h"
+#include "EntryDaemon/ResponseBuffer.h"
 #include "Network/EventSplitter.h"
 #include "Network/Http1Server.h"
 #include "Routing/AnswerProgress.h"
@@ -60,7 +61,7 @@
     bool SurvivalRecorded = false;
     Network::Http1Client::CallPtr Call;
     std::optional<Network::Http1Head> ResponseHead;
-    std::string ResponseBody;
+    ResponseBuffer ResponseBody;
     /// Set if the response is a stream whose events are forwarded.
     std::optional<Network::EventSplitter> Splitter;
     /// The event after which the server was asked to resume the stream.
--- a/Source/StateDaemon/Controller.cpp
+++ b/Source/StateDaemon/Controller.cpp
@@ -42,6 +42,7 @@
 constexpr Common::Duration ExpiryPeriod = std::chrono::minutes(1);
 constexpr Common::Duration ShutdownLimit = std::chrono::seconds(2);
 constexpr std::size_t MaxDocumentBytes = 16u << 20;
+constexpr Common::Duration ResourceReportPeriod = std::chrono::seconds(1);
 constexpr Common::Duration HttpIdleTimeout = std::chrono::seconds(30);
 
 } // namespace
@@ -49,11 +50,13 @@
 Controller::Controller(Network::EventLoop &Loop, ControllerSettings Settings)
     : Loop(Loop), Settings(std::move(Settings)),
       ServerEnds(this->State, this->serverEndHandlers()),
-      Tokens(this->Settings.Tolerance) {}
+      Tokens(this->Settings.Tolerance),
+      Resources(Loop.resources(), this->Metrics) {}
 
 absl::StatusOr<std::unique_ptr<Controller>>
 Controller::create(Network::EventLoop &Loop, ControllerSettings Settings) {
   std::unique_ptr<Controller> Result(new Controller(Loop, std::move(Settings)));
+  Result->Settings.Host.apply(Loop);
   if (absl::Status Listening = Result->listen(); !Listening.ok())
     return Listening;
   return Result;
@@ -152,6 +155,8 @@
   // All settings are read at the start only, so SIGHUP reloads nothing.
   this->EventHandles.push_back(this->Loop.onSignal(
       SIGHUP, [] { Telemetry::log(Events::Reload, "nothing"); }));
+  this->EventHandles.push_back(this->Loop.callEvery(
+      ResourceReportPeriod, [this] { this->Resources.update(); }));
   this->EventHandles.push_back(this->Loop.callEvery(GroupCheckPeriod, [this] {
     this->requestJoin();
     this->adjustMembership();
--- a/Source/StateDaemon/Controller.h
+++ b/Source/StateDaemon/Controller.h
@@ -15,6 +15,7 @@
 #include "StateDaemon/ServerEndRecorder.h"
 #include "StateDaemon/TokenPool.h"
 #include "Telemetry/Metrics.h"
+#include "Telemetry/ResourceReport.h"
 
 #include <map>
 #include <memory>
@@ -204,6 +205,7 @@
   Common::TimePoint LeaderLastKnownAt;
   Common::TimePoint LeadingSince;
   bool ShuttingDown = false;
+  Telemetry::ResourceReport Resources;
   std::vector<Network::EventHandle> EventHandles;
   Network::EventHandle ShutdownTimer;
 };
--- a/Source/StateDaemon/StateDaemon.cpp
+++ b/Source/StateDaemon/StateDaemon.cpp
@@ -52,6 +52,7 @@
 
 absl::StatusOr<std::unique_ptr<StateDaemon>>
 StateDaemon::create(Network::EventLoop &Loop, StateSettings Settings) {
+  Settings.Host.apply(Loop);
   Storage::RecoveredState Contents;
   auto Folder = Storage::DataFolder::open(Settings.DataPath, Contents);
   if (!Folder.ok())
--- a/Source/StateDaemon/StateSettings.cpp
+++ b/Source/StateDaemon/StateSettings.cpp
@@ -20,9 +20,13 @@
   --state=LIST        Addresses of all state daemons, separated by commas.
   --founders=LIST     Initial voters as IDENTITY@IP:PORT@DATACENTRE, separated
                       by commas; used on the first start only.
+  --memory=MB         Memory of this host for the daemon; 1,074 by default.
+  --descriptors=N     Maximum number of open descriptors; by default the limit
+                      of the process.
   --log-level=LEVEL   debug, info, warning or error.
 
-Control options: (name, datacentre, data, http and log-level are as above)
+Control options: (name, datacentre, data, http, memory, descriptors and
+                  log-level are as above)
   --settings-file=FILE     Lines of NAME=value, named as in the environment;
                            the environment overrides the file.
   --link-port=PORT         Port of the links between daemons, same on all hosts.
