--- a/Source/Core/Routing/ServerTable.cpp
+++ b/Source/Core/Routing/ServerTable.cpp
@@ -291,7 +291,7 @@
 
 std::size_t ServerTable::countOfOtherSpeed() const {
   return static_cast<std::size_t>(
-      std::count_if(this->RingServices.begin(), this->RingServices.end(),
+      std::count_if(this->ListedIn.begin(), this->ListedIn.end(),
                     [this](const auto &Each) {
                       const ServerSpeed Speed = this->speed(Each.first);
                       return Speed.Prefill != 1 || Speed.Decode != 1;
--- a/Source/EntryDaemon/RoutedAttempt.cpp
+++ b/Source/EntryDaemon/RoutedAttempt.cpp
@@ -438,7 +438,7 @@
       if (const auto Call = Self.lock())
         Call->rejectResponse(AttemptResult::MayHaveExecuted);
     };
-    if (Current.ResponseBody.append(this->Context.Loop, Bytes, Reject) ==
+    if (Current.ResponseBody->append(this->Context.Loop, Bytes, Reject) ==
         ResponseBuffer::Result::TooLarge)
       Reject();
     return;
@@ -570,7 +570,7 @@
   // The attempt ends before its response is sent.
   const Network::Http1Head Head =
       std::move(*this->CurrentAttempt->ResponseHead);
-  const std::string Body = this->CurrentAttempt->ResponseBody.take();
+  const std::string Body = this->CurrentAttempt->ResponseBody->take();
   const Platform::ResponseHeaders Decoded =
       Platform::decodeResponseHeaders(Head.Status, Head.Headers);
   const bool Success = isSuccess(Head.Status);
--- a/Source/EntryDaemon/RoutedCall.h
+++ b/Source/EntryDaemon/RoutedCall.h
@@ -68,7 +68,8 @@
     bool SurvivalRecorded = false;
     Network::Http1Client::CallPtr Call;
     std::optional<Network::Http1Head> ResponseHead;
-    ResponseBuffer ResponseBody;
+    std::unique_ptr<ResponseBuffer> ResponseBody =
+        std::make_unique<ResponseBuffer>();
     /// Set if the response is a stream whose events are forwarded.
     std::optional<Network::EventSplitter> Splitter;
     /// The event after which the server was asked to resume the stream.
--- a/Source/StateDaemon/ReportHandler.cpp
+++ b/Source/StateDaemon/ReportHandler.cpp
@@ -63,8 +63,13 @@
 State::EntryDirectives
 ReportHandler::handleReport(const State::EntryReport &Report,
                             Common::TimePoint Now) {
-  for (const Routing::ServerTiming &Each : Report.Timings)
+  Common::ServiceName Service;
+  for (Routing::ServerTiming Each : Report.Timings) {
+    if (Each.Service.empty())
+      Each.Service = Service;
+    Service = Each.Service;
     this->Speeds.record(Each, Now);
+  }
   if (!this->Planner)
     this->Planner.emplace(Admission::LevelPlannerOptions(), Now);
   for (const Admission::ServiceLoad &Each : Report.Services)
--- a/Source/StateDaemon/RolloutDirector.cpp
+++ b/Source/StateDaemon/RolloutDirector.cpp
@@ -11,15 +11,11 @@
 
 namespace Events = Telemetry::Events;
 
-/// Empty as long as the registry knows no versions.
-template <class ServerRegistry>
-Common::SoftwareVersion versionOf(const ServerRegistry &Registry,
+/// Empty if the version is not known.
+Common::SoftwareVersion versionOf(const Membership::ServerRegistry &Registry,
                                   const Membership::ServerRecord &Record) {
-  if constexpr (requires { Registry.versionOf(Record.Id, Record.StartedAt); })
-    return Registry.versionOf(Record.Id, Record.StartedAt)
-        .value_or(Common::SoftwareVersion());
-  else
-    return {};
+  return Registry.versionOf(Record.Id, Record.StartedAt)
+      .value_or(Common::SoftwareVersion());
 }
 
 } // namespace
