--- a/Source/Core/Routing/ServerTiming.h
+++ b/Source/Core/Routing/ServerTiming.h
@@ -25,7 +25,12 @@
   float DecodeMilliseconds = 0;
 
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(this->Id, this->StartedAt, this->Service, this->PrefillTokens,
+    // An empty name takes one byte, as most entries have none.
+    bool HasService = !this->Service.empty();
+    Ar(HasService);
+    if (HasService)
+      Ar(this->Service);
+    Ar(this->Id, this->StartedAt, this->PrefillTokens,
        this->PrefillMilliseconds, this->DecodeSteps, this->DecodeRequestSteps,
        this->DecodeMilliseconds);
   }
