StateDaemon, Rollout: A completed rollout keeps its servers

Cause: the moment a rollout was completed, the number of servers was no longer held. Besides, the unasked directive of the completion opened the stopped servers again until the next poll.

Change: the number is held for 8 s after a rollout; a daemon that has carried the rollout out keeps the others excluded. VersionPolicy_/ ACompletedRolloutDoesNotOpenTheOthersAgain was not run on the old code; the hold has no unit test.

--- a/Source/Core/Rollout/VersionPolicy.cpp
+++ b/Source/Core/Rollout/VersionPolicy.cpp
@@ -99,6 +99,10 @@
   Directive &Current = *State.Newest;
   if (Received.Revision <= Current.Revision)
     return;
+  // The rollout that this daemon has carried out was completed. The others stay
+  // excluded, and the answer to the next poll brings the rest.
+  if (Current.OthersExcluded && Received.OnlyVersion == Current.Target)
+    return;
   if (Received.Number != Current.Number || Received.Target != Current.Target) {
     Current.TargetShare = 0;
     Current.OthersExcluded = false;
--- a/Source/StateDaemon/DutyRunner.cpp
+++ b/Source/StateDaemon/DutyRunner.cpp
@@ -21,6 +21,10 @@
 /// A new leader still reports windows that ended this many windows ago, in case
 /// the previous one did not.
 constexpr std::uint64_t MaxWindowsBack = 2;
+/// How long after a rollout the number of servers is not reduced either. Until
+/// the heartbeats of the servers that it ended have expired, these count as
+/// healthy, and the servers that replaced them would be taken for surplus.
+constexpr Common::Duration HoldAfterRollout = std::chrono::seconds(8);
 /// Factor on the lease, for hosts whose clocks run at different rates.
 constexpr double LeaseMargin = 1.1;
 constexpr int HttpConflict = 409;
@@ -153,9 +157,16 @@
 void DutyRunner::scaleServices() {
   const Common::TimePoint Now = this->Deps.Loop.now();
   std::set<Common::ServiceName> RollingOut;
-  for (const auto &[Service, Rollout] : this->Deps.State.rollouts().services())
+  for (const auto &[Service, Rollout] :
+       this->Deps.State.rollouts().services()) {
+    // A new leader does not know when an ended rollout ended.
+    const auto [SeenAt, IsNew] =
+        this->RolloutSeenAt.try_emplace(Service, this->LeadingSince);
     if (Rollout.isRunning())
+      SeenAt->second = Now;
+    if (Now - SeenAt->second < HoldAfterRollout)
       RollingOut.insert(Service);
+  }
   const auto Planned = this->Autoscaler.plan(
       *this->Declaration, this->Deps.Registry,
       this->Deps.Tracker.engineDemand(this->Deps.Registry), Now, RollingOut);
--- a/Source/StateDaemon/DutyRunner.h
+++ b/Source/StateDaemon/DutyRunner.h
@@ -64,6 +64,8 @@
 
   Dependencies Deps;
   std::shared_ptr<const Configuration::ServiceMap> Declaration;
+  /// When each service's rollout was last seen running.
+  std::map<Common::ServiceName, Common::TimePoint> RolloutSeenAt;
   Common::TimePoint LeadingSince;
   Fleet::Autoscaler Autoscaler;
   /// Windows whose counts are proposed but not committed yet.
--- a/Source/UnitTests/Rollout/VersionPolicyTest.cpp
+++ b/Source/UnitTests/Rollout/VersionPolicyTest.cpp
@@ -371,6 +371,28 @@
   BOOST_CHECK(Test.of("c") == Standing::Open);
 }
 
+// Guards against requests at servers that are stopped the moment a rollout is
+// completed: its unasked directive opened them again until the next poll.
+BOOST_AUTO_TEST_CASE(ACompletedRolloutDoesNotOpenTheOthersAgain) {
+  Fixture Test;
+  Directive Drain = running(5, 1);
+  Drain.OthersExcluded = true;
+  Test.Policy.apply(Drain, Test.Now);
+  BOOST_CHECK(Test.of("a") == Standing::Excluded);
+  BOOST_CHECK(Test.of("c") == Standing::Open);
+  Directive Completed;
+  Completed.Service = Shop;
+  Completed.Number = {1};
+  Completed.Revision = 6;
+  Completed.OnlyVersion = Common::SoftwareVersion("v2");
+  Test.Policy.apply(Completed, std::nullopt);
+  BOOST_CHECK(Test.of("a") == Standing::Excluded);
+  BOOST_CHECK(Test.of("c") == Standing::Open);
+  Test.Policy.apply(Completed, Test.Now);
+  BOOST_CHECK(Test.of("a") == Standing::Excluded);
+  BOOST_CHECK(Test.of("c") == Standing::Open);
+}
+
 BOOST_AUTO_TEST_CASE(WhileOthersAreExcludedTheyServeOnlyWithoutTheTarget) {
   Fixture Test;
   Directive Drain = running(1, 1);
