--- a/Source/EntryDaemon/EntrySettings.cpp
+++ b/Source/EntryDaemon/EntrySettings.cpp
@@ -40,7 +40,7 @@
   --retry-extra=N          Additional retries allowed for all daemons together.
   --retry-window=S         Window over which retries are counted.
   --usage-window=S         Length of a usage window.
-  --rollouts=N             1 to obey rollouts of server versions; 0 by default.
+  --rollouts=BOOL          true to obey rollouts of versions; false by default.
   --allowance-slack=N      Tokens tolerated above a team's limits per window.
   --allowance-over=N       Fraction of the limits tolerated above them.
   --allowance-window=S     Window over which a team's use is counted.
--- a/Source/EntryDaemon/GatewaySettings.cpp
+++ b/Source/EntryDaemon/GatewaySettings.cpp
@@ -33,7 +33,7 @@
       Reader.duration("--retry-window", Result.Retries.Window, Second);
   Result.UsageWindow =
       Reader.duration("--usage-window", Result.UsageWindow, Second);
-  Result.Rollouts = Reader.number("--rollouts", 0, 0, 1) == 1;
+  Result.Rollouts = Reader.text("--rollouts", "false") == "true";
   Result.Tolerance = Settings::readAllowanceTolerance(Reader);
   return Result;
 }
--- a/Source/FaultTests/RoutedCluster.cpp
+++ b/Source/FaultTests/RoutedCluster.cpp
@@ -164,7 +164,7 @@
           "--ready=" + Network::Address{entryIp(Number), ReadyPort}.str(),
           "--link-port=" + std::to_string(LinkPort),
           "--seeds=" + seedAddresses(), "--revoke-time=5000",
-          std::string("--rollouts=") + (this->Rollouts ? "1" : "0"),
+          std::string("--rollouts=") + (this->Rollouts ? "true" : "false"),
           "--shutdown-time=" + std::to_string(this->ShutdownSeconds)},
       this->newLogPath(Name));
 }
