--- a/Source/Core/Telemetry/LogEvents.h
+++ b/Source/Core/Telemetry/LogEvents.h
@@ -93,9 +93,7 @@
 inline constexpr LogEvent<3> ServerSilent{
     LogLevel::Warning, "server_silent", {"request", "server", "silent_ms"}};
 inline constexpr LogEvent<4> ServerSpeed{
-    LogLevel::Info,
-    "server_speed",
-    {"server", "started", "prefill", "decode"}};
+    LogLevel::Info, "server_speed", {"server", "started", "prefill", "decode"}};
 inline constexpr LogEvent<5> Takeover{
     LogLevel::Info, "takeover", {"request", "from", "to", "step", "reason"}};
 inline constexpr LogEvent<7> RestRequested{LogLevel::Info,
--- a/Source/EntryDaemon/EntrySettings.cpp
+++ b/Source/EntryDaemon/EntrySettings.cpp
@@ -43,7 +43,7 @@
   --retry-extra=N          Additional retries allowed for all daemons together.
   --retry-window=S         Window over which retries are counted.
   --usage-window=S         Length of a usage window.
-  --rollouts=N             1 to obey rollouts of server versions; 0 by default.
+  --rollouts=BOOL          true to obey rollouts of versions; false by default.
   --admission=0|1          Whether requests are admitted by priority, team and
                            work while a service is short of room.
   --allowance-slack=N      Tokens tolerated above a team's limits per window.
--- a/Source/EntryDaemon/RoutedAttempt.cpp
+++ b/Source/EntryDaemon/RoutedAttempt.cpp
@@ -282,7 +282,7 @@
   Routing::PlacementRequest Alternative = this->placement();
   if (this->CurrentAttempt)
     Alternative.Excluded.insert(this->CurrentAttempt->Server.Id);
-  const auto Chosen = this->Context.Servers.choose(Alternative, Now);
+  auto Chosen = this->Context.Servers.choose(Alternative, Now);
   if (!Chosen)
     return std::nullopt;
   // A stream without a server goes to any that accepts it.
--- a/Source/StateDaemon/ReportHandler.h
+++ b/Source/StateDaemon/ReportHandler.h
@@ -3,8 +3,8 @@
 
 #include "Admission/LevelPlanner.h"
 #include "Common/Time.h"
-#include "Routing/SpeedEstimator.h"
 #include "Membership/ServerRegistry.h"
+#include "Routing/SpeedEstimator.h"
 #include "State/ControlProtocol.h"
 #include "StateDaemon/RolloutDirector.h"
 
