--- a/Source/Core/Admission/AdmissionGate.cpp
+++ b/Source/Core/Admission/AdmissionGate.cpp
@@ -26,11 +26,6 @@
 /// all its time left.
 constexpr double LongWaitingWeight = 2;
 
-double fractionOf(std::uint64_t Hash) {
-  // The upper 53 bits fit into a double exactly.
-  return std::ldexp(static_cast<double>(Hash >> 11), -53);
-}
-
 /// The share of a rank that the level does not admit whole.
 double shareOf(const AdmissionLevel &Level, std::uint32_t Rank) {
   double Result = GuaranteedShare;
@@ -65,7 +60,6 @@
     Rank->Offered += Load.Offered;
     Rank->Refused += Load.Refused;
     Rank->WithoutRoom += Load.WithoutRoom;
-    Rank->Waiting = Load.Waiting;
   }
 }
 
@@ -140,7 +134,7 @@
   const std::int64_t Period = Query.TimeLeft / RepeatPeriod;
   const std::uint64_t Hash =
       Common::hashBytes(std::to_string(Period), Query.RequestHash);
-  Result.Admitted = fractionOf(Hash) < Result.Fraction * Weight;
+  Result.Admitted = Common::fractionOf(Hash) < Result.Fraction * Weight;
   if (!Result.Admitted)
     this->Meter.recordRefused(Query.Service, Query.Rank);
   return Result;
--- a/Source/Core/Admission/AdmissionLevel.h
+++ b/Source/Core/Admission/AdmissionLevel.h
@@ -21,11 +21,10 @@
   /// longer than their target allows, or servers rejected them.
   std::uint32_t WithoutRoom = 0;
   /// Held back by this daemon now.
-  std::uint32_t Waiting = 0;
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(this->Rank, this->OfferedMilliseconds, this->AdmittedMilliseconds,
-       this->Offered, this->Refused, this->WithoutRoom, this->Waiting);
+       this->Offered, this->Refused, this->WithoutRoom);
   }
 };
 
--- a/Source/Core/Admission/LoadMeter.h
+++ b/Source/Core/Admission/LoadMeter.h
@@ -25,9 +25,6 @@
   /// Records an admitted request for which no server had room in time.
   void recordWithoutRoom(const Common::ServiceName &Service,
                          std::uint32_t Rank);
-  /// Changes the number of requests that wait at this daemon.
-  void addWaiting(const Common::ServiceName &Service, std::uint32_t Rank,
-                  int Change);
 
   /// Returns the counts since the last call.
   std::vector<ServiceLoad> take(Common::TimePoint Now);
--- a/Source/Core/Common/Hash.cpp
+++ b/Source/Core/Common/Hash.cpp
@@ -1,6 +1,7 @@
 #include "Common/Hash.h"
 
 #include <array>
+#include <cmath>
 #include <cstdio>
 #include <openssl/crypto.h>
 #include <openssl/hmac.h>
@@ -33,6 +34,11 @@
   return XXH64(Bytes.data(), Bytes.size(), Seed);
 }
 
+double fractionOf(std::uint64_t Hash) {
+  // The upper 53 bits fit into a double exactly.
+  return std::ldexp(static_cast<double>(Hash >> 11), -53);
+}
+
 std::string sha256Hex(std::string_view Bytes) {
   std::array<unsigned char, SHA256_DIGEST_LENGTH> Digest{};
   SHA256(asBytes(Bytes), Bytes.size(), Digest.data());
--- a/Source/Core/Common/Hash.h
+++ b/Source/Core/Common/Hash.h
@@ -10,6 +10,9 @@
 /// 64-bit xxHash, for placement and checksums. Not cryptographically secure.
 std::uint64_t hashBytes(std::string_view Bytes, std::uint64_t Seed = 0);
 
+/// Maps Hash to [0, 1), evenly.
+double fractionOf(std::uint64_t Hash);
+
 /// SHA-256 of Bytes as 64 lower-case hexadecimal digits.
 std::string sha256Hex(std::string_view Bytes);
 
--- a/Source/Core/Rollout/Observer.cpp
+++ b/Source/Core/Rollout/Observer.cpp
@@ -60,8 +60,7 @@
 ObservedNumber Observer::recordStart(const Common::ServiceName &Service,
                                      const std::string &Route,
                                      const Common::BackendServerId &Server,
-                                     const Common::SoftwareVersion &Version,
-                                     Common::TimePoint) {
+                                     const Common::SoftwareVersion &Version) {
   Request Started;
   Started.Service = Service;
   Started.Version = Version;
--- a/Source/Core/Rollout/Observer.h
+++ b/Source/Core/Rollout/Observer.h
@@ -36,8 +36,7 @@
   ObservedNumber recordStart(const Common::ServiceName &Service,
                              const std::string &Route,
                              const Common::BackendServerId &Server,
-                             const Common::SoftwareVersion &Version,
-                             Common::TimePoint Now);
+                             const Common::SoftwareVersion &Version);
   /// The request was written to the server.
   void recordSent(ObservedNumber Number, Common::TimePoint Now);
   /// Output of a streamed answer arrived.
--- a/Source/Core/Rollout/VersionPolicy.cpp
+++ b/Source/Core/Rollout/VersionPolicy.cpp
@@ -13,12 +13,6 @@
   return std::find(Values.begin(), Values.end(), Searched) != Values.end();
 }
 
-/// Uniform in [0, 1).
-double fractionOf(std::uint64_t Hash) {
-  constexpr double Scale = 1.0 / 9007199254740992.0; // 2^-53
-  return static_cast<double>(Hash >> 11) * Scale;
-}
-
 bool sameContent(const Directive &Left, const Directive &Right) {
   return Left.Number == Right.Number && Left.Target == Right.Target &&
          Left.TargetShare == Right.TargetShare &&
@@ -261,7 +255,7 @@
     return false;
   const double Share = shareOf(Found->second, Now);
   return Share > 0 &&
-         fractionOf(Common::hashBytes(
+         Common::fractionOf(Common::hashBytes(
              RequestId, Found->second.Newest->Number.Value)) < Share;
 }
 
--- a/Source/Core/Routing/CrashAttribution.h
+++ b/Source/Core/Routing/CrashAttribution.h
@@ -40,10 +40,14 @@
   /// sending.
   using LastHeardOf = std::function<std::optional<Common::TimePoint>(
       const ServerIncarnation &)>;
+  /// A message that arrives sooner after a server's crash may have been sent
+  /// before it.
+  static constexpr Common::Duration MessageDelay =
+      std::chrono::milliseconds(300);
   /// A server process that is known to have run this long after a crash did not
   /// crash.
   static constexpr Common::Duration DisproofTime =
-      std::chrono::milliseconds(301);
+      MessageDelay + std::chrono::milliseconds(1);
   /// Whether the server was heard of so long after the crash that it was none.
   static bool isDisproved(const ServerIncarnation &Server,
                           Common::TimePoint CrashedAt,
@@ -74,10 +78,6 @@
   /// Time for answers that began after a crash to go on and to be reported.
   static constexpr Common::Duration MinEvidenceAge =
       std::chrono::milliseconds(1500);
-  /// A message that arrives sooner after a server's crash may have been sent
-  /// before it.
-  static constexpr Common::Duration MessageDelay =
-      std::chrono::milliseconds(300);
   static constexpr Common::Duration CrashRetention = std::chrono::minutes(10);
   /// Lost runs are reported for a shorter time.
   static constexpr Common::Duration SurvivalRetention = std::chrono::minutes(1);
--- a/Source/Core/Routing/ModelPrompt.h
+++ b/Source/Core/Routing/ModelPrompt.h
@@ -1,6 +1,7 @@
 #ifndef SYCAMOREREACH_ROUTING_MODELPROMPT_H
 #define SYCAMOREREACH_ROUTING_MODELPROMPT_H
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -26,6 +27,14 @@
   std::uint64_t totalTokens() const {
     return this->PromptTokens + this->MaxOutputTokens;
   }
+
+  /// The tokens after the shareable segments: no cache saves their prefill.
+  std::uint64_t unsharedTokens() const {
+    std::uint64_t Shared = 0;
+    for (std::size_t I = 0; I + 1 < this->Parts.size(); ++I)
+      Shared += this->Parts[I].Tokens;
+    return this->PromptTokens - std::min(this->PromptTokens, Shared);
+  }
 };
 
 } // namespace Routing
--- a/Source/Core/Routing/ServerTable.cpp
+++ b/Source/Core/Routing/ServerTable.cpp
@@ -102,14 +102,6 @@
   return Prompt.Parts[Prompt.Parts.size() - 2].Id;
 }
 
-/// Prompt tokens that are not part of a shared prefix.
-std::uint64_t unsharedTokens(const ModelPrompt &Prompt) {
-  std::uint64_t Shared = 0;
-  for (std::size_t I = 0; I + 1 < Prompt.Parts.size(); ++I)
-    Shared += Prompt.Parts[I].Tokens;
-  return Prompt.PromptTokens - std::min(Prompt.PromptTokens, Shared);
-}
-
 } // namespace
 
 ServerTable::ServerTable(ServerTableOptions Options)
@@ -303,18 +295,10 @@
   return Found == this->Profiles.end() ? nullptr : &Found->second;
 }
 
-EngineCost ServerTable::engineCost(const Common::ServiceName &Service) const {
-  const EngineProfile *Profile = this->profile(Service);
-  return {this->prefillRate(Service),
-          Profile ? Profile->StepMillisecondsPerRequest : 0};
-}
-
 EngineCost
 ServerTable::provisioningCost(const Common::ServiceName &Service) const {
-  const auto Found = this->PrefillRates.find(Service);
-  const PrefillRate Rate =
-      Found == this->PrefillRates.end() ? PrefillRate() : Found->second;
-  return {Rate.tokensPerMillisecond(), ProvisionedMillisecondsPerOutputToken};
+  return {this->idlePrefillRate(Service),
+          ProvisionedMillisecondsPerOutputToken};
 }
 
 bool ServerTable::isWarmingUp(const Common::BackendServerId &Id,
@@ -489,6 +473,10 @@
   const EngineProfile *Profile = this->profile(Service);
   if (Profile && Profile->PromptTokensPerMillisecond > 0)
     return Profile->PromptTokensPerMillisecond;
+  return this->idlePrefillRate(Service);
+}
+
+double ServerTable::idlePrefillRate(const Common::ServiceName &Service) const {
   const auto Found = this->PrefillRates.find(Service);
   return (Found == this->PrefillRates.end() ? PrefillRate() : Found->second)
       .tokensPerMillisecond();
@@ -535,7 +523,7 @@
   if (Request.Prompt) {
     const double Share = Id == Prefixes.Preferred ? OverflowPenaltyShare : 1;
     Result.Cost +=
-        static_cast<double>(Uncached - unsharedTokens(*Request.Prompt)) *
+        static_cast<double>(Uncached - Request.Prompt->unsharedTokens()) *
         RecomputePenaltyMillisecondsPerToken * Share;
     const double SlotLoad =
         (State.Running + State.RemoteRunning + 1.0) / Entry->Record.Slots;
--- a/Source/Core/Routing/ServerTable.h
+++ b/Source/Core/Routing/ServerTable.h
@@ -140,10 +140,8 @@
   std::size_t countOfOtherSpeed() const;
   /// Null before the service's profile is known.
   const EngineProfile *profile(const Common::ServiceName &Service) const;
-  /// What requests of the service cost at a server of speed 1.
-  EngineCost engineCost(const Common::ServiceName &Service) const;
-  /// The same in the unit in which servers are ordered, from the prefill of
-  /// almost idle engines.
+  /// What requests of the service cost at a server of speed 1, in the unit in
+  /// which servers are ordered, from the prefill of almost idle engines.
   EngineCost provisioningCost(const Common::ServiceName &Service) const;
   /// Whether the server announced reduced performance that is not over yet.
   bool isWarmingUp(const Common::BackendServerId &Id,
@@ -287,6 +285,9 @@
   static double unexpectedSilenceMilliseconds(const ServerState &State,
                                               double PrefillRate,
                                               Common::TimePoint Now);
+  /// The rate of almost idle engines of speed 1, in prompt tokens per
+  /// millisecond, as measured by this daemon.
+  double idlePrefillRate(const Common::ServiceName &Service) const;
   double expectedMilliseconds(const Membership::ServerRecord &Record,
                               const ServerState &State,
                               const PlacementRequest &Request,
--- a/Source/EntryDaemon/RolloutControl.cpp
+++ b/Source/EntryDaemon/RolloutControl.cpp
@@ -179,12 +179,11 @@
 
 Rollout::ObservedNumber
 RolloutControl::recordStart(const Routing::PlacementChoice &At,
-                            const std::string &Route, Common::TimePoint Now) {
+                            const std::string &Route) {
   if (At.Group == Routing::ServerGroup::Canary)
     this->Metrics.incrementCounter("rollout_canary_requests_total");
   return this->Observations.recordStart(
-      At.Service, Route, At.Id, this->versionOf(At.Id, At.ServerStartedAt),
-      Now);
+      At.Service, Route, At.Id, this->versionOf(At.Id, At.ServerStartedAt));
 }
 
 void RolloutControl::recordEnd(Rollout::ObservedNumber Number,
--- a/Source/EntryDaemon/RolloutControl.h
+++ b/Source/EntryDaemon/RolloutControl.h
@@ -40,8 +40,7 @@
   bool shouldMove(const Routing::PlacementChoice &At, Common::TimePoint Now);
 
   Rollout::ObservedNumber recordStart(const Routing::PlacementChoice &At,
-                                      const std::string &Route,
-                                      Common::TimePoint Now);
+                                      const std::string &Route);
   Rollout::Observer &observer() { return this->Observations; }
   /// Records the end of an attempt with regard to the server's health. A
   /// failure answer is recorded before, by recordFailure.
--- a/Source/EntryDaemon/RoutedAdmission.cpp
+++ b/Source/EntryDaemon/RoutedAdmission.cpp
@@ -1,6 +1,5 @@
 #include "Common/Hash.h"
 #include "EntryDaemon/RoutedCall.h"
-#include "Routing/EngineCost.h"
 #include "Telemetry/LogEvents.h"
 
 #include <absl/strings/str_cat.h>
@@ -43,13 +42,8 @@
   if (!this->CallerHeaders.Prompt)
     return PlainWork;
   const Routing::ModelPrompt &Prompt = *this->CallerHeaders.Prompt;
-  std::uint64_t Shared = 0;
-  for (std::size_t I = 0; I + 1 < Prompt.Parts.size(); ++I)
-    Shared += Prompt.Parts[I].Tokens;
-  const std::uint64_t Uncached =
-      Prompt.PromptTokens - std::min(Prompt.PromptTokens, Shared);
   return this->Context.Servers.provisioningCost(this->Service)
-      .milliseconds(Uncached, this->expectedOutputTokens());
+      .milliseconds(Prompt.unsharedTokens(), this->expectedOutputTokens());
 }
 
 double RoutedCall::timeLeftShare() const {
--- a/Source/EntryDaemon/RoutedAttempt.cpp
+++ b/Source/EntryDaemon/RoutedAttempt.cpp
@@ -229,8 +229,8 @@
                    "probed", "rest_over", this->CallerHeaders.RequestId, "");
   this->startMeasuring(*Started);
   if (this->Context.Rollouts)
-    Started->Observed = this->Context.Rollouts->recordStart(
-        To, this->route().Name, this->Context.Loop.now());
+    Started->Observed =
+        this->Context.Rollouts->recordStart(To, this->route().Name);
   Started->Call =
       this->Context.Client.start(std::move(Request), std::move(Handlers));
   if (!AsSecond)
@@ -771,9 +771,8 @@
       this->CurrentAttempt ? this->CurrentAttempt->Server.Id.str() : "";
   this->endAttempt(Outcome);
   const bool Retry = !this->SecondAttempt && this->canRetry(Result) &&
-                     (Result == AttemptResult::NotSent || this->RetryReserved ||
+                     (Result == AttemptResult::NotSent ||
                       this->Context.Retries.tryConsume(this->Service, Now));
-  this->RetryReserved = false;
   if (Result != AttemptResult::NotSent)
     ++this->Attempts;
   if (Result == AttemptResult::NotExecuted)
--- a/Source/EntryDaemon/RoutedCall.h
+++ b/Source/EntryDaemon/RoutedCall.h
@@ -246,8 +246,6 @@
   /// they did not execute it do not count against the route's MaxAttempts.
   std::uint32_t Executions = 0;
   std::uint32_t Rejections = 0;
-  /// A retry was taken from the retry budget for the next attempt.
-  bool RetryReserved = false;
   /// Whether any attempt may have executed the request.
   bool MayHaveExecuted = false;
   /// An attempt failed at a server that gets only a share of the requests.
--- a/Source/FaultTests/RoutedServingTest.cpp
+++ b/Source/FaultTests/RoutedServingTest.cpp
@@ -39,6 +39,43 @@
   return Response;
 }
 
+/// The response of a stream that pauses, and the timer of the events of another
+/// stream.
+struct PausedStream {
+  std::shared_ptr<RoutedResponse> Response;
+  Network::EventHandle EventTimer;
+};
+
+/// Starts a stream that goes on, and then one that pauses, at the server that
+/// OnServerRequest stores in Active and in Paused. A stream that ends at
+/// another server is sent again.
+PausedStream startActiveAndPausedStream(
+    RoutedCluster &Fixture,
+    const std::shared_ptr<Network::Http1Exchange> &Active,
+    const std::shared_ptr<Network::Http1Exchange> &Paused) {
+  PausedStream Result;
+  const auto StartUntil = [&](const char *Path, const auto &Reached) {
+    return Fixture.waitUntil([&] {
+      if (!Reached && (!Result.Response || Result.Response->Done))
+        Result.Response =
+            Fixture.startCall(Fixture.entryAddress(), "POST", Path, "",
+                              {{"X-Sycamorereach-Request-Id", "stream"},
+                               {"X-Sycamorereach-Request-Deadline", "10000"},
+                               {"Authorization", "Bearer key-1"}});
+      return Reached != nullptr;
+    });
+  };
+  BOOST_REQUIRE(StartUntil("/a/flow/x", Active));
+  Result.EventTimer = Fixture.loop().callEvery(
+      std::chrono::milliseconds(50), [&Active, LastEventId = 1]() mutable {
+        Active->sendChunk("id: " + std::to_string(++LastEventId) +
+                          "\ndata: a\n\n");
+      });
+  Result.Response.reset();
+  BOOST_REQUIRE(StartUntil("/a/slow-flow/x", Paused));
+  return Result;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(RoutedServing)
@@ -505,27 +542,9 @@
           Exchange->reply(200, Headers, FirstEvent);
         }
       };
-  std::shared_ptr<RoutedResponse> Response;
-  const auto StartUntil = [&](const char *Path, const auto &Reached) {
-    return Fixture.waitUntil([&] {
-      if (!Reached && (!Response || Response->Done))
-        Response =
-            Fixture.startCall(Fixture.entryAddress(), "POST", Path, "",
-                              {{"X-Sycamorereach-Request-Id", "stream"},
-                               {"X-Sycamorereach-Request-Deadline", "10000"},
-                               {"Authorization", "Bearer key-1"}});
-      return Reached != nullptr;
-    });
-  };
-  BOOST_REQUIRE(StartUntil("/a/flow/x", Active));
-  int LastEventId = 1;
-  const auto EventTimer =
-      Fixture.loop().callEvery(std::chrono::milliseconds(50), [&] {
-        Active->sendChunk("id: " + std::to_string(++LastEventId) +
-                          "\ndata: a\n\n");
-      });
-  Response.reset();
-  BOOST_REQUIRE(StartUntil("/a/slow-flow/x", Paused));
+  const PausedStream Stream =
+      startActiveAndPausedStream(Fixture, Active, Paused);
+  const std::shared_ptr<RoutedResponse> &Response = Stream.Response;
   // Callers wait for 8 times the route's gap-target-ms.
   constexpr Common::Duration AbandonPause = std::chrono::milliseconds(8 * 500);
   const Common::TimePoint PausedAt = Fixture.loop().now();
@@ -582,27 +601,9 @@
             Exchange->reply(200, Headers, FirstEvent);
           }
         };
-    std::shared_ptr<RoutedResponse> Response;
-    const auto StartUntil = [&](const char *Path, const auto &Reached) {
-      return Fixture.waitUntil([&] {
-        if (!Reached && (!Response || Response->Done))
-          Response =
-              Fixture.startCall(Fixture.entryAddress(), "POST", Path, "",
-                                {{"X-Sycamorereach-Request-Id", "stream"},
-                                 {"X-Sycamorereach-Request-Deadline", "10000"},
-                                 {"Authorization", "Bearer key-1"}});
-        return Reached != nullptr;
-      });
-    };
-    BOOST_REQUIRE(StartUntil("/a/flow/x", Active));
-    int LastEventId = 1;
-    const auto EventTimer =
-        Fixture.loop().callEvery(std::chrono::milliseconds(50), [&] {
-          Active->sendChunk("id: " + std::to_string(++LastEventId) +
-                            "\ndata: a\n\n");
-        });
-    Response.reset();
-    BOOST_REQUIRE(StartUntil("/a/slow-flow/x", Paused));
+    const PausedStream Stream =
+        startActiveAndPausedStream(Fixture, Active, Paused);
+    const std::shared_ptr<RoutedResponse> &Response = Stream.Response;
     BOOST_REQUIRE(Fixture.waitUntil([&] { return Resumed > 0; }));
     BOOST_TEST(!FirstLeft);
     if (Accepts) {
--- a/Source/StateDaemon/Controller.h
+++ b/Source/StateDaemon/Controller.h
@@ -136,6 +136,8 @@
   void raiseProtocolLevel();
 
   // Rollouts.
+  /// The time of rollouts: the median of the daemons' clocks on the leader.
+  Common::WallTime rolloutTime(Common::TimePoint Now) const;
   RolloutDirector::Dependencies rolloutDependencies();
   /// Proposes phases and verdicts of rollouts while this daemon leads.
   void planRollouts(Common::TimePoint Now);
--- a/Source/StateDaemon/ControllerRollouts.cpp
+++ b/Source/StateDaemon/ControllerRollouts.cpp
@@ -22,6 +22,10 @@
 
 } // namespace
 
+Common::WallTime Controller::rolloutTime(Common::TimePoint Now) const {
+  return this->Tracker ? this->Tracker->medianTime(Now) : this->Loop.wallNow();
+}
+
 RolloutDirector::Dependencies Controller::rolloutDependencies() {
   // Numbers of directives in one term; a leader changes one at most every
   // 100 ms.
@@ -31,10 +35,7 @@
           this->Metrics,
           this->Settings.Exposure,
           this->Driver->replica()->term().Value << RevisionBits,
-          [this](Common::TimePoint Now) {
-            return this->Tracker ? this->Tracker->medianTime(Now)
-                                 : this->Loop.wallNow();
-          }};
+          [this](Common::TimePoint Now) { return this->rolloutTime(Now); }};
 }
 
 void Controller::planRollouts(Common::TimePoint Now) {
@@ -87,9 +88,7 @@
       this->State.rollouts().find(Order.Service);
   if (!Known)
     return false;
-  const std::uint64_t Wall =
-      this->Tracker ? this->Tracker->medianTime(this->Loop.now()).Milliseconds
-                    : this->Loop.wallNow().Milliseconds;
+  const std::uint64_t Wall = this->rolloutTime(this->Loop.now()).Milliseconds;
   const auto RepeatMilliseconds = static_cast<std::uint64_t>(
       Common::toMilliseconds(this->Settings.AckTime + RepeatMargin));
   const bool IsRepeat = Known->Target == Order.Target &&
@@ -120,8 +119,7 @@
   Command.Number = this->State.rollouts().nextNumber();
   Command.Target = Order.Target;
   Command.DurationMilliseconds = Order.DurationMilliseconds;
-  Command.BegunAt = this->Tracker ? this->Tracker->medianTime(this->Loop.now())
-                                  : this->Loop.wallNow();
+  Command.BegunAt = this->rolloutTime(this->Loop.now());
   const bool Appended = this->Driver->propose(
       Network::encode(State::ControlCommand(Command)),
       [this, Exchange, Order](ReplicaDriver::ProposalOutcome Outcome) {
--- a/Source/UnitTests/Rollout/ObserverTest.cpp
+++ b/Source/UnitTests/Rollout/ObserverTest.cpp
@@ -24,7 +24,7 @@
   ObservedNumber send(const char *Server, const Common::SoftwareVersion &Of,
                       const char *Route = "chat") {
     const ObservedNumber Result = this->Observed.recordStart(
-        Shop, Route, Common::BackendServerId(Server), Of, this->Now);
+        Shop, Route, Common::BackendServerId(Server), Of);
     this->Observed.recordSent(Result, this->Now);
     return Result;
   }
