--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,6 +1,6 @@
-// The operator takes the last tenant away: the configuration contains
-// `tenants`, and the list is empty. From then on no key is known, so no request
-// on a route that is not public may run.
+// The operator sends an invalid configuration: its version is -1. The valid
+// configuration that follows is acknowledged; it must be in force and be read
+// back.
 
 #include "../harness-2/servers.h"
 
@@ -8,27 +8,47 @@
 
 namespace {
 
-constexpr double RevokeSeconds = 5.0;
-constexpr int Edges = 2;
+constexpr double ApplySeconds = 2.0;
 
-struct Sent {
-  std::string Key;
-  double At = 0;
-  int Status = 0;
-};
+/// The route of each version has the version in its path.
+std::string versioned(std::uint64_t Version) {
+  return configuration(Version,
+                       {{"/orders/", "unsafe", "orders"},
+                        {"/v" + std::to_string(Version) + "/", "safe",
+                         "orders"}},
+                       {"orders"});
+}
+
+int statusOf(Deployment &Of, int Edge, const std::string &Path) {
+  static int Number = 0;
+  const std::string Id = "request-" + std::to_string(++Number);
+  const Message Answer = call(Of.front(Edge), "GET", Path,
+                              {{"Host", "yard.example"},
+                               {"X-Sycamorereach-Request-Id", Id},
+                               {"X-Sycamorereach-Request-Deadline", "1500"},
+                               {"Authorization", "Bearer key-of-yard"}},
+                              "", 2);
+  note("sent " + Id + " " + Path + " to edge-" + std::to_string(Edge) +
+       ", answered " + std::to_string(Answer.Status));
+  return Answer.Status;
+}
 
-std::string documentOf(std::uint64_t Version, bool WithTenant) {
-  std::string Result =
-      configuration(Version, {{"/orders/", "unsafe", "orders"}}, {"orders"});
-  if (WithTenant)
-    return Result;
-  const std::size_t Begin = Result.find("\"tenants\":[") + 11;
-  return Result.replace(Begin, Result.rfind(']') - Begin, "");
+Message readBack(Deployment &Of) {
+  Message Answer;
+  for (int Try = 0; Try < 40; ++Try) {
+    Answer = Of.controlCall("GET", "/sycamorereach/config/read", "", Try % 4 + 1);
+    if (Answer.Complete && Answer.Status == 200)
+      break;
+    sleepFor(0.1);
+  }
+  note("read back " + std::to_string(Answer.Status) + " " +
+       Answer.Body.substr(0, 30));
+  return Answer;
 }
 
 int runThis() {
-  Deployment Of(Edges);
-  Of.startAll(documentOf(7, true));
+  Deployment Of(2);
+  Of.startAll(versioned(7));
   std::vector<std::unique_ptr<Replica>> Servers;
   for (int I = 1; I <= 2; ++I) {
     Replica::Options Given;
@@ -38,62 +58,47 @@
     Servers.push_back(std::make_unique<Replica>(Of, Given));
   }
   sleepFor(2.5);
+  if (!Of.declare(versioned(8), 5))
+    cannotRun("version 8 was not acknowledged");
+  note("version 8 acknowledged");
+  sleepFor(ApplySeconds + 0.5);
+  if (statusOf(Of, 1, "/v8/x") != 200 || statusOf(Of, 2, "/v8/x") != 200)
+    cannotRun("version 8 is not served");
 
-  std::map<std::string, Sent> AllSent;
-  const auto Send = [&](const std::string &Key) {
-    for (int Edge = 1; Edge <= Edges; ++Edge) {
-      const std::string Id = "request-" + std::to_string(AllSent.size() + 1);
-      const double At = now();
-      const Message Answer = call(Of.front(Edge), "POST", "/orders/x",
-                                  {{"Host", "yard.example"},
-                                   {"X-Sycamorereach-Request-Id", Id},
-                                   {"X-Sycamorereach-Request-Deadline", "1500"},
-                                   {"Authorization", "Bearer " + Key}},
-                                  "reserve", 2);
-      AllSent[Id] = {Key, At, Answer.Status};
-      note("sent " + Id + " with " + Key + " to edge-" + std::to_string(Edge) +
-           ", answered " + std::to_string(Answer.Status));
+  int Broken = 0;
+  if (hasTrouble()) {
+    std::string Invalid = versioned(1);
+    Invalid.replace(Invalid.find("\"version\":1"), 11, "\"version\":-1");
+    const Message Answer = Of.controlCall(
+        "POST", "/sycamorereach/config/replace", Invalid, 1, 3);
+    note("disruption: sent the version -1, answered " +
+         std::to_string(Answer.Status));
+    sleepFor(ApplySeconds + 0.5);
+    const Message Now = readBack(Of);
+    if (Now.Body != versioned(8)) {
+      ++Broken;
+      note("broken: the invalid configuration is in force");
     }
-  };
-  Send("key-of-yard");
-  Send("key-of-nobody");
-  for (const auto &[Id, Each] : AllSent)
-    if (Each.Status != (Each.Key == "key-of-yard" ? 200 : 401))
-      cannotRun("the keys are not obeyed before the change");
-
-  const std::string Change = documentOf(8, !hasTrouble());
-  note("sends " + Change.substr(Change.find("\"tenants\"")));
-  if (!Of.declare(Change, 5))
-    cannotRun("the change was not acknowledged");
-  const double AcknowledgedAt = now();
-  note("version 8 acknowledged");
-  sleepFor(RevokeSeconds + 0.5);
-  for (int I = 0; I < 10; ++I) {
-    Send("key-of-yard");
-    Send("key-of-nobody");
-    sleepFor(0.1);
   }
-
-  int Revoked = 0;
-  int Unknown = 0;
-  for (const auto &Server : Servers)
-    for (const Replica::Run &Each : Server->runs()) {
-      const Sent &From = AllSent[Each.RequestId];
-      const bool IsLate = From.At > AcknowledgedAt + RevokeSeconds;
-      if (From.Key == "key-of-nobody") {
-        ++Unknown;
-        note("broken: " + Each.RequestId +
-             " ran with a key that no configuration ever held");
-      } else if (IsLate && hasTrouble()) {
-        ++Revoked;
-        note("broken: " + Each.RequestId + " ran " +
-             std::to_string(From.At - AcknowledgedAt) +
-             " s after the change that took its key away");
+  for (const std::uint64_t Version : {9, 12}) {
+    const std::string Document = versioned(Version);
+    if (!Of.declare(Document, 5))
+      cannotRun("a valid version was not acknowledged");
+    note("version " + std::to_string(Version) + " acknowledged");
+    sleepFor(ApplySeconds + 0.5);
+    for (int Edge = 1; Edge <= 2; ++Edge)
+      if (statusOf(Of, Edge, "/v" + std::to_string(Version) + "/x") == 404) {
+        ++Broken;
+        note("broken: edge-" + std::to_string(Edge) +
+             " does not know the route of an acknowledged version");
       }
+    if (readBack(Of).Body != Document) {
+      ++Broken;
+      note("broken: the acknowledged version is not what is read back");
     }
-  note("ran with a key that was taken away " + std::to_string(Revoked) +
-       ", with a key that never was " + std::to_string(Unknown));
-  return Revoked + Unknown > 0 ? 1 : 0;
+  }
+  note("broken " + std::to_string(Broken));
+  return Broken > 0 ? 1 : 0;
 }
 
 } // namespace
