--- a/review/harness-2/harness.h
+++ b/review/harness-2/harness.h
@@ -29,6 +29,7 @@
 #include <poll.h>
 #include <sstream>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -317,6 +318,8 @@
         open(LogPath.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     this->Id = fork();
     if (this->Id == 0) {
+      // Nothing may outlive this program, however it ends.
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
       dup2(Log, 1);
       dup2(Log, 2);
       execve(Arguments[0], Arguments.data(), Environment);
@@ -614,7 +617,10 @@
 /// An HTTP server with a thread for each connection.
 class Server {
 public:
-  /// Returns the bytes to send; empty to close the connection.
+  static constexpr const char *HandledResponse = "\1";
+
+  /// Returns the bytes to send, HandledResponse if they were sent already, or
+  /// nothing to close the connection.
   using Handler = std::function<std::string(const Message &, Channel &)>;
 
   Server(const Address &Listen, Handler OnRequest)
@@ -667,7 +673,7 @@
           if (!Request.Complete || this->Stopped)
             break;
           const std::string Response = this->OnRequest(Request, *Accepted);
-          if (Response == "\1")
+          if (Response == HandledResponse)
             continue;
           if (Response.empty() || this->Stopped || !Accepted->write(Response))
             break;
@@ -961,8 +967,9 @@
   std::signal(SIGPIPE, SIG_IGN);
   startTime();
   record().open(Count > 1 ? Arguments[1] : "record.txt");
-  // The limit of a script is 120 s.
-  std::signal(SIGTERM, SIG_DFL);
+  // A script may run for 120 s.
+  std::signal(SIGALRM, [](int) { _exit(2); });
+  alarm(110);
   try {
     return Case();
   } catch (int Code) {
