Configuration: An empty list of teams requires keys

Cause: ServiceMap::requiresKeys derived from an empty list of teams that the document has no `tenants` at all. The decoder did not keep the difference, so "no key is valid" and "no key is needed" were the same map.

Evidence: with the old code, RoutedConfiguration/WithoutItsLastTeam... got 200 instead of 401 for all three keys, one of them empty, and the requests reached the server. The case passes on the public route, which needs no key.

Change: the map keeps whether keys are required. Related path: an empty key in a team's list matched requests that carry none; findTeamByKey no longer finds a team for an empty key. The document stays valid, as the users' pages name no rule against it. Ruled out: the own interface (identifyCaller refuses a missing key first), and other uses of teams() (allowances, usage), which need no team to refuse.

--- a/Source/Core/Configuration/ServiceMap.cpp
+++ b/Source/Core/Configuration/ServiceMap.cpp
@@ -118,6 +118,8 @@
 }
 
 const Team *ServiceMap::findTeamByKey(const std::string &Key) const {
+  if (Key.empty())
+    return nullptr;
   const auto Found = this->TeamIndexes.find(Key);
   return Found == this->TeamIndexes.end() ? nullptr
                                           : &this->Parts.Teams[Found->second];
--- a/Source/Core/Configuration/ServiceMap.h
+++ b/Source/Core/Configuration/ServiceMap.h
@@ -119,6 +119,9 @@
   std::vector<Route> Routes;
   std::vector<ServiceEntry> Services;
   std::vector<Team> Teams;
+  /// Requests need an API key even if Teams is empty, as when an operator
+  /// removes the last team.
+  bool KeysRequired = false;
   RequestLimits Limits;
 };
 
@@ -135,7 +138,8 @@
   /// Finds the route of the Host header with the longest path prefix of Path;
   /// null if there is none.
   const Route *route(const std::string &Host, const std::string &Path) const;
-  /// Finds the team that owns the API key; null if there is none.
+  /// Finds the team that owns the API key; null if there is none. An empty key
+  /// stands for a request without one, and is nobody's.
   const Team *findTeamByKey(const std::string &Key) const;
   const Team *team(const TeamName &Name) const;
   const ServiceEntry *service(const Common::ServiceName &Name) const;
@@ -146,8 +150,10 @@
   /// rank.
   std::uint32_t rank(const Route &Matched, const Team *Sender) const;
   static constexpr std::uint32_t RankCount = 10;
-  /// Whether requests need an API key; false if there are no teams.
-  bool requiresKeys() const { return !this->Parts.Teams.empty(); }
+  /// Whether requests of routes that are not public need an API key.
+  bool requiresKeys() const {
+    return this->Parts.KeysRequired || !this->Parts.Teams.empty();
+  }
 
   const std::vector<Route> &routes() const { return this->Parts.Routes; }
   const std::vector<ServiceEntry> &services() const {
--- /dev/null
+++ b/Source/FaultTests/RoutedConfigurationTest.cpp
@@ -0,0 +1,61 @@
+#include "FaultTests/RoutedCluster.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace FaultTests {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr const char *ReadPath = "/sycamorereach/config/read";
+constexpr const char *ReplacePath = "/sycamorereach/config/replace";
+
+/// The configuration in force has the version 3 and its routes under /a/.
+struct Fixture : RoutedCluster {
+  Fixture() { this->startAll(); }
+
+  /// A valid document of a newer version, with its routes under /b/.
+  static Json newerDocument() { return Json::parse(declaration(4, "/b/")); }
+
+  bool declare(const Json &Document, int Status = 200) {
+    return this->operatorCall("POST", ReplacePath, Document.dump(), Status);
+  }
+
+  void expectRefused(const Json &Document) {
+    BOOST_TEST(this->declare(Document, 400), Document.dump());
+  }
+
+  void expectInForce(const std::string &Document, const std::string &Path) {
+    BOOST_TEST(
+        this->waitUntil([&] { return this->request(Path).Status == 200; }));
+    std::string Read;
+    BOOST_TEST(this->operatorCall("GET", ReadPath, "", 200, &Read));
+    BOOST_TEST(Read == Document);
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RoutedConfiguration)
+
+// Guards against requests that run with any key once the last team is removed.
+BOOST_AUTO_TEST_CASE(WithoutItsLastTeamAConfigurationAdmitsNoKey) {
+  Fixture Test;
+  Json NoTeams = Json::parse(RoutedCluster::declaration(4, "/a/"));
+  NoTeams["tenants"] = Json::array();
+  NoTeams["routes"].push_back(NoTeams["routes"][0]);
+  NoTeams["routes"].back()["path-prefix"] = "/public/";
+  NoTeams["routes"].back()["public"] = true;
+  BOOST_REQUIRE(Test.declare(NoTeams));
+  BOOST_TEST(
+      Test.waitUntil([&] { return Test.request("/public/x").Status == 200; }));
+  const int RequestsBefore = Test.ServerRequests;
+  for (const char *Key : {"key-1", "key-of-nobody", ""})
+    BOOST_TEST(Test.request("/a/x", Key).Status == 401);
+  BOOST_TEST(Test.ServerRequests == RequestsBefore);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace FaultTests
--- a/Source/UnitTests/Configuration/ServiceMapTest.cpp
+++ b/Source/UnitTests/Configuration/ServiceMapTest.cpp
@@ -61,6 +61,28 @@
   BOOST_TEST(Map->findTeamByKey("") == nullptr);
 }
 
+// Without its last team, a configuration admitted requests with any key.
+BOOST_AUTO_TEST_CASE(KeysAreRequiredWithoutTeams) {
+  ServiceMapParts Parts = validParts();
+  Parts.Teams.clear();
+  BOOST_TEST(!ServiceMap::create(Parts)->requiresKeys());
+  Parts.KeysRequired = true;
+  const auto Map = ServiceMap::create(Parts);
+  BOOST_REQUIRE(Map.ok());
+  BOOST_TEST(Map->requiresKeys());
+  BOOST_TEST(Map->findTeamByKey("k1") == nullptr);
+}
+
+// A request without a key must not pass for a team whose key is empty.
+BOOST_AUTO_TEST_CASE(AnEmptyKeyIdentifiesNoTeam) {
+  ServiceMapParts Parts = validParts();
+  Parts.Teams.front().Keys.push_back("");
+  const auto Map = ServiceMap::create(Parts);
+  BOOST_REQUIRE(Map.ok());
+  BOOST_TEST(Map->findTeamByKey("") == nullptr);
+  BOOST_TEST(Map->findTeamByKey("k1") != nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(InvalidDeclarationsNameTheirError) {
   struct Row {
     const char *Description;
--- a/Source/UnitTests/Platform/PlatformTest.cpp
+++ b/Source/UnitTests/Platform/PlatformTest.cpp
@@ -59,6 +59,19 @@
   BOOST_TEST(Team->PlainRequestTokens == 200);
 }
 
+// A configuration whose last team was removed admitted requests with any key.
+BOOST_AUTO_TEST_CASE(AnEmptyListOfTeamsStillRequiresKeys) {
+  Json Document = validDocument();
+  Document["tenants"] = Json::array();
+  const auto NoTeams = Platform::decodeConfiguration(Document.dump());
+  BOOST_REQUIRE_MESSAGE(NoTeams.ok(), NoTeams.status().message());
+  BOOST_TEST(NoTeams->requiresKeys());
+  Document.erase("tenants");
+  const auto NoKeys = Platform::decodeConfiguration(Document.dump());
+  BOOST_REQUIRE(NoKeys.ok());
+  BOOST_TEST(!NoKeys->requiresKeys());
+}
+
 BOOST_AUTO_TEST_CASE(RejectsInvalidConfigurations) {
   struct Case {
     const char *Description;
