Platform: Numbers of a configuration are checked before they are converted

Cause: nlohmann's get<std::uint64_t>() converts any JSON number: -1 to 2^64 - 1, 8.7 to 8, and a number beyond the range to whatever the processor does, which differs between x86-64 and arm64. The 32-bit fields take booleans as well, and 2^32 became 0. So it is one fault of the decoder, not of the version: weights of 5 and -5 added up to more than 0, a priority of -1 was the least urgent, and a max-attempts of -1 had no limit. Milliseconds beyond 2^63 microseconds overflowed.

Change: checkConfiguration checks type and range of every field of a document that the operator sends, and names the wrong one by its path. What is stored was accepted by an earlier release, so daemons read it with decodeStoredConfiguration, which limits numbers to their range instead.

Evidence: RoutedConfiguration/AVersionThatIsNoWholeNumberIsRefused and Platform_/RejectsNumbersOutOfRange failed with the old decoder: -1, 8.7 and 1e30 were acknowledged, and version 4 was not read back.

Ruled out as related: heartbeats and rollout orders check their numbers already; the own interface parses text with SimpleAtoi, which refuses a sign.

--- a/Source/EntryDaemon/Gateway.cpp
+++ b/Source/EntryDaemon/Gateway.cpp
@@ -243,7 +243,7 @@
                      Push.Version > this->Context.Declaration->version();
   if (!Newer)
     return;
-  auto Decoded = Platform::decodeConfiguration(Push.Document);
+  auto Decoded = Platform::decodeStoredConfiguration(Push.Document);
   if (!Decoded.ok()) {
     Telemetry::log(Events::DeclarationUnreadable, Push.Version.Value,
                    Decoded.status().message());
--- a/Source/FaultTests/RoutedConfigurationTest.cpp
+++ b/Source/FaultTests/RoutedConfigurationTest.cpp
@@ -56,6 +56,21 @@
   BOOST_TEST(Test.ServerRequests == RequestsBefore);
 }
 
+// Guards against a version below 0 that is taken for the highest one, after
+// which no other version can take effect.
+BOOST_AUTO_TEST_CASE(AVersionThatIsNoWholeNumberIsRefused) {
+  Fixture Test;
+  for (const Json &Version : {Json(-1), Json(8.7), Json(1e30), Json("4")}) {
+    Json Document = Fixture::newerDocument();
+    Document["version"] = Version;
+    Test.expectRefused(Document);
+  }
+  Test.expectInForce(RoutedCluster::declaration(3, "/a/"), "/a/x");
+  const Json Newer = Fixture::newerDocument();
+  BOOST_REQUIRE(Test.declare(Newer));
+  Test.expectInForce(Newer.dump(), "/b/x");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace FaultTests
--- a/Source/StateDaemon/Controller.cpp
+++ b/Source/StateDaemon/Controller.cpp
@@ -226,7 +226,7 @@
 }
 
 void Controller::decodeDeclaration() {
-  auto Map = Platform::decodeConfiguration(this->State.document());
+  auto Map = Platform::decodeStoredConfiguration(this->State.document());
   if (!Map.ok()) {
     // Unexpected: the document was decoded once before it was proposed.
     Telemetry::log(Events::DeclarationUnreadable,
--- a/Source/UnitTests/Platform/PlatformTest.cpp
+++ b/Source/UnitTests/Platform/PlatformTest.cpp
@@ -112,6 +112,133 @@
     BOOST_TEST(!Platform::decodeConfiguration(Document.substr(0, Length)).ok());
 }
 
+// Guards against a number that is converted to another one, so that a version
+// of -1 became the highest one and two weights added up to more than 0.
+BOOST_AUTO_TEST_CASE(RejectsNumbersOutOfRange) {
+  const std::vector<std::string> Counts = {
+      "/routes/0/priority",        "/routes/0/max-attempts",
+      "/services/0/max-conns",     "/services/0/engine/slots",
+      "/services/0/engine/stride", "/services/0/scaling/min",
+      "/services/0/scaling/max",   "/tenants/0/priority"};
+  const std::vector<std::string> Amounts = {"/routes/0/timeout-ms",
+                                            "/routes/0/slo-ms",
+                                            "/routes/0/gap-target-ms",
+                                            "/routes/0/backends/0/weight",
+                                            "/services/0/engine/kv-capacity",
+                                            "/services/0/engine/kv-token-bytes",
+                                            "/services/0/scaling/boot-s",
+                                            "/services/0/scaling/spot-price",
+                                            "/services/0/scaling/zone-prices/z",
+                                            "/tenants/0/rate-per-s",
+                                            "/tenants/0/burst",
+                                            "/tenants/0/plain-tokens",
+                                            "/limits/max-header-bytes",
+                                            "/limits/max-body-bytes",
+                                            "/limits/header-timeout-ms",
+                                            "/limits/idle-timeout-ms"};
+  const auto Accepts = [](const std::string &Path, const Json &Value) {
+    Json Document = validDocument();
+    Document[Json::json_pointer(Path)] = Value;
+    return Platform::decodeConfiguration(Document.dump()).ok();
+  };
+  for (const Json &Value :
+       {Json(-1), Json(-0.5), Json(8.7), Json(1e30), Json(true), Json("7")}) {
+    BOOST_TEST(!Accepts("/version", Value), Value);
+    for (const std::string &Path : Counts)
+      BOOST_TEST(!Accepts(Path, Value), Path << " = " << Value);
+  }
+  for (const std::string &Path : Counts) {
+    BOOST_TEST(!Accepts(Path, 4294967296), Path);
+    BOOST_TEST(Accepts(Path, 4294967295), Path);
+    BOOST_TEST(Accepts(Path, 2.0), Path);
+  }
+  for (const std::string &Path : Amounts) {
+    for (const Json &Value : {Json(-1), Json(-0.5), Json(true), Json("7")})
+      BOOST_TEST(!Accepts(Path, Value), Path << " = " << Value);
+    for (const Json &Value : {Json(7), Json(7.5), Json(1e300)})
+      BOOST_TEST(Accepts(Path, Value), Path << " = " << Value);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(KeepsTheVersionOfADocument) {
+  const auto VersionOf = [](const std::string &Text) {
+    Json Document = validDocument();
+    Document.erase("version");
+    const std::string Rest = Document.dump().substr(1);
+    const auto Map =
+        Platform::decodeConfiguration("{\"version\":" + Text + "," + Rest);
+    BOOST_REQUIRE_MESSAGE(Map.ok(), Map.status().message());
+    return Map->version().Value;
+  };
+  BOOST_TEST(VersionOf("0") == 0u);
+  BOOST_TEST(VersionOf("7.0") == 7u);
+  BOOST_TEST(VersionOf("1e3") == 1000u);
+  BOOST_TEST(VersionOf("9007199254740993") == 9007199254740993u);
+  BOOST_TEST(VersionOf("18446744073709551615") == 18446744073709551615u);
+}
+
+// The ratio of the weights counts, also if they are no whole numbers.
+BOOST_AUTO_TEST_CASE(WeightsMayHaveFractions) {
+  const auto WeightsOf = [](double First, double Second) {
+    Json Document = validDocument();
+    Document["routes"][0]["backends"][0]["weight"] = First;
+    Document["routes"][0]["backends"][1]["weight"] = Second;
+    const auto Map = Platform::decodeConfiguration(Document.dump());
+    BOOST_REQUIRE_MESSAGE(Map.ok(), Map.status().message());
+    const auto &Services = Map->routes()[0].Services;
+    return std::make_pair(Services[0].Weight, Services[1].Weight);
+  };
+  BOOST_CHECK(WeightsOf(90, 10) == std::make_pair(90u, 10u));
+  BOOST_CHECK(WeightsOf(0.25, 0.5) == std::make_pair(500'000u, 1'000'000u));
+  BOOST_CHECK(WeightsOf(1e12, 0) == std::make_pair(1'000'000u, 0u));
+  BOOST_CHECK(WeightsOf(1e12, 1e-3) == std::make_pair(1'000'000u, 1u));
+}
+
+// Guards against a document that an earlier release accepted and stored, and
+// that keeps a daemon of this release from starting or from later versions.
+BOOST_AUTO_TEST_CASE(ReadsWhatEarlierReleasesAccepted) {
+  struct Row {
+    const char *Path;
+    Json Value;
+  };
+  const std::vector<Row> Rows = {{"/services/0/max-conns", true},
+                                 {"/version", -1},
+                                 {"/version", 8.7},
+                                 {"/routes/0/backends/0/weight", -90},
+                                 {"/routes/0/backends/0/weight", true},
+                                 {"/routes/0/slo-ms", -1e300},
+                                 {"/routes/0/timeout-ms", 1e300},
+                                 {"/routes/0/priority", -1},
+                                 {"/routes/0/max-attempts", 1e30},
+                                 {"/services/0/engine/kv-capacity", -1},
+                                 {"/services/0/scaling/max", -1},
+                                 {"/tenants/0/rate-per-s", -1},
+                                 {"/limits/max-body-bytes", -1}};
+  for (const Row &Each : Rows) {
+    Json Document = validDocument();
+    Document[Json::json_pointer(Each.Path)] = Each.Value;
+    BOOST_TEST(!Platform::decodeConfiguration(Document.dump()).ok() ==
+                   (Each.Value != Json(1e300)),
+               Each.Path << " = " << Each.Value);
+    const auto Stored = Platform::decodeStoredConfiguration(Document.dump());
+    BOOST_TEST(Stored.ok(), Each.Path << " = " << Each.Value);
+    if (Stored.ok())
+      BOOST_TEST(Stored->requiresKeys());
+  }
+  const auto StoredVersion = [](const Json &Version) {
+    Json Document = validDocument();
+    Document["version"] = Version;
+    return Platform::decodeStoredConfiguration(Document.dump())
+        ->version()
+        .Value;
+  };
+  BOOST_TEST(StoredVersion(7) == 7u);
+  BOOST_TEST(StoredVersion(-1) == 0u);
+  BOOST_TEST(StoredVersion(8.7) == 7u);
+  BOOST_TEST(StoredVersion(0.5) == 0u);
+  BOOST_TEST(StoredVersion(1e30) == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(RejectsHeartbeatsWithoutUsableServer) {
   const Common::BackendServerId Id("i-1");
   const auto Valid = Platform::decodeHeartbeat(Id, validHeartbeat().dump());
