StateDaemon: A stored version that is no whole number is corrected

Refusing such documents does not free a group that has stored one.

Change: a stored document whose version is no whole number counts as the version below its whole part, or as 0, so 8.7 as 7 and -1 as 0. All daemons must agree on that, so it is a command, CorrectVersionCommand, which the leader proposes once all members support it (protocol level 3). Until then the leader answers declarations with 503 and Retry-After instead of an acknowledgement without effect. An entry daemon orders declarations by their documents and accepts the leader's number for the one that it holds, so a new entry daemon serves beside state daemons of the previous release.

As 0 is now a version that a group may hold, "no declaration yet" is no longer told by the version.

Weighed: a bound on versions (all from 2^63 count as invalid) needs no command, but refuses versions that may be proper. Deciding at each daemon by the document alone diverges while daemons of two releases apply the same log.

Evidence: AStoredInvalidConfigurationIsFollowedByOthers starts three state daemons on disks with such a log. An entry daemon of the previous release keeps -1 until it is restarted, and a leader of the previous release still acknowledges without effect.

--- a/Source/Core/State/ControlState.cpp
+++ b/Source/Core/State/ControlState.cpp
@@ -11,12 +11,17 @@
 }
 
 void ControlState::applyCommand(const DeclareCommand &Command) {
-  if (Command.Version <= this->Version)
+  if (this->hasDeclaration() && Command.Version <= this->Version)
     return;
   this->Version = Command.Version;
   this->Document = Command.Document;
 }
 
+void ControlState::applyCommand(const CorrectVersionCommand &Command) {
+  if (this->Version == Command.Stored)
+    this->Version = std::min(this->Version, Command.Corrected);
+}
+
 void ControlState::applyCommand(const RecordUsageCommand &Command) {
   // The first counts recorded for a window are final; later commands for the
   // same window have no effect.
--- a/Source/Core/State/ControlState.h
+++ b/Source/Core/State/ControlState.h
@@ -28,10 +28,13 @@
 inline constexpr ProtocolLevel ServerEndsLevel{1};
 /// The commands of Rollout::RolloutBook.
 inline constexpr ProtocolLevel RolloutsLevel{2};
-inline constexpr ProtocolLevel SupportedProtocolLevel = RolloutsLevel;
+/// CorrectVersionCommand, and declarations of the version 0.
+inline constexpr ProtocolLevel CorrectedVersionsLevel{3};
+inline constexpr ProtocolLevel SupportedProtocolLevel = CorrectedVersionsLevel;
 
 /// Replaces the declaration by Document, the complete text sent by the
-/// operator. Ignored unless Version is higher than the current one.
+/// operator. Ignored unless it is the first one or Version is higher than the
+/// current one. The version 0 requires CorrectedVersionsLevel.
 struct DeclareCommand {
   Common::ConfigurationVersion Version;
   std::string Document;
@@ -100,6 +103,19 @@
   template <class Archive> void serialize(Archive &Ar) { Ar(this->Ends); }
 };
 
+/// Lowers the version of the current declaration, if it is Stored. Earlier
+/// releases stored a declaration whose version is no whole number under a much
+/// higher one, so that no later declaration could replace it. Requires
+/// CorrectedVersionsLevel.
+struct CorrectVersionCommand {
+  Common::ConfigurationVersion Stored;
+  Common::ConfigurationVersion Corrected;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(this->Stored, this->Corrected);
+  }
+};
+
 /// Commands are stored under their position in this list, so new ones are added
 /// at its end. A daemon that does not know a command cannot follow the log any
 /// further, so a new one also requires a new protocol level.
@@ -108,7 +124,7 @@
                  RefuseCommand, EndRefusalCommand, ProbeRefusalCommand,
                  RaiseProtocolLevelCommand, RecordServerEndsCommand,
                  Rollout::BeginRolloutCommand, Rollout::AdvanceRolloutCommand,
-                 Rollout::EndRolloutCommand>;
+                 Rollout::EndRolloutCommand, CorrectVersionCommand>;
 
 /// Requests with all of these causes are refused.
 struct Refusal {
@@ -137,6 +153,7 @@
   Common::ConfigurationVersion declarationVersion() const {
     return this->Version;
   }
+  bool hasDeclaration() const { return !this->Document.empty(); }
   /// Empty before the first declaration.
   const std::string &document() const { return this->Document; }
 
@@ -188,6 +205,7 @@
   };
 
   void applyCommand(const DeclareCommand &Command);
+  void applyCommand(const CorrectVersionCommand &Command);
   void applyCommand(const RecordUsageCommand &Command);
   void applyCommand(const MarkUsageReportedCommand &Command);
   void applyCommand(const RefuseCommand &Command);
--- a/Source/Core/Telemetry/LogEvents.h
+++ b/Source/Core/Telemetry/LogEvents.h
@@ -191,6 +191,10 @@
     LogLevel::Info, "declaration_decided", {"version", "outcome"}};
 inline constexpr LogEvent<2> DeclarationNotNewer{
     LogLevel::Info, "declaration_not_newer", {"version", "held"}};
+inline constexpr LogEvent<2> DeclarationVersionCorrected{
+    LogLevel::Warning,
+    "declaration_version_corrected",
+    {"stored", "corrected"}};
 inline constexpr LogEvent<1> DeclarationRefused{
     LogLevel::Warning, "declaration_refused", {"detail"}};
 inline constexpr LogEvent<2> DeclarationUnreadable{
--- a/Source/EntryDaemon/Gateway.cpp
+++ b/Source/EntryDaemon/Gateway.cpp
@@ -239,16 +239,24 @@
 }
 
 void Gateway::applyDeclaration(const State::DeclarationPush &Push) {
-  const bool Newer = !this->Context.Declaration ||
-                     Push.Version > this->Context.Declaration->version();
-  if (!Newer)
+  const auto IsNewer = [this](Common::ConfigurationVersion Version) {
+    return !this->Context.Declaration ||
+           Version > this->Context.Declaration->version();
+  };
+  if (!IsNewer(Push.Version)) {
+    if (Push.Version == this->Context.Declaration->version())
+      this->StoredVersion = Push.Version;
     return;
+  }
   auto Decoded = Platform::decodeStoredConfiguration(Push.Document);
   if (!Decoded.ok()) {
     Telemetry::log(Events::DeclarationUnreadable, Push.Version.Value,
                    Decoded.status().message());
     return;
   }
+  if (!IsNewer(Decoded->version()))
+    return;
+  this->StoredVersion = Push.Version;
   this->Context.Declaration =
       std::make_shared<const Configuration::ServiceMap>(std::move(*Decoded));
   const Configuration::RequestLimits &Declared =
@@ -297,7 +305,8 @@
     this->applyDeclaration(*Answer.Declaration);
   const bool Current =
       this->Context.Declaration &&
-      Answer.NewestVersion <= this->Context.Declaration->version();
+      (Answer.NewestVersion <= this->Context.Declaration->version() ||
+       Answer.NewestVersion == this->StoredVersion);
   if (Current && (!this->Context.DeclarationConfirmedAt ||
                   *this->Context.DeclarationConfirmedAt < PollSentAt))
     this->Context.DeclarationConfirmedAt = PollSentAt;
--- a/Source/FaultTests/RoutedCluster.cpp
+++ b/Source/FaultTests/RoutedCluster.cpp
@@ -1,5 +1,9 @@
 #include "FaultTests/RoutedCluster.h"
 
+#include "Network/Codec.h"
+#include "State/ControlState.h"
+#include "Storage/DataFolder.h"
+
 #include <array>
 #include <boost/test/results_collector.hpp>
 #include <boost/test/unit_test.hpp>
@@ -105,9 +109,12 @@
   return Result;
 }
 
-void RoutedCluster::respond(Network::Http1Exchange &Exchange, int Status) {
+void RoutedCluster::respond(Network::Http1Exchange &Exchange, int Status,
+                            const Network::HttpHeaders &Further) {
+  Network::HttpHeaders Headers = signedHeaders(Exchange);
+  Headers.insert(Headers.end(), Further.begin(), Further.end());
   Exchange.reply(
-      Status, signedHeaders(Exchange),
+      Status, Headers,
       "served " + Exchange.path() + " for " +
           Exchange.header("X-Sycamorereach-Tenant").value_or("nobody"));
 }
@@ -139,6 +146,33 @@
       this->newLogPath(Name));
 }
 
+void RoutedCluster::storeDeclaration(Common::ConfigurationVersion Version,
+                                     const std::string &Document) {
+  std::vector<Consensus::Member> Founders;
+  for (int I = 1; I <= Seeds; ++I)
+    Founders.push_back({Consensus::ReplicaId("founder-" + stateDaemonIp(I)),
+                        linkAddress(I),
+                        Common::DataCentreId("dcstate" + std::to_string(I))});
+  Consensus::Snapshot Base;
+  Base.Membership = *Consensus::Membership::create(Founders);
+  const Consensus::Term First{1};
+  const Consensus::LogEntry Entry{
+      First, Consensus::LogIndex{1}, Consensus::EntryKind::Command,
+      Network::encode(
+          State::ControlCommand(State::DeclareCommand{Version, Document}))};
+  for (int I = 1; I <= Seeds; ++I) {
+    const std::string Path = this->Folder + "/state" + std::to_string(I);
+    const Consensus::ReplicaId &Identity = Founders[I - 1].Id;
+    BOOST_REQUIRE(Storage::DataFolder::formatWithIdentity(Path, Identity).ok());
+    Storage::RecoveredState Blank;
+    auto Disk = Storage::DataFolder::open(Path, Blank);
+    BOOST_REQUIRE(Disk.ok());
+    BOOST_REQUIRE(
+        Disk->compact({First, {}}, Consensus::ReplicatedLog(Base, {Entry}))
+            .ok());
+  }
+}
+
 void RoutedCluster::restartStateDaemon(int Number) {
   const auto Found = this->Processes.find("state" + std::to_string(Number));
   if (Found != this->Processes.end()) {
@@ -439,7 +473,9 @@
 
 bool RoutedCluster::hasProtocolLevel() {
   for (int I = 1; I <= StateDaemons; ++I)
-    if (!this->hasMetric(I, "protocol_level 2"))
+    if (!this->hasMetric(
+            I, "protocol_level " +
+                   std::to_string(State::SupportedProtocolLevel.Value)))
       return false;
   return true;
 }
--- a/Source/FaultTests/RoutedCluster.h
+++ b/Source/FaultTests/RoutedCluster.h
@@ -1,6 +1,7 @@
 #ifndef SYCAMOREREACH_FAULTTESTS_ROUTEDCLUSTER_H
 #define SYCAMOREREACH_FAULTTESTS_ROUTEDCLUSTER_H
 
+#include "Common/Ids.h"
 #include "FaultTests/Forwarder.h"
 #include "FaultTests/Processes.h"
 #include "Network/EventLoop.h"
@@ -40,6 +41,11 @@
   void startAll();
   /// FirstStart allows the daemon to found the group.
   void startStateDaemon(int Number, bool FirstStart);
+  /// Formats the disks of the seeds, with a log in which an earlier release has
+  /// stored Document under Version. The seeds are then started without
+  /// FirstStart.
+  void storeDeclaration(Common::ConfigurationVersion Version,
+                        const std::string &Document);
   /// From its next start, the connections of a state daemon to and from all
   /// other daemons run through forwarders. The group must then consist of the
   /// three seeds, as its members' addresses are those of the first start.
@@ -145,7 +151,8 @@
   int ServerRequests = 0;
   Network::EventLoop &loop() { return *this->Loop; }
   /// Sends the response of a fake server, signed as a replica's.
-  static void respond(Network::Http1Exchange &Exchange, int Status = 200);
+  static void respond(Network::Http1Exchange &Exchange, int Status = 200,
+                      const Network::HttpHeaders &Further = {});
   /// Rejects the request as a fake server that did not execute it, and asks for
   /// no requests for RetryAfter.
   static void rejectAndAskForRest(Network::Http1Exchange &Exchange,
--- a/Source/FaultTests/RoutedConfigurationTest.cpp
+++ b/Source/FaultTests/RoutedConfigurationTest.cpp
@@ -71,6 +71,72 @@
   Test.expectInForce(Newer.dump(), "/b/x");
 }
 
+// Guards against a first version of 0 that is acknowledged and never in force.
+BOOST_AUTO_TEST_CASE(TheFirstVersionMayBe0) {
+  RoutedCluster Test;
+  for (int I = 1; I <= RoutedCluster::StateDaemons; ++I)
+    Test.startStateDaemon(I, true);
+  Test.startEntryDaemon();
+  const std::string Document = RoutedCluster::declaration(0, "/a/");
+  BOOST_REQUIRE(Test.operatorCall("POST", ReplacePath, Document, 200));
+  Test.announce("ready");
+  BOOST_TEST(
+      Test.waitUntil([&] { return Test.request("/a/x").Status == 200; }));
+  std::string Read;
+  BOOST_TEST(Test.operatorCall("GET", ReadPath, "", 200, &Read));
+  BOOST_TEST(Read == Document);
+}
+
+// Guards against a configuration that an earlier release stored although it is
+// invalid, and that keeps the daemons from starting or from later versions.
+BOOST_AUTO_TEST_CASE(AStoredInvalidConfigurationIsFollowedByOthers) {
+  struct Row {
+    const char *Field;
+    Json Value;
+    Common::ConfigurationVersion StoredVersion;
+  };
+  const std::vector<Row> Rows = {
+      {"version", -1, {~std::uint64_t{0}}},
+      {"version", 3.7, {3}},
+  };
+  for (const Row &Each : Rows) {
+    RoutedCluster Test;
+    Json Stored = Json::parse(RoutedCluster::declaration(3, "/a/"));
+    Stored[Each.Field] = Each.Value;
+    Test.storeDeclaration(Each.StoredVersion, Stored.dump());
+    for (int I = 1; I <= 3; ++I)
+      Test.startStateDaemon(I, false);
+    Test.startEntryDaemon();
+    Test.announce("ready");
+    BOOST_TEST(
+        Test.waitUntil([&] { return Test.request("/a/x").Status == 200; }),
+        Stored);
+    for (const char *Prefix : {"/b/", "/c/"}) {
+      const std::string Next = RoutedCluster::declaration(
+          Prefix == std::string("/b/") ? 4 : 5, Prefix);
+      BOOST_TEST(Test.operatorCall("POST", ReplacePath, Next, 200), Stored);
+      BOOST_TEST(Test.waitUntil([&] {
+        return Test.request(Prefix + std::string("x")).Status == 200;
+      }),
+                 Stored);
+      std::string Read;
+      BOOST_TEST(Test.operatorCall("GET", ReadPath, "", 200, &Read));
+      BOOST_TEST(Read == Next);
+    }
+    // What followed is in force after a restart as well.
+    for (int I = 1; I <= 3; ++I)
+      Test.crash("state" + std::to_string(I));
+    Test.crash("entry");
+    for (int I = 1; I <= 3; ++I)
+      Test.startStateDaemon(I, false);
+    Test.startEntryDaemon();
+    Test.announce("ready");
+    BOOST_TEST(
+        Test.waitUntil([&] { return Test.request("/c/x").Status == 200; }),
+        Stored);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace FaultTests
--- a/Source/StateDaemon/Controller.cpp
+++ b/Source/StateDaemon/Controller.cpp
@@ -161,6 +161,7 @@
     this->requestJoin();
     this->adjustMembership();
     this->raiseProtocolLevel();
+    this->correctDeclarationVersion();
     if (this->Tracker)
       this->Tracker->addOwnClock(this->Settings.Name, this->Loop.wallNow(),
                                  this->Loop.now());
@@ -214,10 +215,11 @@
 }
 
 void Controller::pushDeclaration() {
-  if (this->State.declarationVersion() <= this->PushedVersion)
+  if (!this->State.hasDeclaration() ||
+      this->State.declarationVersion() == this->PushedVersion)
     return;
   this->PushedVersion = this->State.declarationVersion();
-  Telemetry::log(Events::DeclarationInForce, this->PushedVersion.Value);
+  Telemetry::log(Events::DeclarationInForce, this->PushedVersion->Value);
   this->broadcastToEntries(State::DeclarationPush{
       this->State.declarationVersion(), this->State.document()});
   this->decodeDeclaration();
@@ -239,6 +241,28 @@
   this->Tokens.setDeclaration(this->Declaration);
 }
 
+bool Controller::hasCorrectVersion() const {
+  return !this->Declaration ||
+         this->PushedVersion != this->State.declarationVersion() ||
+         this->Declaration->version() == this->State.declarationVersion();
+}
+
+void Controller::correctDeclarationVersion() {
+  if (this->hasCorrectVersion() || !this->Driver->holdsLeadership() ||
+      this->State.protocolLevel() < State::CorrectedVersionsLevel)
+    return;
+  const Common::ConfigurationVersion Stored = this->State.declarationVersion();
+  const Common::ConfigurationVersion Corrected = this->Declaration->version();
+  this->Driver->propose(
+      Network::encode(State::ControlCommand(
+          State::CorrectVersionCommand{Stored, Corrected})),
+      [Stored, Corrected](ReplicaDriver::ProposalOutcome Outcome) {
+        if (Outcome == ReplicaDriver::ProposalOutcome::Applied)
+          Telemetry::log(Events::DeclarationVersionCorrected, Stored.Value,
+                         Corrected.Value);
+      });
+}
+
 void Controller::handleFrame(Network::ConnectionId From,
                              const std::string &Payload) {
   auto Frame = Network::decode<State::ControlFrame>(Payload);
@@ -345,7 +369,7 @@
   if (const auto Versions = this->versionsFor(Snapshot))
     this->sendTo(From, *Versions);
   this->sendTo(From, Snapshot);
-  if (this->State.declarationVersion().Value != 0)
+  if (this->State.hasDeclaration())
     this->sendTo(From, State::DeclarationPush{this->State.declarationVersion(),
                                               this->State.document()});
 }
@@ -353,10 +377,9 @@
 void Controller::handleEntryPoll(Network::ConnectionId From,
                                  State::EntryPoll Poll) {
   if (this->Driver->holdsLeadership() && this->Tracker) {
-    const bool HasDeclaration = this->State.declarationVersion().Value != 0;
     auto Answer = this->Tracker->handlePoll(
-        Poll, HasDeclaration ? this->Declaration.get() : nullptr, this->State,
-        this->Loop.now());
+        Poll, this->State.hasDeclaration() ? this->Declaration.get() : nullptr,
+        this->State, this->Loop.now());
     this->sendTo(From, Answer);
     return;
   }
--- a/Source/StateDaemon/Controller.h
+++ b/Source/StateDaemon/Controller.h
@@ -180,6 +180,11 @@
   /// Decodes the applied declaration document for the token pool, the tracker
   /// and the duties.
   void decodeDeclaration();
+  /// Whether the declaration is stored under the version of its document; see
+  /// CorrectVersionCommand.
+  bool hasCorrectVersion() const;
+  /// Proposes the correct version while this daemon leads.
+  void correctDeclarationVersion();
   void updateGauges();
   void shutDown();
 
@@ -233,8 +238,9 @@
   /// Connections of replicas that this replica's membership does not list yet.
   std::map<Consensus::ReplicaId, Network::ConnectionId> NonMemberConnections;
   bool DeclarationPushScheduled = false;
-  /// Version of the last declaration that was pushed to entry daemons.
-  Common::ConfigurationVersion PushedVersion;
+  /// Version of the last declaration that was pushed to entry daemons and
+  /// decoded.
+  std::optional<Common::ConfigurationVersion> PushedVersion;
   /// When a leader was last known; without one for JoinDelay, this daemon asks
   /// to join the group.
   Common::TimePoint LeaderLastKnownAt;
--- a/Source/StateDaemon/ControllerHttp.cpp
+++ b/Source/StateDaemon/ControllerHttp.cpp
@@ -133,8 +133,20 @@
     this->redirectToLeader(*Exchange, Exchange->head().Target);
     return;
   }
+  // Decodes what has just been applied.
+  this->pushDeclaration();
   const Common::ConfigurationVersion Version = Map->version();
-  if (Version <= this->State.declarationVersion()) {
+  const bool MustWait =
+      !this->hasCorrectVersion() ||
+      (Version.Value == 0 &&
+       this->State.protocolLevel() < State::CorrectedVersionsLevel);
+  if (MustWait) {
+    replyRetry(*Exchange, "the group cannot take this version until all state "
+                          "daemons are updated; retry shortly");
+    return;
+  }
+  if (this->State.hasDeclaration() &&
+      Version <= this->State.declarationVersion()) {
     Telemetry::log(Events::DeclarationNotNewer, Version.Value,
                    this->State.declarationVersion().Value);
     replyAccepted(*Exchange);
--- a/Source/StateDaemon/ControllerRollouts.cpp
+++ b/Source/StateDaemon/ControllerRollouts.cpp
@@ -65,7 +65,7 @@
     this->redirectToLeader(*Exchange, Exchange->head().Target);
     return;
   }
-  if (!this->Declaration || this->State.declarationVersion().Value == 0) {
+  if (!this->Declaration || !this->State.hasDeclaration()) {
     replyRetry(*Exchange, "no declaration has been accepted yet");
     return;
   }
--- a/Source/UnitTests/State/ControlStateTest.cpp
+++ b/Source/UnitTests/State/ControlStateTest.cpp
@@ -31,6 +31,36 @@
   BOOST_TEST(Current.declarationVersion().Value == 9u);
 }
 
+BOOST_AUTO_TEST_CASE(TheFirstDeclarationMayHaveTheVersion0) {
+  ControlState Current;
+  BOOST_TEST(!Current.hasDeclaration());
+  Current.apply(DeclareCommand{{0}, "zero"});
+  Current.apply(DeclareCommand{{0}, "other"});
+  BOOST_TEST(Current.hasDeclaration());
+  BOOST_TEST(Current.document() == "zero");
+}
+
+// Guards against a version below 0, which earlier releases stored as one just
+// below 2^64, that ends all later versions.
+BOOST_AUTO_TEST_CASE(ACorrectedVersionIsFollowedByOthers) {
+  const Common::ConfigurationVersion Highest{~std::uint64_t{0}};
+  ControlState Current;
+  Current.apply(DeclareCommand{Highest, "minus one"});
+  // A correction of another version, or one that raises it, has no effect.
+  Current.apply(CorrectVersionCommand{{5}, {0}});
+  BOOST_CHECK(Current.declarationVersion() == Highest);
+  Current.apply(CorrectVersionCommand{Highest, {0}});
+  BOOST_TEST(Current.declarationVersion().Value == 0u);
+  BOOST_TEST(Current.document() == "minus one");
+  Current.apply(CorrectVersionCommand{{0}, {7}});
+  BOOST_TEST(Current.declarationVersion().Value == 0u);
+  Current.apply(DeclareCommand{{9}, "nine"});
+  BOOST_TEST(Current.document() == "nine");
+  const auto Restored = ControlState::restore(Current.snapshot());
+  BOOST_REQUIRE(Restored.ok());
+  BOOST_TEST(Restored->declarationVersion().Value == 9u);
+}
+
 BOOST_AUTO_TEST_CASE(TheFirstCountsOfAWindowAreFinal) {
   ControlState Current;
   const Configuration::TeamName Mill("mill");
