Platform: A configuration's lists and tables cannot be null

Cause: the decoder iterated over whatever stood in the place of a list. nlohmann iterates over null as over an empty list and over an object as over its values, so {} was an empty list too. The same held for the services, the teams, their keys, the backends of a route, the limits and the prices; "api-keys": null took all keys of a team away, and "tenants": null admitted any key.

Change: checkConfiguration refuses anything but a JSON array or object there, null included. Null stays allowed for a single optional value, where it stands for a missing one, as before; this now holds for all of them.

A stored document with such a field is still read, as no release that accepted it may be kept from starting: its list counts as empty, and "tenants" in whatever form requires keys, so a group that stored "tenants": null refuses requests with 401 until the next version instead of admitting any.

Evidence: RoutedConfiguration/AConfigurationWithoutItsListsIsRefused failed with the old decoder (null and {} acknowledged, the valid version not read back); Platform_/RejectsOtherValuesThanListsAndTables covers each list and table with null, a number, a text, false and the other kind.

--- a/Source/FaultTests/RoutedConfigurationTest.cpp
+++ b/Source/FaultTests/RoutedConfigurationTest.cpp
@@ -71,6 +71,19 @@
   Test.expectInForce(Newer.dump(), "/b/x");
 }
 
+// Guards against an operator's template without a value that takes all routes,
+// services or teams away.
+BOOST_AUTO_TEST_CASE(AConfigurationWithoutItsListsIsRefused) {
+  Fixture Test;
+  for (const char *Name : {"routes", "services", "tenants"})
+    for (const Json &Value : {Json(), Json::object(), Json("")}) {
+      Json Document = Fixture::newerDocument();
+      Document[Name] = Value;
+      Test.expectRefused(Document);
+    }
+  Test.expectInForce(RoutedCluster::declaration(3, "/a/"), "/a/x");
+}
+
 // Guards against a first version of 0 that is acknowledged and never in force.
 BOOST_AUTO_TEST_CASE(TheFirstVersionMayBe0) {
   RoutedCluster Test;
@@ -98,6 +111,8 @@
   const std::vector<Row> Rows = {
       {"version", -1, {~std::uint64_t{0}}},
       {"version", 3.7, {3}},
+      {"routes", nullptr, {3}},
+      {"tenants", nullptr, {3}},
   };
   for (const Row &Each : Rows) {
     RoutedCluster Test;
@@ -108,8 +123,11 @@
       Test.startStateDaemon(I, false);
     Test.startEntryDaemon();
     Test.announce("ready");
+    const int Expected = Each.Field == std::string("routes")    ? 404
+                         : Each.Field == std::string("tenants") ? 401
+                                                                : 200;
     BOOST_TEST(
-        Test.waitUntil([&] { return Test.request("/a/x").Status == 200; }),
+        Test.waitUntil([&] { return Test.request("/a/x").Status == Expected; }),
         Stored);
     for (const char *Prefix : {"/b/", "/c/"}) {
       const std::string Next = RoutedCluster::declaration(
--- a/Source/UnitTests/Platform/PlatformTest.cpp
+++ b/Source/UnitTests/Platform/PlatformTest.cpp
@@ -100,7 +100,8 @@
          J["tenants"][1]["name"] = "other";
        }},
       {"a number as API key",
-       [](Json &J) { J["tenants"][0]["api-keys"][0] = 5; }}};
+       [](Json &J) { J["tenants"][0]["api-keys"][0] = 5; }},
+      {"a list as document", [](Json &J) { J = Json::array({J}); }}};
   for (const Case &Current : Cases) {
     Json Invalid = validDocument();
     Current.Invalidate(Invalid);
@@ -177,6 +178,57 @@
   BOOST_TEST(VersionOf("18446744073709551615") == 18446744073709551615u);
 }
 
+// Guards against an operator's template without a value: null and {} were taken
+// for empty lists, so that a configuration lost its routes.
+BOOST_AUTO_TEST_CASE(RejectsOtherValuesThanListsAndTables) {
+  const std::vector<std::string> Lists = {"/routes", "/services", "/tenants",
+                                          "/routes/0/backends",
+                                          "/tenants/0/api-keys"};
+  const std::vector<std::string> Tables = {"/limits",
+                                           "/routes/0",
+                                           "/services/0",
+                                           "/tenants/0",
+                                           "/services/0/engine",
+                                           "/services/0/scaling",
+                                           "/services/0/scaling/zone-prices"};
+  const auto ExpectRefused = [](const std::string &Path, const Json &Value) {
+    Json Document = validDocument();
+    Document[Json::json_pointer(Path)] = Value;
+    BOOST_TEST(!Platform::decodeConfiguration(Document.dump()).ok(),
+               Path << " = " << Value);
+  };
+  for (const Json &Value : {Json(), Json(7), Json(""), Json(false)})
+    for (const auto &Paths : {Lists, Tables})
+      for (const std::string &Path : Paths)
+        ExpectRefused(Path, Value);
+  for (const std::string &Path : Lists) {
+    ExpectRefused(Path, Json::object());
+    ExpectRefused(Path, Json{{"0", validDocument()["routes"][0]}});
+  }
+  for (const std::string &Path : Tables)
+    ExpectRefused(Path, Json::array());
+}
+
+BOOST_AUTO_TEST_CASE(NullStandsForAMissingValue) {
+  Json Document = validDocument();
+  for (const char *Path :
+       {"/routes/0/slo-ms", "/routes/0/priority", "/routes/0/public",
+        "/services/0/max-conns", "/services/0/engine/stride",
+        "/services/0/scaling/boot-s", "/tenants/0/priority", "/tenants/0/burst",
+        "/limits/idle-timeout-ms"})
+    Document[Json::json_pointer(Path)] = nullptr;
+  const auto Map = Platform::decodeConfiguration(Document.dump());
+  BOOST_REQUIRE_MESSAGE(Map.ok(), Map.status().message());
+  BOOST_TEST(!Map->findTeamByKey("k")->Priority);
+  BOOST_TEST(!Map->route("h", "/a/b")->Public);
+  for (const char *Path : {"/version", "/routes/0/timeout-ms",
+                           "/routes/0/backends/0/weight", "/tenants/0/name"}) {
+    Json Missing = validDocument();
+    Missing[Json::json_pointer(Path)] = nullptr;
+    BOOST_TEST(!Platform::decodeConfiguration(Missing.dump()).ok(), Path);
+  }
+}
+
 // The ratio of the weights counts, also if they are no whole numbers.
 BOOST_AUTO_TEST_CASE(WeightsMayHaveFractions) {
   const auto WeightsOf = [](double First, double Second) {
@@ -201,7 +253,14 @@
     const char *Path;
     Json Value;
   };
-  const std::vector<Row> Rows = {{"/services/0/max-conns", true},
+  const std::vector<Row> Rows = {{"/routes", nullptr},
+                                 {"/routes", Json::object()},
+                                 {"/services/0/max-conns", true},
+                                 {"/tenants", nullptr},
+                                 {"/tenants", Json::object()},
+                                 {"/tenants/0/api-keys", nullptr},
+                                 {"/limits", nullptr},
+                                 {"/services/0/scaling/zone-prices", nullptr},
                                  {"/version", -1},
                                  {"/version", 8.7},
                                  {"/routes/0/backends/0/weight", -90},
