Routing: A server whose answers say that it leaves gets nothing more

Cause: an entry daemon learnt only from announcements that a server leaves. The header was not decoded, so nothing could tell the ServerTable.

Change: platform/ decodes the header once. The head of any answer counts, from the first or the second attempt, to this request or another one, a rejection as well; only a 421 does not, as another server gave it. The end is applied to the registry for the lifetime that was asked, in which a phase never goes back. So a delayed announcement of that process or another daemon's report of one does not bring it back, an unknown process stays ended, a late answer of an earlier process does not touch the present one, and the next process is used at once. Requests that are placed already go on: they were sent before the answer.

Weighed: a mark of its own beside the registry's phases (as rests are kept) would need its own rules for lifetimes and expiry, which the registry has.

--- a/Source/Core/Routing/ServerTable.cpp
+++ b/Source/Core/Routing/ServerTable.cpp
@@ -699,6 +699,15 @@
   return Condition->recordRetryAfter(Asked, Now);
 }
 
+bool ServerTable::recordLeaving(const PlacementChoice &At,
+                                Common::TimePoint Now) {
+  const bool IsNews = this->Registry.applyEnd(
+      {At.Id, At.ServerStartedAt, Membership::ServerPhase::Leaving}, Now);
+  if (IsNews)
+    this->updateRing(At.Id);
+  return IsNews;
+}
+
 bool ServerTable::recordAnswerBegun(const PlacementChoice &At) {
   ServerCondition *Condition = this->Conditions.record(incarnationOf(At));
   return Condition && Condition->recordAnswer(At.ChosenAt);
--- a/Source/Core/Routing/ServerTable.h
+++ b/Source/Core/Routing/ServerTable.h
@@ -172,6 +172,10 @@
   std::optional<Common::TimePoint> recordRetryAfter(const PlacementChoice &At,
                                                     Common::Duration Asked,
                                                     Common::TimePoint Now);
+  /// Records that the server said in an answer that it leaves. It is not chosen
+  /// again, whatever its delayed announcements say, until its next process
+  /// announces itself. Returns whether that is news.
+  bool recordLeaving(const PlacementChoice &At, Common::TimePoint Now);
   /// Records that an answer that is no rejection has begun. Returns whether
   /// the server takes requests again after a rest.
   bool recordAnswerBegun(const PlacementChoice &At);
--- a/Source/EntryDaemon/RoutedAnswer.cpp
+++ b/Source/EntryDaemon/RoutedAnswer.cpp
@@ -73,6 +73,19 @@
   return Owner;
 }
 
+void RoutedCall::noteLeaving(const Attempt &Receiver,
+                             const Platform::ResponseHeaders &Decoded) {
+  // A misdirected request was answered by another server.
+  if (!Decoded.Leaving || Decoded.Misdirected)
+    return;
+  const Routing::PlacementChoice &From = Receiver.Server;
+  if (!this->Context.Servers.recordLeaving(From, this->Context.Loop.now()))
+    return;
+  this->Context.Metrics.incrementCounter("servers_leaving_total");
+  Telemetry::log(Events::ServerCondition, From.Id.str(), From.ServerStartedAt,
+                 "leaving", "answer", this->CallerHeaders.RequestId, "");
+}
+
 bool RoutedCall::takeRetry(Common::TimePoint Now) {
   const bool Taken = this->Context.Retries.tryConsume(this->Service, Now);
   this->Context.Metrics.incrementLabelledCounter(
--- a/Source/EntryDaemon/RoutedAttempt.cpp
+++ b/Source/EntryDaemon/RoutedAttempt.cpp
@@ -346,6 +346,7 @@
       Platform::decodeResponseHeaders(Head.Status, Head.Headers);
   const AnswerOwner Owner =
       this->attribute(*this->CurrentAttempt, Head.Status, Decoded);
+  this->noteLeaving(*this->CurrentAttempt, Decoded);
   // The Retry-After of an extra answer was counted with the answer that it
   // repeats, as only complete answers leave a connection open.
   if (Owner == AnswerOwner::OtherRequest)
--- a/Source/EntryDaemon/RoutedCall.h
+++ b/Source/EntryDaemon/RoutedCall.h
@@ -143,6 +143,10 @@
   /// Records for how long a server that rejects requests wants none.
   void noteRetryAfter(const Attempt &Receiver, int Status,
                       const Platform::ResponseHeaders &Decoded);
+  /// Records that the server leaves, if the answer says so. Any answer counts,
+  /// also one to another request.
+  void noteLeaving(const Attempt &Receiver,
+                   const Platform::ResponseHeaders &Decoded);
   /// Records that the server takes requests.
   void noteAcceptance();
   /// Returns false to skip a response that belongs to another request.
--- a/Source/EntryDaemon/RoutedTakeover.cpp
+++ b/Source/EntryDaemon/RoutedTakeover.cpp
@@ -55,6 +55,7 @@
       Platform::decodeResponseHeaders(Head.Status, Head.Headers);
   const AnswerOwner Owner =
       this->attribute(*this->SecondAttempt, Head.Status, Decoded);
+  this->noteLeaving(*this->SecondAttempt, Decoded);
   if (Owner == AnswerOwner::OtherRequest)
     return false;
   this->noteRetryAfter(*this->SecondAttempt, Head.Status, Decoded);
--- a/Source/UnitTests/Platform/PlatformTest.cpp
+++ b/Source/UnitTests/Platform/PlatformTest.cpp
@@ -448,6 +448,23 @@
       Decode(200, "X-Sycamorereach-Replica-Signature").HasSignatureHeader);
 }
 
+// Guards against a server that goes on getting requests although its answers
+// say that it leaves.
+BOOST_AUTO_TEST_CASE(DecodesWhetherTheServerLeaves) {
+  const auto Decode = [](const Network::HttpHeaders &Headers) {
+    return Platform::decodeResponseHeaders(200, Headers).Leaving;
+  };
+  BOOST_TEST(Decode({{"Server-Leaving", "1"}}));
+  BOOST_TEST(Decode({{"server-leaving", " 1 "}}));
+  BOOST_TEST(Decode({{"Server-Leaving", "0"}, {"Server-Leaving", "1"}}));
+  BOOST_TEST(
+      Platform::decodeResponseHeaders(503, {{"Server-Leaving", "1"}}).Leaving);
+  for (const char *Value : {"", "0", "-1", "11", "no", "inf"})
+    BOOST_TEST(!Decode({{"Server-Leaving", Value}}), Value);
+  BOOST_TEST(!Decode({{"X-Server-Leaving", "1"}}));
+  BOOST_TEST(!Decode({}));
+}
+
 BOOST_AUTO_TEST_CASE(DutyRequestsCarryFencingNumber) {
   const auto Scale = Platform::encodeScaleRequest(
       Common::DaemonId("s1"), {12},
--- a/Source/UnitTests/Routing/ServerTableTest.cpp
+++ b/Source/UnitTests/Routing/ServerTableTest.cpp
@@ -409,6 +409,78 @@
   BOOST_TEST(Test.Servers.mayWrite(*At, Test.Now));
 }
 
+// Guards against requests to a server whose answers say that it leaves, while
+// its announcements are lost or late. Random series of answers, announcements,
+// reports of other daemons, restarts and removals.
+BOOST_AUTO_TEST_CASE(AProcessThatSaysItLeavesGetsNothingMore) {
+  constexpr int Engines = 4;
+  for (std::uint64_t Seed = 1; Seed <= 2000; ++Seed) {
+    Fixture Test(Engines, Seed);
+    Common::Random Randomness(Seed);
+    std::vector<Membership::ServerRecord> Records;
+    std::vector<PlacementChoice> EarlierChoices;
+    std::set<std::pair<std::string, std::uint64_t>> Left;
+    for (int I = 0; I < Engines; ++I)
+      Records.push_back(makeEngine(I));
+    for (int Step = 0; Step < 60; ++Step) {
+      Test.Now += std::chrono::milliseconds(Randomness.below(2000));
+      Membership::ServerRecord &Record = Records[Randomness.below(Engines)];
+      switch (Randomness.below(6)) {
+      case 0:
+        ++Record.Sequence;
+        Test.Servers.apply(Record, Test.Now);
+        break;
+      case 1:
+        ++Record.Sequence;
+        Test.Servers.refresh(Record.Id, Record.StartedAt, Record.Sequence,
+                             Membership::ServerPhase::Serving, Test.Now);
+        break;
+      case 2:
+        if (Randomness.below(4) != 0)
+          break;
+        ++Record.StartedAt;
+        Record.Sequence = 1;
+        Test.Servers.apply(Record, Test.Now);
+        break;
+      case 3:
+        Test.Servers.removeExpired(Test.Now);
+        break;
+      default:
+        const auto Chosen =
+            Test.Servers.choose({Models, nullptr, {}, {}}, Test.Now);
+        if (!Chosen)
+          break;
+        BOOST_REQUIRE_MESSAGE(
+            Left.count({Chosen->Id.str(), Chosen->ServerStartedAt}) == 0,
+            "seed " << Seed << ", step " << Step);
+        EarlierChoices.push_back(*Chosen);
+        // An answer may arrive late, from an earlier process.
+        const PlacementChoice &Answered =
+            EarlierChoices[Randomness.below(EarlierChoices.size())];
+        if (Randomness.below(3) == 0) {
+          Test.Servers.recordLeaving(Answered, Test.Now);
+          Left.insert({Answered.Id.str(), Answered.ServerStartedAt});
+        }
+      }
+    }
+    // Each server whose latest process did not say so is used.
+    std::set<std::string> Expected;
+    std::set<std::string> Used;
+    for (Membership::ServerRecord &Each : Records) {
+      ++Each.Sequence;
+      Test.Servers.apply(Each, Test.Now);
+      if (Left.count({Each.Id.str(), Each.StartedAt}) == 0)
+        Expected.insert(Each.Id.str());
+    }
+    PlacementRequest Request{Models, nullptr, {}, {}};
+    while (const auto Chosen = Test.Servers.choose(Request, Test.Now)) {
+      Used.insert(Chosen->Id.str());
+      Request.Excluded.insert(Chosen->Id);
+    }
+    BOOST_REQUIRE_MESSAGE(Used == Expected, "seed " << Seed);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace UnitTests
