--- a/Source/UnitTests/Platform/PlatformTest.cpp
+++ b/Source/UnitTests/Platform/PlatformTest.cpp
@@ -329,6 +329,24 @@
     BOOST_TEST(!Platform::decodeHeartbeat(Id, Body).ok());
 }
 
+// Guards against a warm-up time that is converted to another number, or whose
+// end lies beyond the clock's range.
+BOOST_AUTO_TEST_CASE(WarmUpTimesOfHeartbeatsAreLimited) {
+  const auto WarmUpOf = [](const Json &Value) {
+    Json Body = validHeartbeat();
+    Body["cold-left-ms"] = Value;
+    const auto Decoded =
+        Platform::decodeHeartbeat(Common::BackendServerId("i-1"), Body.dump());
+    BOOST_REQUIRE(Decoded.ok());
+    return Decoded->WarmUpMilliseconds;
+  };
+  constexpr std::uint64_t DayMilliseconds = 86'400'000;
+  BOOST_TEST(WarmUpOf(1500) == 1500u);
+  BOOST_TEST(WarmUpOf(-1) == 0u);
+  BOOST_TEST(WarmUpOf(1e15) == DayMilliseconds);
+  BOOST_TEST(WarmUpOf(1e300) == DayMilliseconds);
+}
+
 BOOST_AUTO_TEST_CASE(AnUnusableVersionLeavesTheHeartbeatValid) {
   const Common::BackendServerId Id("i-1");
   const auto VersionFor = [&Id](const Json &Value) {
