--- a/Source/UnitTests/Platform/PlatformTest.cpp
+++ b/Source/UnitTests/Platform/PlatformTest.cpp
@@ -413,6 +413,22 @@
   BOOST_TEST(!Decode("X-Sycamorereach-Prefix-Hash", "5c").ok());
 }
 
+// Guards against token counts whose sum overflows, so that a request takes
+// nothing from its team's allowance.
+BOOST_AUTO_TEST_CASE(TokenCountsDoNotOverflow) {
+  constexpr std::uint64_t LargeCount = 1'000'000'000'000;
+  for (const char *Count : {"18446744073709551615,1", "1,18446744073709551615",
+                            "9223372036854775808,9223372036854775808"}) {
+    const auto Decoded = Platform::decodeCallerHeaders(
+        {{"X-Sycamorereach-Token-Count", Count},
+         {"X-Sycamorereach-Prefix-Hash",
+          "5c:18446744073709551615,91:18446744073709551615,e4:1"}});
+    BOOST_REQUIRE(Decoded.ok());
+    BOOST_TEST(Decoded->Prompt->totalTokens() > LargeCount, Count);
+    BOOST_TEST(Decoded->Prompt->unsharedTokens() == 0u);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(DropsReservedHeadersOfCallers) {
   const Network::HttpHeaders CallerHeaders = {
       {"Host", "h"},
