StateDaemon: Declarations that a replica replays are not pushed again

Entry daemons ignore older pushes; the pool does not. Versions below that of the decoded document are skipped again; a corrected version is not below it.

--- a/Source/StateDaemon/Controller.cpp
+++ b/Source/StateDaemon/Controller.cpp
@@ -215,13 +215,17 @@
 }
 
 void Controller::pushDeclaration() {
-  if (!this->State.hasDeclaration() ||
-      this->State.declarationVersion() == this->PushedVersion)
+  const Common::ConfigurationVersion Version = this->State.declarationVersion();
+  // A replica that is opened again replays its log.
+  const bool Replayed =
+      this->Declaration && Version < this->Declaration->version();
+  if (!this->State.hasDeclaration() || Replayed ||
+      Version == this->PushedVersion)
     return;
-  this->PushedVersion = this->State.declarationVersion();
-  Telemetry::log(Events::DeclarationInForce, this->PushedVersion->Value);
-  this->broadcastToEntries(State::DeclarationPush{
-      this->State.declarationVersion(), this->State.document()});
+  this->PushedVersion = Version;
+  Telemetry::log(Events::DeclarationInForce, Version.Value);
+  this->broadcastToEntries(
+      State::DeclarationPush{Version, this->State.document()});
   this->decodeDeclaration();
   if (this->Duties)
     this->Duties->setDeclaration(this->Declaration);
