FaultTests: The soak's servers leave, and operators send invalid configurations

Servers say in their answers only that they leave, go on announcing themselves as ready, exit after 1 to 4 s and start again; a request that a caller sends later than 2 s after its entry daemon passed that on may not reach the process, unless the daemon has been restarted or stopped since. Configurations with the version -1 or 1e30, and without routes or teams, go to state daemons at random; none may be acknowledged, and the cluster serves on.

--- a/Source/FaultTests/RoutedCluster.cpp
+++ b/Source/FaultTests/RoutedCluster.cpp
@@ -386,8 +386,8 @@
                       ServerIps.at(Server - 1), State, Born, Version);
 }
 
-void RoutedCluster::announceAt(const std::string &Id, const std::string &Ip) {
-  constexpr std::uint64_t Born = 1000;
+void RoutedCluster::announceAt(const std::string &Id, const std::string &Ip,
+                               std::uint64_t Born) {
   this->sendHeartbeat(Id, Ip, "ready", Born, "v1");
 }
 
--- a/Source/FaultTests/RoutedCluster.h
+++ b/Source/FaultTests/RoutedCluster.h
@@ -103,7 +103,8 @@
                 std::uint64_t Born = 1000, const std::string &Version = "v1");
   /// Sends a heartbeat for a ready server with 8 slots, whose port is that of
   /// the fake servers.
-  void announceAt(const std::string &Id, const std::string &Ip);
+  void announceAt(const std::string &Id, const std::string &Ip,
+                  std::uint64_t Born = 1000);
   /// A configuration document whose routes lie under Prefix.
   static std::string declaration(std::uint64_t Version,
                                  const std::string &Prefix);
--- a/Source/FaultTests/RoutedSoak.h
+++ b/Source/FaultTests/RoutedSoak.h
@@ -44,6 +44,8 @@
 
   /// Number of a server and of its connection.
   using Place = std::pair<int, std::uint64_t>;
+  /// Number of a server and start time of its process.
+  using Process = std::pair<int, std::uint64_t>;
 
   SoakRecord(Network::EventLoop &Loop, int RetryExtra)
       : Loop(Loop), RetryExtra(RetryExtra) {}
@@ -63,6 +65,7 @@
   void recordCall(const std::string &Id, SoakRoute Route, int Entry) {
     this->Requests[Id].Route = Route;
     this->Requests[Id].Entry = Entry;
+    this->Requests[Id].SentAt = this->Loop.now();
     this->Calls.push_back(this->Loop.now());
     this->note(Id, absl::StrCat("sent to entry daemon ", Entry));
   }
@@ -83,7 +86,21 @@
     this->Served += Complete ? 1 : 0;
   }
 
-  void recordArrival(const std::string &Id, const Place &At) {
+  /// An entry daemon has passed on an answer that says that the process leaves.
+  void recordLeaving(int Entry, const Process &Leaving) {
+    this->LeavingSince[Entry].try_emplace(Leaving, this->Loop.now());
+  }
+  /// An entry daemon that restarts or pauses may forget what it was told.
+  void forgetLeaving(int Entry) { this->LeavingSince.erase(Entry); }
+
+  void recordArrival(const std::string &Id, const Place &At,
+                     std::uint64_t ServerStartedAt) {
+    const Request &Arrived = this->Requests[Id];
+    const auto &Told = this->LeavingSince[Arrived.Entry];
+    const auto Leaving = Told.find({At.first, ServerStartedAt});
+    if (Leaving != Told.end() && Arrived.SentAt > Leaving->second + DrainTime)
+      this->addViolation(Id, absl::StrCat("reached server ", At.first,
+                                          ", which had said that it leaves"));
     if (++this->Requests[Id].Arrivals > 1)
       this->Repeats.push_back(this->Loop.now());
     this->note(Id, absl::StrCat("arrived at server ", At.first, ", connection ",
@@ -142,6 +159,8 @@
 
   int Served = 0;
   int Copies = 0;
+  /// Processes of servers that left, and said so in their answers only.
+  int Left = 0;
   /// Requests written by callers.
   std::vector<Common::TimePoint> Calls;
   /// Arrivals at servers after the first of each request.
@@ -153,10 +172,14 @@
   /// Two servers may work on one stream for this long.
   static constexpr Common::Duration MaxOverlap = std::chrono::milliseconds(400);
   static constexpr Common::Duration RetryWindow = std::chrono::seconds(10);
+  /// Requests that are sent later than this after an answer that says that the
+  /// server leaves may not reach it.
+  static constexpr Common::Duration DrainTime = std::chrono::seconds(2);
 
   struct Request {
     SoakRoute Route = SoakRoute::Safe;
     int Entry = 0;
+    Common::TimePoint SentAt;
     int Arrivals = 0;
     int Runs = 0;
     /// The caller was told that the request was not executed.
@@ -224,6 +247,8 @@
   std::map<Place, Run> OpenRuns;
   /// Since when an entry daemon runs; the distant future while it is stopped.
   std::map<int, Common::TimePoint> EntryRunsSince;
+  /// For each entry daemon, when it first passed on that a process leaves.
+  std::map<int, std::map<Process, Common::TimePoint>> LeavingSince;
   std::vector<std::string> Violations;
 };
 
@@ -242,7 +267,8 @@
     this->Socket.OnRequest = [this](const RoutedRawServer::Arrival &Arrived) {
       const Peer On = Arrived.Connection;
       Connection &Reached = this->Connections[On];
-      this->Record.recordArrival(Arrived.RequestId, {this->Number, On});
+      this->Record.recordArrival(Arrived.RequestId, {this->Number, On},
+                                 this->StartedAt);
       Reached.Waiting.push_back(Arrived);
       if (!Reached.CopyOnArrival.empty()) {
         const std::string Copy = Reached.CopyOnArrival;
@@ -259,6 +285,21 @@
     };
   }
 
+  /// From now on, all answers say that the server leaves.
+  void leave() { this->Leaving = true; }
+  /// Replaces the process by a new one, which does not leave.
+  void restart() {
+    while (!this->Connections.empty()) {
+      const Peer Closed = this->Connections.begin()->first;
+      this->endRun(Closed, "server exited");
+      this->Connections.erase(Closed);
+      this->Socket.close(Closed);
+    }
+    this->Leaving = false;
+    ++this->StartedAt;
+  }
+  std::uint64_t startedAt() const { return this->StartedAt; }
+
   /// While it is false, the server answers each request properly.
   bool Faulty = false;
 
@@ -290,6 +331,15 @@
                                 std::chrono::milliseconds(ToMilliseconds));
   }
 
+  /// Adds the headers that name the process and say whether it leaves.
+  std::string withProcess(std::string Response) const {
+    const std::size_t StatusEnd = Response.find("\r\n") + 2;
+    return Response.insert(
+        StatusEnd, absl::StrCat("X-Process: ", this->StartedAt,
+                                "\r\nX-Server: ", this->Number, "\r\n",
+                                this->Leaving ? "Server-Leaving: 1\r\n" : ""));
+  }
+
   void begin(Peer On) {
     if (!this->Faulty) {
       this->run(On, {}, false);
@@ -306,8 +356,8 @@
               : "";
       this->Record.note(Id, absl::StrCat("refused by server ", this->Number,
                                          ", Retry-After ", RetryAfter));
-      this->write(
-          On, RawResponse::refusal(this->NamesRefused ? Id : "", RetryAfter));
+      this->write(On, this->withProcess(RawResponse::refusal(
+                          this->NamesRefused ? Id : "", RetryAfter)));
       this->completeAnswer(On, RefusalCopyProbability);
       return;
     }
@@ -333,12 +383,13 @@
                    Answer.begin() + std::stoi(Resumed.value_or("0")));
       for (std::string &Each : Answer)
         Each = absl::StrCat(absl::Hex(Each.size()), "\r\n", Each, "\r\n");
-      std::string Start = RawResponse::streamHead(Id);
+      std::string Start = this->withProcess(RawResponse::streamHead(Id));
       Start.insert(Start.size() - 2, "Transfer-Encoding: chunked\r\n");
       Answer.insert(Answer.begin(), Start);
       Answer.emplace_back("0\r\n\r\n");
     } else {
-      Answer.front() = RawResponse::success(Id, Answer.front());
+      Answer.front() =
+          this->withProcess(RawResponse::success(Id, Answer.front()));
     }
     const std::size_t LostPart =
         Lost ? this->Random.below(Answer.size()) : Answer.size();
@@ -451,6 +502,8 @@
   double RefusalProbability;
   double LossProbability;
   int RunningCount = 0;
+  bool Leaving = false;
+  std::uint64_t StartedAt = 1000;
   Common::TimePoint PausedUntil;
   std::map<Peer, Connection> Connections;
   SoakTimers Timers;
--- a/Source/FaultTests/RoutedSoakTest.cpp
+++ b/Source/FaultTests/RoutedSoakTest.cpp
@@ -65,6 +65,8 @@
     this->repeat([this] { this->suspendEntry(); });
     this->repeat([this] { this->restartStateDaemon(); });
     this->repeat([this] { this->changeConfiguration(); });
+    this->repeat([this] { this->sendInvalidConfiguration(); });
+    this->repeat([this] { this->replaceServer(); });
     this->repeat([this] {
       this->Fixture.blockLinks();
       this->endAfter(this->Random.between(300ms, 1500ms),
@@ -86,16 +88,18 @@
                "the cluster does not serve again");
     for (const std::string &Each : this->Record.findViolations())
       BOOST_TEST_ERROR(Each);
+    for (const auto &Each : this->InvalidConfigurations)
+      BOOST_TEST(Each->Status != 200);
     BOOST_TEST(this->Record.Copies > 0);
-    BOOST_TEST_MESSAGE("seed " << this->Seed << ": " << this->Entries
-                               << " entry daemons, " << this->RetryExtra
-                               << " extra retries, " << this->Servers.size()
-                               << " servers, " << this->Record.Calls.size()
-                               << " calls, " << this->Record.Served
-                               << " served, " << this->Record.Repeats.size()
-                               << " repeats, " << this->Record.Copies
-                               << " copies, " << this->Disturbances
-                               << " disturbances");
+    BOOST_TEST_MESSAGE(
+        "seed " << this->Seed << ": " << this->Entries << " entry daemons, "
+                << this->RetryExtra << " extra retries, "
+                << this->Servers.size() << " servers, "
+                << this->Record.Calls.size() << " calls, "
+                << this->Record.Served << " served, "
+                << this->Record.Repeats.size() << " repeats, "
+                << this->Record.Copies << " copies, " << this->Record.Left
+                << " servers left, " << this->Disturbances << " disturbances");
   }
 
 private:
@@ -108,7 +112,8 @@
 
   void announceAll() {
     for (int I = 0; I < static_cast<int>(this->Servers.size()); ++I)
-      this->Fixture.announceAt("soak-" + std::to_string(I), serverIp(I));
+      this->Fixture.announceAt("soak-" + std::to_string(I), serverIp(I),
+                               this->Servers[I]->startedAt());
   }
 
   /// Waits until an entry daemon serves several requests in a row.
@@ -174,7 +179,12 @@
     Handlers.OnSent = [this, Id, Route, Entry] {
       this->Record.recordCall(Id, Route, Entry);
     };
-    Handlers.OnHead = [Response](const Network::Http1Head &Head) {
+    Handlers.OnHead = [this, Entry, Response](const Network::Http1Head &Head) {
+      if (Network::findHeader(Head.Headers, "Server-Leaving"))
+        this->Record.recordLeaving(
+            Entry,
+            {std::stoi(*Network::findHeader(Head.Headers, "X-Server")),
+             std::stoull(*Network::findHeader(Head.Headers, "X-Process"))});
       Response->Status = Head.Status;
       Response->Headers = Head.Headers;
       return true;
@@ -240,6 +250,7 @@
   }
 
   void restartEntry(int Entry) {
+    this->Record.forgetLeaving(Entry);
     this->Fixture.startEntryDaemon(Entry);
     this->DisturbedEntries.erase(Entry);
   }
@@ -274,10 +285,26 @@
     this->endAfter(this->Random.between(300ms, 2s), [this, Entry] {
       this->Fixture.process(entryName(Entry)).signal(SIGCONT);
       this->Record.setEntryStopped(Entry, false);
+      this->Record.forgetLeaving(Entry);
       this->DisturbedEntries.erase(Entry);
     });
   }
 
+  /// A server says in its answers that it leaves, goes on announcing itself as
+  /// ready, and is replaced by a new process.
+  void replaceServer() {
+    if (std::exchange(this->ServerLeaves, true))
+      return;
+    SoakServer &Leaving =
+        *this->Servers[this->Random.below(this->Servers.size())];
+    Leaving.leave();
+    ++this->Record.Left;
+    this->endAfter(this->Random.between(1s, 4s), [this, &Leaving] {
+      Leaving.restart();
+      this->ServerLeaves = false;
+    });
+  }
+
   void restartStateDaemon() {
     if (std::exchange(this->StateDaemonDown, true))
       return;
@@ -301,6 +328,22 @@
                               "/sycamorereach/config/replace", Declaration, {});
   }
 
+  /// A configuration that would take all routes, or all later versions, away.
+  void sendInvalidConfiguration() {
+    nlohmann::json Invalid = nlohmann::json::parse(
+        RoutedCluster::declaration(this->LastVersion + 1000, "/none/"));
+    const std::array Variants = {
+        nlohmann::json{{"version", -1}}, nlohmann::json{{"version", 1e30}},
+        nlohmann::json{{"routes", nullptr}},
+        nlohmann::json{{"tenants", nlohmann::json::object()}}};
+    Invalid.update(Variants.at(this->Random.below(Variants.size())));
+    const int Daemon =
+        1 + static_cast<int>(this->Random.below(RoutedCluster::StateDaemons));
+    this->InvalidConfigurations.push_back(this->Fixture.startCall(
+        this->Fixture.controlAddress(Daemon), "POST",
+        "/sycamorereach/config/replace", Invalid.dump(), {}));
+  }
+
   /// Sends the next of the requests that are to be served in a row, if none is
   /// under way, and returns whether all have been served.
   bool isServing() {
@@ -333,6 +376,8 @@
   int LastEntry = 0;
   std::set<int> DisturbedEntries;
   bool StateDaemonDown = false;
+  bool ServerLeaves = false;
+  std::vector<std::shared_ptr<RoutedResponse>> InvalidConfigurations;
   int Disturbances = 0;
   int OpenDisturbances = 0;
   bool Ending = false;
