StateDaemon: The version after an invalid one does not wait for a lost daemon

Operators saw: in a group that had stored the version -1 or 8.7 under an earlier release, each declaration got 503 as long as one state daemon was down, also those above the stored number (9 after 8.7) and those that change nothing.

Cause: handleDeclare asked whether the stored version is correct instead of comparing with it, and the correction needs a protocol level, for which the leader waited for every member, lost ones included.

Change: a version up to that of the stored document is acknowledged, one above the number that it is stored under is proposed; only those between wait. While one waits, members without contact for as long as a voter counts as lost do not hold up the protocol level. Without a waiting declaration the level waits for all members as before, as a lost member that comes back with an earlier release cannot follow the log before it is updated. The version 0 waits only if it is the first one. A stored document that cannot be read is no longer corrected to the version of the one before it (by reading; no release has accepted one).

--- a/Source/FaultTests/RoutedConfigurationTest.cpp
+++ b/Source/FaultTests/RoutedConfigurationTest.cpp
@@ -35,6 +35,33 @@
   }
 };
 
+/// The group of the three seeds has stored a document of an earlier release
+/// whose version is invalid. The last seed is down.
+struct LostMemberFixture : RoutedCluster {
+  static constexpr int LostMember = 3;
+
+  LostMemberFixture(const Json &Version,
+                    Common::ConfigurationVersion StoredVersion) {
+    Json Stored = Json::parse(declaration(0, "/a/"));
+    Stored["version"] = Version;
+    this->storeDeclaration(StoredVersion, Stored.dump());
+    for (int I = 1; I < LostMember; ++I)
+      this->startStateDaemon(I, false);
+    this->startEntryDaemon();
+    this->announce("ready");
+    BOOST_REQUIRE(
+        this->waitUntil([&] { return this->request("/a/x").Status == 200; }));
+  }
+
+  bool declare(std::uint64_t Version, const std::string &Prefix) {
+    return this->operatorCall("POST", ReplacePath, declaration(Version, Prefix),
+                              200);
+  }
+  bool isServed(const std::string &Path) {
+    return this->waitUntil([&] { return this->request(Path).Status == 200; });
+  }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(RoutedConfiguration)
@@ -155,6 +182,39 @@
   }
 }
 
+// Guards against a lost state daemon that keeps a group whose stored version is
+// invalid from taking the next one.
+BOOST_AUTO_TEST_CASE(ALostMemberDoesNotHoldUpTheVersionAfterAnInvalidOne) {
+  const std::vector<std::pair<Json, Common::ConfigurationVersion>> Rows = {
+      {-1, {~std::uint64_t{0}}}, {3.7, {3}}};
+  for (const auto &[Version, StoredVersion] : Rows) {
+    LostMemberFixture Test(Version, StoredVersion);
+    BOOST_REQUIRE(Test.declare(3, "/b/"));
+    BOOST_TEST(Test.isServed("/b/x"));
+    // The lost daemon follows the log when it is back.
+    Test.startStateDaemon(LostMemberFixture::LostMember, false);
+    BOOST_REQUIRE(Test.waitUntil([&] {
+      return Test.hasMetric(LostMemberFixture::LostMember,
+                            "declaration_version 3");
+    }));
+    Test.crash("state1");
+    BOOST_TEST(Test.declare(4, "/c/"));
+    BOOST_TEST(Test.isServed("/c/x"));
+  }
+}
+
+// Guards against versions above an invalid stored one that wait for its
+// correction, which needs the lost state daemon.
+BOOST_AUTO_TEST_CASE(AVersionAboveAnInvalidOneIsTakenAtOnce) {
+  LostMemberFixture Test(8.7, {8});
+  // Not newer than the stored document, so it changes nothing.
+  BOOST_TEST(Test.declare(6, "/b/"));
+  BOOST_TEST(Test.declare(9, "/c/"));
+  BOOST_TEST(Test.isServed("/c/x"));
+  BOOST_TEST(Test.request("/b/x").Status == 404);
+  BOOST_TEST(Test.hasMetric(Test.leader(), "protocol_level 0"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace FaultTests
--- a/Source/StateDaemon/Controller.cpp
+++ b/Source/StateDaemon/Controller.cpp
@@ -238,25 +238,40 @@
     Telemetry::log(Events::DeclarationUnreadable,
                    this->State.declarationVersion().Value,
                    Map.status().message());
+    this->DocumentVersion = this->State.declarationVersion();
     return;
   }
+  this->DocumentVersion = Map->version();
   this->Declaration =
       std::make_shared<const Configuration::ServiceMap>(std::move(*Map));
   this->Tokens.setDeclaration(this->Declaration);
 }
 
-bool Controller::hasCorrectVersion() const {
-  return !this->Declaration ||
-         this->PushedVersion != this->State.declarationVersion() ||
-         this->Declaration->version() == this->State.declarationVersion();
+Common::ConfigurationVersion Controller::declaredVersion() const {
+  const Common::ConfigurationVersion Stored = this->State.declarationVersion();
+  // Otherwise the document has not been decoded yet.
+  const bool IsDecoded = this->PushedVersion == Stored;
+  return IsDecoded ? std::min(Stored, this->DocumentVersion) : Stored;
+}
+
+bool Controller::isNewerThanDeclaration(
+    Common::ConfigurationVersion Version) const {
+  return !this->State.hasDeclaration() || Version > this->declaredVersion();
+}
+
+bool Controller::takesEffect(Common::ConfigurationVersion Version) const {
+  if (this->State.hasDeclaration())
+    return Version > this->State.declarationVersion();
+  return Version.Value != 0 ||
+         this->State.protocolLevel() >= State::CorrectedVersionsLevel;
 }
 
 void Controller::correctDeclarationVersion() {
-  if (this->hasCorrectVersion() || !this->Driver->holdsLeadership() ||
+  const Common::ConfigurationVersion Stored = this->State.declarationVersion();
+  const Common::ConfigurationVersion Corrected = this->declaredVersion();
+  if (Corrected == Stored || !this->Driver->holdsLeadership() ||
       this->State.protocolLevel() < State::CorrectedVersionsLevel)
     return;
-  const Common::ConfigurationVersion Stored = this->State.declarationVersion();
-  const Common::ConfigurationVersion Corrected = this->Declaration->version();
   this->Driver->propose(
       Network::encode(State::ControlCommand(
           State::CorrectVersionCommand{Stored, Corrected})),
--- a/Source/StateDaemon/Controller.h
+++ b/Source/StateDaemon/Controller.h
@@ -60,6 +60,7 @@
   /// Asks the leader to replace this daemon as a voter, if a learner is there
   /// to take its place. Returns whether a confirmation is still to come.
   bool requestLeave();
+  Consensus::VoterPlanOptions voterPlanOptions() const;
   std::map<Consensus::ReplicaId, Consensus::MemberHealth> memberHealth() const;
 
   // Frames between daemons.
@@ -132,7 +133,7 @@
                        const State::PeerHello &Hello);
   void sendPeerHello(Network::FrameClient &Link);
   /// Raises the group's protocol level to what all members support, while this
-  /// daemon leads.
+  /// daemon leads. Lost members do not count while a declaration waits for it.
   void raiseProtocolLevel();
 
   // Rollouts.
@@ -180,10 +181,15 @@
   /// Decodes the applied declaration document for the token pool, the tracker
   /// and the duties.
   void decodeDeclaration();
-  /// Whether the declaration is stored under the version of its document; see
-  /// CorrectVersionCommand.
-  bool hasCorrectVersion() const;
-  /// Proposes the correct version while this daemon leads.
+  /// The version of the declaration's document, which is lower than the one
+  /// that it is stored under until a State::CorrectVersionCommand is applied.
+  Common::ConfigurationVersion declaredVersion() const;
+  /// Whether the operator's Version exceeds that of the declaration.
+  bool isNewerThanDeclaration(Common::ConfigurationVersion Version) const;
+  /// Whether a newer declaration would take effect now. Otherwise the group
+  /// needs State::CorrectedVersionsLevel first.
+  bool takesEffect(Common::ConfigurationVersion Version) const;
+  /// Proposes the declaration's correct version while this daemon leads.
   void correctDeclarationVersion();
   void updateGauges();
   void shutDown();
@@ -241,6 +247,10 @@
   /// Version of the last declaration that was pushed to entry daemons and
   /// decoded.
   std::optional<Common::ConfigurationVersion> PushedVersion;
+  /// Version of the decoded document.
+  Common::ConfigurationVersion DocumentVersion;
+  /// Whether the last newer declaration has to wait for a protocol level.
+  bool DeclarationAwaitsLevel = false;
   /// When a leader was last known; without one for JoinDelay, this daemon asks
   /// to join the group.
   Common::TimePoint LeaderLastKnownAt;
--- a/Source/StateDaemon/ControllerGroup.cpp
+++ b/Source/StateDaemon/ControllerGroup.cpp
@@ -202,6 +202,11 @@
   this->Loop.defer([this] { this->handleGroupChange(); });
 }
 
+Consensus::VoterPlanOptions Controller::voterPlanOptions() const {
+  return Consensus::VoterPlanOptions::create(this->Settings.ToleratedHosts,
+                                             this->Settings.CatchUpTime);
+}
+
 std::map<Consensus::ReplicaId, Consensus::MemberHealth>
 Controller::memberHealth() const {
   auto Result =
@@ -257,8 +262,7 @@
   const Consensus::Replica &Replica = *this->Driver->replica();
   const auto Change = Consensus::planVoterChange(
       Replica.membership(), Replica.self(), this->memberHealth(),
-      Consensus::VoterPlanOptions::create(this->Settings.ToleratedHosts,
-                                          this->Settings.CatchUpTime));
+      this->voterPlanOptions());
   if (!Change)
     return;
   const bool Promotes =
--- a/Source/StateDaemon/ControllerHttp.cpp
+++ b/Source/StateDaemon/ControllerHttp.cpp
@@ -136,22 +136,18 @@
   // Decodes what has just been applied.
   this->pushDeclaration();
   const Common::ConfigurationVersion Version = Map->version();
-  const bool MustWait =
-      !this->hasCorrectVersion() ||
-      (Version.Value == 0 &&
-       this->State.protocolLevel() < State::CorrectedVersionsLevel);
-  if (MustWait) {
-    replyRetry(*Exchange, "the group cannot take this version until all state "
-                          "daemons are updated; retry shortly");
-    return;
-  }
-  if (this->State.hasDeclaration() &&
-      Version <= this->State.declarationVersion()) {
+  if (!this->isNewerThanDeclaration(Version)) {
     Telemetry::log(Events::DeclarationNotNewer, Version.Value,
                    this->State.declarationVersion().Value);
     replyAccepted(*Exchange);
     return;
   }
+  this->DeclarationAwaitsLevel = !this->takesEffect(Version);
+  if (this->DeclarationAwaitsLevel) {
+    replyRetry(*Exchange, "the group cannot take this version until all state "
+                          "daemons are updated; retry shortly");
+    return;
+  }
   State::DeclareCommand Command{Version, Exchange->body()};
   const bool Appended = this->Driver->propose(
       Network::encode(State::ControlCommand(std::move(Command))),
--- a/Source/StateDaemon/ControllerServerEnds.cpp
+++ b/Source/StateDaemon/ControllerServerEnds.cpp
@@ -147,13 +147,23 @@
 }
 
 void Controller::raiseProtocolLevel() {
-  if (!this->Driver->holdsLeadership())
+  if (this->State.protocolLevel() >= State::SupportedProtocolLevel ||
+      !this->Driver->holdsLeadership())
     return;
   const Consensus::Replica &Replica = *this->Driver->replica();
+  const auto Health = this->memberHealth();
+  const Common::Duration LossTimeout = this->voterPlanOptions().VoterTimeout;
   State::ProtocolLevel Level = State::SupportedProtocolLevel;
   for (const Consensus::Member &Each : Replica.membership().members()) {
     if (Each.Id == Replica.self())
       continue;
+    // A lost member that comes back with an earlier release has to be updated
+    // before it can follow the log.
+    const auto Observed = Health.find(Each.Id);
+    const bool IsLost = Observed != Health.end() &&
+                        Observed->second.SinceLastContact > LossTimeout;
+    if (IsLost && this->DeclarationAwaitsLevel)
+      continue;
     const auto Known = this->PeerLevels.find(Each.Id);
     if (Known == this->PeerLevels.end())
       return;
