EntryDaemon: An invalid version of the group does not end a valid one

Callers saw: 503 for all requests once revoke-time had passed. A group stores an invalid version, such as -1, while it is led by a daemon of an earlier release and the entry daemon is of this one: the entry daemon keeps its valid version 3, but counted it as outdated, as the group's number is 2^64 - 1.

Change: the group's number is noted also when the document under it does not replace the one in force, so the leader's answers confirm the latter. The next valid version has another number and is installed as before.

AValidConfigurationOutlivesAnInvalidOneOfTheGroup failed on (503 instead of 200 after twice the revoke time) and passes now. The invalid document is put on the disks of the state daemons; no run with binaries of an earlier release.

--- a/Source/EntryDaemon/Gateway.cpp
+++ b/Source/EntryDaemon/Gateway.cpp
@@ -254,9 +254,9 @@
                    Decoded.status().message());
     return;
   }
+  this->StoredVersion = Push.Version;
   if (!IsNewer(Decoded->version()))
     return;
-  this->StoredVersion = Push.Version;
   this->Context.Declaration =
       std::make_shared<const Configuration::ServiceMap>(std::move(*Decoded));
   const Configuration::RequestLimits &Declared =
--- a/Source/EntryDaemon/Gateway.h
+++ b/Source/EntryDaemon/Gateway.h
@@ -68,9 +68,9 @@
   std::uint32_t EntryCount = 0;
   /// The newest declaration version that a poll answer reported.
   Common::ConfigurationVersion NewestVersion;
-  /// The version under which the state daemons hold the installed declaration.
-  /// It differs from that of the document until the group has applied a
-  /// State::CorrectVersionCommand.
+  /// The version under which the state daemons hold the installed declaration,
+  /// or an invalid one that does not replace it. It differs from that of the
+  /// document until the group has applied a State::CorrectVersionCommand.
   Common::ConfigurationVersion StoredVersion;
   bool LastReady = false;
   Telemetry::ResourceReport Resources;
--- a/Source/FaultTests/RoutedCluster.cpp
+++ b/Source/FaultTests/RoutedCluster.cpp
@@ -197,7 +197,9 @@
           "--http=" + this->entryAddress(Number).str(),
           "--ready=" + Network::Address{entryIp(Number), ReadyPort}.str(),
           "--link-port=" + std::to_string(LinkPort),
-          "--seeds=" + seedAddresses(), "--revoke-time=5000",
+          "--seeds=" + seedAddresses(),
+          "--revoke-time=" +
+              std::to_string(std::chrono::milliseconds(RevokeTime).count()),
           std::string("--rollouts=") + (this->Rollouts ? "true" : "false"),
           "--retry-ratio=" + std::to_string(this->RetryRatio),
           "--retry-extra=" + std::to_string(this->RetryExtra),
--- a/Source/FaultTests/RoutedCluster.h
+++ b/Source/FaultTests/RoutedCluster.h
@@ -32,6 +32,8 @@
 class RoutedCluster {
 public:
   static constexpr int StateDaemons = 4;
+  /// How long an entry daemon obeys a configuration that no leader confirms.
+  static constexpr std::chrono::seconds RevokeTime{5};
 
   RoutedCluster();
   ~RoutedCluster();
--- a/Source/FaultTests/RoutedConfigurationTest.cpp
+++ b/Source/FaultTests/RoutedConfigurationTest.cpp
@@ -215,6 +215,44 @@
   BOOST_TEST(Test.hasMetric(Test.leader(), "protocol_level 0"));
 }
 
+// Guards against an entry daemon that stops serving its valid configuration
+// because the group has stored an invalid one under a higher version.
+BOOST_AUTO_TEST_CASE(AValidConfigurationOutlivesAnInvalidOneOfTheGroup) {
+  RoutedCluster Test;
+  const std::string Valid = RoutedCluster::declaration(3, "/a/");
+  Test.storeDeclaration({3}, Valid);
+  for (int I = 1; I < LostMemberFixture::LostMember; ++I)
+    Test.startStateDaemon(I, false);
+  Test.startEntryDaemon();
+  Test.announce("ready");
+  BOOST_REQUIRE(
+      Test.waitUntil([&] { return Test.request("/a/x").Status == 200; }));
+  for (int I = 1; I < LostMemberFixture::LostMember; ++I)
+    Test.crash("state" + std::to_string(I));
+  for (int I = 1; I <= LostMemberFixture::LostMember; ++I)
+    Test.wipeDisk(I);
+  Json Invalid = Json::parse(RoutedCluster::declaration(0, "/b/"));
+  Invalid["version"] = -1;
+  Test.storeDeclaration({~std::uint64_t{0}}, Invalid.dump());
+  for (int I = 1; I < LostMemberFixture::LostMember; ++I)
+    Test.startStateDaemon(I, false);
+  BOOST_REQUIRE(Test.leader() != 0);
+  // The entry daemon asks until the group has confirmed its configuration, and
+  // obeys it for revoke-time without that.
+  const Common::TimePoint End =
+      Test.loop().now() + 2 * RoutedCluster::RevokeTime;
+  Test.waitUntil([&] {
+    Test.announce("ready");
+    return Test.loop().now() > End;
+  });
+  BOOST_TEST(Test.request("/a/x").Status == 200);
+  BOOST_TEST(Test.request("/b/x").Status == 404);
+  const std::string Next = RoutedCluster::declaration(4, "/c/");
+  BOOST_REQUIRE(Test.operatorCall("POST", ReplacePath, Next, 200));
+  BOOST_TEST(
+      Test.waitUntil([&] { return Test.request("/c/x").Status == 200; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace FaultTests
