FaultTests: The test of a valid configuration uses the group's fixture

AValidConfigurationOutlivesAnInvalidOneOfTheGroup stored, started and declared by itself what LostMemberFixture does; startGroup now serves both.

--- a/Source/FaultTests/RoutedConfigurationTest.cpp
+++ b/Source/FaultTests/RoutedConfigurationTest.cpp
@@ -35,22 +35,27 @@
   }
 };
 
-/// The group of the three seeds has stored a document of an earlier release
-/// whose version is invalid. The last seed is down.
+/// The group of the three seeds has stored a document of an earlier release,
+/// whose version may be invalid, with routes under /a/. The last seed is down.
 struct LostMemberFixture : RoutedCluster {
   static constexpr int LostMember = 3;
 
   LostMemberFixture(const Json &Version,
                     Common::ConfigurationVersion StoredVersion) {
-    Json Stored = Json::parse(declaration(0, "/a/"));
+    this->startGroup(Version, StoredVersion, "/a/");
+    this->startEntryDaemon();
+    this->announce("ready");
+    BOOST_REQUIRE(this->isServed("/a/x"));
+  }
+
+  void startGroup(const Json &Version,
+                  Common::ConfigurationVersion StoredVersion,
+                  const std::string &Prefix) {
+    Json Stored = Json::parse(declaration(0, Prefix));
     Stored["version"] = Version;
     this->storeDeclaration(StoredVersion, Stored.dump());
     for (int I = 1; I < LostMember; ++I)
       this->startStateDaemon(I, false);
-    this->startEntryDaemon();
-    this->announce("ready");
-    BOOST_REQUIRE(
-        this->waitUntil([&] { return this->request("/a/x").Status == 200; }));
   }
 
   bool declare(std::uint64_t Version, const std::string &Prefix) {
@@ -218,24 +223,12 @@
 // Guards against an entry daemon that stops serving its valid configuration
 // because the group has stored an invalid one under a higher version.
 BOOST_AUTO_TEST_CASE(AValidConfigurationOutlivesAnInvalidOneOfTheGroup) {
-  RoutedCluster Test;
-  const std::string Valid = RoutedCluster::declaration(3, "/a/");
-  Test.storeDeclaration({3}, Valid);
-  for (int I = 1; I < LostMemberFixture::LostMember; ++I)
-    Test.startStateDaemon(I, false);
-  Test.startEntryDaemon();
-  Test.announce("ready");
-  BOOST_REQUIRE(
-      Test.waitUntil([&] { return Test.request("/a/x").Status == 200; }));
+  LostMemberFixture Test(3, {3});
   for (int I = 1; I < LostMemberFixture::LostMember; ++I)
     Test.crash("state" + std::to_string(I));
   for (int I = 1; I <= LostMemberFixture::LostMember; ++I)
     Test.wipeDisk(I);
-  Json Invalid = Json::parse(RoutedCluster::declaration(0, "/b/"));
-  Invalid["version"] = -1;
-  Test.storeDeclaration({~std::uint64_t{0}}, Invalid.dump());
-  for (int I = 1; I < LostMemberFixture::LostMember; ++I)
-    Test.startStateDaemon(I, false);
+  Test.startGroup(-1, {~std::uint64_t{0}}, "/b/");
   BOOST_REQUIRE(Test.leader() != 0);
   // The entry daemon asks until the group has confirmed its configuration, and
   // obeys it for revoke-time without that.
@@ -247,10 +240,8 @@
   });
   BOOST_TEST(Test.request("/a/x").Status == 200);
   BOOST_TEST(Test.request("/b/x").Status == 404);
-  const std::string Next = RoutedCluster::declaration(4, "/c/");
-  BOOST_REQUIRE(Test.operatorCall("POST", ReplacePath, Next, 200));
-  BOOST_TEST(
-      Test.waitUntil([&] { return Test.request("/c/x").Status == 200; }));
+  BOOST_REQUIRE(Test.declare(4, "/c/"));
+  BOOST_TEST(Test.isServed("/c/x"));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
