Network: A status line that is none of HTTP/1.x is no answer

Callers saw the status 000, and its body, as the answer of a replica in trouble (MIXED). The same held for every status below 100, for 600 to 999, for a status of one, two or four digits, for two spaces ahead of it, for control characters in the reason phrase, and for the versions HTTP/0.9 and HTTP/2.0 to 9.9. Such a head with the mark that says "not executed" let a request that may run only once be sent to a second server, and with Server-Leaving took its server out of use: the callers after it got 503.

Cause: http-parser reads status lines leniently, and Http1Reader took whatever number it had read. Http1HeadScanner now checks each line of a head before http-parser gets it, so that a head that is none never becomes complete and no conclusion is drawn from it. The status line is judged by isStatusLine alone.

What HTTP says of each form (RFC 9112, section 4; RFC 9110, section 15): the grammar has three digits and one space, statuses outside of 100 to 599 are invalid, a client treats them as a 5xx, as does the 502 that a caller gets now. A later minor version of HTTP/1 is to be read. Splitting at any white space is allowed but warned of, and no proper server sends it. A missing space ahead of an empty reason phrase, empty lines ahead of the status line and lines that end in a line feed only stay accepted: the first and the last are sent by proper servers, and none of them changes what is read. The scanner no longer takes empty lines ahead of the status line for the end of the head, so that a folded line behind them is found in any split of the bytes.

--- a/Source/Core/Network/Http1Reader.cpp
+++ b/Source/Core/Network/Http1Reader.cpp
@@ -1,5 +1,7 @@
 #include "Network/Http1Reader.h"
 
+#include "Network/HttpSyntax.h"
+
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
 #include <algorithm>
@@ -86,18 +88,12 @@
 
 namespace {
 
-/// Whether all header names are tokens (RFC 9110). http-parser accepts other
-/// names, which HTTP implementations interpret differently.
+/// http-parser accepts names that are no tokens, which HTTP implementations
+/// interpret differently.
 bool haveValidNames(const HttpHeaders &Headers) {
   return std::all_of(
-      Headers.begin(), Headers.end(), [](const HttpHeader &Header) {
-        return !Header.Name.empty() &&
-               std::all_of(Header.Name.begin(), Header.Name.end(), [](char C) {
-                 return absl::ascii_isalnum(C) ||
-                        std::string_view("!#$%&'*+-.^_`|~").find(C) !=
-                            std::string_view::npos;
-               });
-      });
+      Headers.begin(), Headers.end(),
+      [](const HttpHeader &Header) { return isToken(Header.Name); });
 }
 
 /// Whether the framing headers allow more than one interpretation, as in
@@ -181,7 +177,7 @@
 
 Http1Reader::Http1Reader(Kind MessageKind, Limits ReaderLimits)
     : MessageKind(MessageKind), ReaderLimits(ReaderLimits),
-      HttpParser(std::make_unique<Parser>()) {
+      HttpParser(std::make_unique<Parser>()), HeadScanner(this->newScanner()) {
   this->reset();
 }
 
@@ -192,6 +188,7 @@
                    this->MessageKind == Kind::Requests ? HTTP_REQUEST
                                                        : HTTP_RESPONSE);
   this->HttpParser->Native.data = this;
+  this->HeadScanner = this->newScanner();
   this->CurrentState = State::NeedsMore;
   this->HeadComplete = false;
   this->HeadMalformed = false;
@@ -202,19 +199,13 @@
   this->Reason.clear();
   this->Body.clear();
   this->LastTokenWasValue = false;
-  this->AtLineStart = false;
 }
 
-bool Http1Reader::containsFoldedHeader(std::string_view Bytes) {
-  for (const char C : Bytes) {
-    if (this->AtLineStart && (C == ' ' || C == '\t'))
-      return true;
-    // An empty line ends the head.
-    if (this->AtLineStart && (C == '\r' || C == '\n'))
-      return false;
-    this->AtLineStart = C == '\n';
-  }
-  return false;
+Http1HeadScanner Http1Reader::newScanner() const {
+  using StartLine = Http1HeadScanner::StartLine;
+  return Http1HeadScanner(this->MessageKind == Kind::Responses
+                              ? StartLine::Status
+                              : StartLine::Request);
 }
 
 std::size_t Http1Reader::feed(std::string_view Bytes) {
@@ -222,7 +213,7 @@
     return 0;
   this->Started = true;
   const bool WasInHead = !this->HeadComplete;
-  if (WasInHead && this->containsFoldedHeader(Bytes)) {
+  if (WasInHead && !this->HeadScanner.feed(Bytes)) {
     this->CurrentState = State::Malformed;
     return 0;
   }
--- a/Source/Core/Network/Http1Reader.h
+++ b/Source/Core/Network/Http1Reader.h
@@ -1,6 +1,7 @@
 #ifndef SYCAMOREREACH_NETWORK_HTTP1READER_H
 #define SYCAMOREREACH_NETWORK_HTTP1READER_H
 
+#include "Network/Http1HeadScanner.h"
 #include "Network/HttpMessage.h"
 
 #include <functional>
@@ -26,8 +27,9 @@
   bool CloseDelimited = false;
 };
 
-/// Parses HTTP/1.x messages incrementally with http-parser. It stops at the end
-/// of each message, so that the caller keeps the bytes that follow.
+/// Parses HTTP/1.x messages incrementally with http-parser, and rejects what
+/// that accepts although it is no message of HTTP/1.x. It stops at the end of
+/// each message, so that the caller keeps the bytes that follow.
 class Http1Reader {
 public:
   enum class Kind { Requests, Responses };
@@ -82,13 +84,12 @@
   struct Parser;
   friend struct Parser;
 
-  /// Whether Bytes contain a folded header line (obs-fold in RFC 9112), which
-  /// is obsolete and which HTTP implementations interpret differently.
-  bool containsFoldedHeader(std::string_view Bytes);
+  Http1HeadScanner newScanner() const;
 
   Kind MessageKind;
   Limits ReaderLimits;
   std::unique_ptr<Parser> HttpParser;
+  Http1HeadScanner HeadScanner;
   State CurrentState = State::NeedsMore;
   bool HeadComplete = false;
   bool HeadMalformed = false;
@@ -100,8 +101,6 @@
   std::string Reason;
   std::string Body;
   bool LastTokenWasValue = false;
-  /// Whether the next byte is the first of a line.
-  bool AtLineStart = false;
   bool NoBodyExpected = false;
 };
 
--- /dev/null
+++ b/Source/Core/Network/HttpSyntax.cpp
@@ -0,0 +1,46 @@
+#include "Network/HttpSyntax.h"
+
+#include <absl/strings/ascii.h>
+#include <algorithm>
+
+namespace Network {
+
+namespace {
+
+/// Horizontal tab, space, visible characters and bytes outside of ASCII.
+bool isTextCharacter(char Character) {
+  return Character == '\t' ||
+         !absl::ascii_iscntrl(static_cast<unsigned char>(Character));
+}
+
+} // namespace
+
+bool isToken(std::string_view Text) {
+  return !Text.empty() &&
+         std::all_of(Text.begin(), Text.end(), [](char Character) {
+           return absl::ascii_isalnum(static_cast<unsigned char>(Character)) ||
+                  std::string_view("!#$%&'*+-.^_`|~").find(Character) !=
+                      std::string_view::npos;
+         });
+}
+
+bool isStatusLine(std::string_view Line) {
+  constexpr std::string_view Protocol = "HTTP/1.";
+  // A digit for the minor version and a space precede the status.
+  constexpr std::size_t StatusAt = Protocol.size() + 2;
+  constexpr std::size_t StatusDigits = 3;
+  constexpr std::size_t StatusEnd = StatusAt + StatusDigits;
+  if (Line.size() < StatusEnd || Line.substr(0, Protocol.size()) != Protocol ||
+      !absl::ascii_isdigit(Line[Protocol.size()]) || Line[StatusAt - 1] != ' ')
+    return false;
+  const std::string_view Status = Line.substr(StatusAt, StatusDigits);
+  if (!std::all_of(Status.begin(), Status.end(), absl::ascii_isdigit) ||
+      Status.front() < '1' || Status.front() > '5')
+    return false;
+  const std::string_view Rest = Line.substr(StatusEnd);
+  return Rest.empty() ||
+         (Rest.front() == ' ' &&
+          std::all_of(Rest.begin(), Rest.end(), isTextCharacter));
+}
+
+} // namespace Network
--- /dev/null
+++ b/Source/Core/Network/HttpSyntax.h
@@ -0,0 +1,19 @@
+#ifndef SYCAMOREREACH_NETWORK_HTTPSYNTAX_H
+#define SYCAMOREREACH_NETWORK_HTTPSYNTAX_H
+
+#include <string_view>
+
+namespace Network {
+
+/// Whether Text is a token (RFC 9110, section 5.6.2), as names of fields are.
+bool isToken(std::string_view Text);
+
+/// Whether Line, without its end, is the status line of a response in HTTP/1.x
+/// (RFC 9112, section 4): one space between its parts, a status of three digits
+/// from 100 to 599, and no control characters in the reason phrase. The space
+/// ahead of an empty reason phrase may be missing, as many servers omit it.
+bool isStatusLine(std::string_view Line);
+
+} // namespace Network
+
+#endif
--- a/Source/FaultTests/RoutedRawServer.cpp
+++ b/Source/FaultTests/RoutedRawServer.cpp
@@ -6,12 +6,15 @@
 #include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 
 namespace FaultTests {
 
 struct RoutedRawServer::Peer {
   int Descriptor = -1;
   int Requests = 0;
+  /// Whether OnHead was called for the request that arrives.
+  bool HeadReported = false;
   Network::Http1Reader Reader{Network::Http1Reader::Kind::Requests, {}};
   Network::EventHandle ReadEvent;
 
@@ -71,14 +74,24 @@
   while (!Rest.empty() && this->isOpen(From)) {
     Peer &Sender = *this->Peers[From];
     Rest.remove_prefix(Sender.Reader.feed(Rest));
-    if (Sender.Reader.state() != Network::Http1Reader::State::Complete)
+    if (!Sender.Reader.isHeadComplete())
       return;
-    Arrival Arrived{From, ++Sender.Requests, Sender.Reader.head(), {}};
+    Arrival Arrived{From, Sender.Requests + 1, Sender.Reader.head(), {}};
     Arrived.RequestId =
         Network::findHeader(Arrived.Head.Headers, "X-Sycamorereach-Request-Id")
             .value_or("");
+    if (!std::exchange(Sender.HeadReported, true) && this->OnHead) {
+      this->OnHead(Arrived);
+      if (!this->isOpen(From))
+        return;
+    }
+    if (Sender.Reader.state() != Network::Http1Reader::State::Complete)
+      return;
+    ++Sender.Requests;
+    Sender.HeadReported = false;
     Sender.Reader.reset();
-    this->OnRequest(Arrived);
+    if (this->OnRequest)
+      this->OnRequest(Arrived);
   }
 }
 
@@ -94,6 +107,18 @@
   this->Peers.erase(Which);
 }
 
+void RoutedRawServer::stopReading(ConnectionNumber From) {
+  const auto Found = this->Peers.find(From);
+  if (Found != this->Peers.end())
+    Found->second->ReadEvent.cancel();
+}
+
+void RoutedRawServer::endWriting(ConnectionNumber To) {
+  const auto Found = this->Peers.find(To);
+  if (Found != this->Peers.end())
+    shutdown(Found->second->Descriptor, SHUT_WR);
+}
+
 void RoutedRawServer::reset(ConnectionNumber Which) {
   const auto Found = this->Peers.find(Which);
   if (Found == this->Peers.end())
--- a/Source/FaultTests/RoutedRawServer.h
+++ b/Source/FaultTests/RoutedRawServer.h
@@ -42,6 +42,15 @@
     return this->Peers.count(Which) != 0;
   }
 
+  /// Leaves what the peer sends in the socket.
+  void stopReading(ConnectionNumber From);
+  /// Sends the end of the stream; the connection stays open for reading.
+  void endWriting(ConnectionNumber To);
+
+  /// The head of a request has arrived. Optional; its handler may close the
+  /// connection.
+  std::function<void(const Arrival &)> OnHead;
+  /// A request has arrived as a whole.
   std::function<void(const Arrival &)> OnRequest;
   /// The peer closed the connection.
   std::function<void(ConnectionNumber)> OnPeerClosed;
--- a/Source/UnitTests/Network/Http1ReaderTest.cpp
+++ b/Source/UnitTests/Network/Http1ReaderTest.cpp
@@ -11,7 +11,7 @@
 using Network::Http1Reader;
 using State = Http1Reader::State;
 
-struct RequestCase {
+struct MessageCase {
   const char *Description;
   std::string Bytes;
   State Expected;
@@ -31,7 +31,7 @@
   return Reader.state();
 }
 
-const std::vector<RequestCase> RequestCases = {
+const std::vector<MessageCase> RequestCases = {
     {"a request without a body", "GET /a/b?c=d HTTP/1.1\r\nHost: x\r\n\r\n",
      State::Complete},
     {"a body with a length",
@@ -93,12 +93,77 @@
          std::string(2000, 'a') + "\r\n0\r\n\r\n",
      State::BodyTooLarge}};
 
+/// A response with a body of two bytes.
+std::string responseTo(const std::string &StatusLine) {
+  return StatusLine + "\r\nContent-Length: 2\r\n\r\nok";
+}
+
+const std::vector<MessageCase> StatusLineCases = {
+    {"a status line", responseTo("HTTP/1.1 200 OK"), State::Complete},
+    {"an unregistered status", responseTo("HTTP/1.1 599 Odd"), State::Complete},
+    {"HTTP/1.0", responseTo("HTTP/1.0 200 OK"), State::Complete},
+    {"a later minor version", responseTo("HTTP/1.2 200 OK"), State::Complete},
+    {"an empty reason phrase", responseTo("HTTP/1.1 200 "), State::Complete},
+    {"no reason phrase", responseTo("HTTP/1.1 200"), State::Complete},
+    {"a reason phrase outside of ASCII",
+     responseTo("HTTP/1.1 404 Pas trouv\xe9"), State::Complete},
+    {"a reason phrase with a tab", responseTo("HTTP/1.1 200 O\tK"),
+     State::Complete},
+    {"empty lines ahead", "\r\n\r\n" + responseTo("HTTP/1.1 200 OK"),
+     State::Complete},
+    {"lines that end in a line feed only",
+     "HTTP/1.1 200 OK\nContent-Length: 2\n\nok", State::Complete},
+    {"status 000", responseTo("HTTP/1.1 000 OK"), State::Malformed},
+    {"status 099", responseTo("HTTP/1.1 099 OK"), State::Malformed},
+    {"status 600", responseTo("HTTP/1.1 600 OK"), State::Malformed},
+    {"status 999", responseTo("HTTP/1.1 999 OK"), State::Malformed},
+    {"a status of one digit", responseTo("HTTP/1.1 2 OK"), State::Malformed},
+    {"a status of two digits", responseTo("HTTP/1.1 20 OK"), State::Malformed},
+    {"a status of four digits", responseTo("HTTP/1.1 0200 OK"),
+     State::Malformed},
+    {"a negative status", responseTo("HTTP/1.1 -20 OK"), State::Malformed},
+    {"no status", responseTo("HTTP/1.1 OK"), State::Malformed},
+    {"two spaces ahead of the status", responseTo("HTTP/1.1  200 OK"),
+     State::Malformed},
+    {"a tab ahead of the status", responseTo("HTTP/1.1\t200 OK"),
+     State::Malformed},
+    {"a tab behind the status", responseTo("HTTP/1.1 200\tOK"),
+     State::Malformed},
+    {"a control character in the reason phrase",
+     responseTo("HTTP/1.1 200 O\x01K"), State::Malformed},
+    {"HTTP/2.0", responseTo("HTTP/2.0 200 OK"), State::Malformed},
+    {"HTTP/0.9", responseTo("HTTP/0.9 200 OK"), State::Malformed},
+    {"a minor version of two digits", responseTo("HTTP/1.10 200 OK"),
+     State::Malformed},
+    {"a lower-case protocol", responseTo("http/1.1 200 OK"), State::Malformed},
+    {"another protocol", responseTo("ICY 200 OK"), State::Malformed},
+    {"a space ahead of the protocol", responseTo(" HTTP/1.1 200 OK"),
+     State::Malformed},
+    {"a status line and a folded line behind empty lines",
+     "\r\n\r\nHTTP/1.1 200 OK\r\nA: b\r\n c\r\nContent-Length: 2\r\n\r\nok",
+     State::Malformed}};
+
+void checkResponses(const std::vector<MessageCase> &Cases) {
+  for (const MessageCase &Each : Cases)
+    for (const bool ByteByByte : {false, true}) {
+      Http1Reader Reader(Http1Reader::Kind::Responses, {1000, 1000});
+      BOOST_TEST_CONTEXT(Each.Description
+                         << (ByteByByte ? ", byte by byte" : ""))
+      BOOST_CHECK(readAll(Reader, Each.Bytes, ByteByByte) == Each.Expected);
+    }
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Http1Reader_)
 
+// Guards against a status that is none, such as 000, being passed on.
+BOOST_AUTO_TEST_CASE(ReadsStatusLinesOfHttp1Only) {
+  checkResponses(StatusLineCases);
+}
+
 BOOST_AUTO_TEST_CASE(ParsesOrRejectsRequests) {
-  for (const RequestCase &Each : RequestCases)
+  for (const MessageCase &Each : RequestCases)
     for (const bool ByteByByte : {false, true}) {
       Http1Reader Reader(Http1Reader::Kind::Requests, {1000, 1000});
       BOOST_TEST_CONTEXT(Each.Description
