FaultTests: Field names that are no tokens reach no caller

The code already rejects them: http-parser most, and Http1Reader the blank, that it accepts. The tests hold on as well, on safe, unsafe and resumable routes, whole and byte by byte. They also have broken lengths and values, and the forms that must stay accepted. No change of the code.

--- a/Source/FaultTests/RoutedBrokenAnswerTest.cpp
+++ b/Source/FaultTests/RoutedBrokenAnswerTest.cpp
@@ -180,6 +180,20 @@
     });
 }
 
+// Guards against MIXED: a line whose field name is no token was passed on, or
+// changed where the body ends.
+BOOST_AUTO_TEST_CASE(AFieldNameThatIsNoTokenReachesNoCaller) {
+  RoutedCluster Fixture;
+  BreakingServers Servers(startedCluster(Fixture));
+  for (const std::string Field :
+       {"X Odd: 1", "X-Odd : 1", "X-Odd\t: 1", "X\x01Odd: 1", "X-Odd\x7f: 1",
+        ": 1", "X-Odd", "Content-Length : 3", "Content Length: 3",
+        "Transfer-Encoding : chunked"})
+    checkOnAllRoutes(Servers, Field, [&](const std::string &Id) {
+      return responseTo(Id, "HTTP/1.1 200 OK", Field + "\r\n");
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace FaultTests
--- a/Source/UnitTests/Network/Http1ReaderTest.cpp
+++ b/Source/UnitTests/Network/Http1ReaderTest.cpp
@@ -143,6 +143,37 @@
      "\r\n\r\nHTTP/1.1 200 OK\r\nA: b\r\n c\r\nContent-Length: 2\r\n\r\nok",
      State::Malformed}};
 
+const std::vector<MessageCase> FieldCases = [] {
+  std::vector<MessageCase> Result;
+  for (const char *Name :
+       {"X Odd", "X-Odd ", "X-Odd\t", "X\x01Odd", "X\x7fOdd", "X\xe9Odd", "",
+        "Content-Length ", "Content Length", "Transfer-Encoding "})
+    Result.push_back({Name,
+                      std::string("HTTP/1.1 200 OK\r\n") + Name +
+                          ": 1\r\nContent-Length: 2\r\n\r\nok",
+                      State::Malformed});
+  Result.push_back({"no colon",
+                    "HTTP/1.1 200 OK\r\nX-Odd\r\nContent-Length: 2\r\n\r\nok",
+                    State::Malformed});
+  for (const char *Length : {"", " ", "+2", "-2", "2 2", "2, 2", "2x", "0x2",
+                             "99999999999999999999999"})
+    Result.push_back({Length,
+                      std::string("HTTP/1.1 200 OK\r\nContent-Length: ") +
+                          Length + "\r\n\r\nok",
+                      State::Malformed});
+  for (const char *Value : {"a\x01", "a\x7f", "a\rb"})
+    Result.push_back({Value,
+                      std::string("HTTP/1.1 200 OK\r\nX-Odd: ") + Value +
+                          "\r\nContent-Length: 2\r\n\r\nok",
+                      State::Malformed});
+  for (const char *Value : {"", " a b\t", "a\xe9"})
+    Result.push_back({Value,
+                      std::string("HTTP/1.1 200 OK\r\nX!#$%&'*+-.^_`|~9:") +
+                          Value + "\r\nContent-Length: 2\r\n\r\nok",
+                      State::Complete});
+  return Result;
+}();
+
 void checkResponses(const std::vector<MessageCase> &Cases) {
   for (const MessageCase &Each : Cases)
     for (const bool ByteByByte : {false, true}) {
@@ -162,6 +193,10 @@
   checkResponses(StatusLineCases);
 }
 
+// Guards against lines whose field name is no token being passed on, or framing
+// the body.
+BOOST_AUTO_TEST_CASE(ReadsFieldsOfResponses) { checkResponses(FieldCases); }
+
 BOOST_AUTO_TEST_CASE(ParsesOrRejectsRequests) {
   for (const MessageCase &Each : RequestCases)
     for (const bool ByteByByte : {false, true}) {
