Network: An answer whose connection is reset during the upload is not complete

Callers got part of a body without a length as the whole answer (MIXED), if its server had closed its side of the connection and reset it while the request was still being written. A process that ends looks like that: its system ends the stream, and answers what still arrives with a reset.

Cause: Http1Client took an orderly end for the end of such a body, whatever became of the rest of the request. A call now looks at the connection from that end on (UploadProgress): it is complete once the server has acknowledged the whole request, and truncated if the connection fails before that. If the server takes nothing more for a second, and does not reset the connection either, nothing speaks against the end of the answer and it is complete. So the answer of a server that closes early as RFC 9112, section 9.6 says, by reading on, is passed on as before. Bytes that the kernel still holds count as unsent, so that small uploads are covered. Answers with a length or in chunks, and those whose request has been acknowledged, end at once as before.

--- a/Source/Core/Network/Http1Client.cpp
+++ b/Source/Core/Network/Http1Client.cpp
@@ -2,6 +2,7 @@
 
 #include "Network/CorrelationHistory.h"
 #include "Network/SocketAddress.h"
+#include "Network/UploadProgress.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -25,6 +26,9 @@
 /// Effectively unlimited: the consumer of the response limits its body.
 constexpr std::size_t MaxResponseBytes = std::size_t{1} << 40;
 constexpr std::size_t MaxResponseHeaderBytes = 64u << 10;
+/// How often a request that is still under way is looked at when its response
+/// has ended with the connection.
+constexpr Common::Duration UploadCheckPeriod = std::chrono::milliseconds(5);
 /// The connection fails when sent data stays unacknowledged for this long. A
 /// network that drops packets silently reports no error by itself.
 constexpr unsigned UserTimeoutMilliseconds = 3000;
@@ -91,6 +95,8 @@
   bool ForeignReceived = false;
   /// False once the start of the next response in the byte stream is uncertain.
   bool Reusable = true;
+  /// Set when the server has ended a response that ends with the connection.
+  std::optional<UploadProgress> Upload;
   Common::TimePoint IdleSince;
   Common::Duration KeepAliveTimeout = DefaultKeepAliveTimeout;
 
@@ -361,15 +367,37 @@
   Http1CallResult Result = Http1CallResult::NotSent;
   if (SharedCall->HeadReceived) {
     const bool Orderly = (Events & BEV_EVENT_EOF) != 0;
-    Result = Orderly && Source.Reader.handleConnectionEnd()
-                 ? Http1CallResult::Complete
-                 : Http1CallResult::Truncated;
+    if (Orderly && Source.Reader.head().CloseDelimited) {
+      // The end is reported again if reading was paused meanwhile.
+      if (!Source.Upload) {
+        Source.Upload.emplace(this->Loop.now());
+        this->endWithConnection(SharedCall);
+      }
+      return;
+    }
+    Result = Http1CallResult::Truncated;
   } else if (SharedCall->Sent) {
     Result = Http1CallResult::NoResponse;
   }
   this->finishCall(*SharedCall, Result);
 }
 
+void Http1Client::endWithConnection(const CallPtr &Call) {
+  Connection &Source = *Call->ActiveConnection;
+  const auto Upload = Source.Upload->observe(Source.Socket, this->Loop.now());
+  if (Upload == UploadProgress::State::Pending) {
+    Call->Timer = this->Loop.callAfter(UploadCheckPeriod, [this, Call] {
+      if (!Call->Finished)
+        this->endWithConnection(Call);
+    });
+    return;
+  }
+  const bool Complete = Upload != UploadProgress::State::Failed &&
+                        Source.Reader.handleConnectionEnd();
+  this->finishCall(*Call, Complete ? Http1CallResult::Complete
+                                   : Http1CallResult::Truncated);
+}
+
 void Http1Client::finishCall(ActiveCall &Call, Http1CallResult Result) {
   const CallPtr SharedCall = this->ActiveCalls[&Call];
   this->ActiveCalls.erase(&Call);
--- a/Source/Core/Network/Http1Client.h
+++ b/Source/Core/Network/Http1Client.h
@@ -81,7 +81,9 @@
 };
 
 /// HTTP/1.1 client for backend servers with a pool of keep-alive connections.
-/// It never retries a request.
+/// It never retries a request. A response without a length is complete if its
+/// connection ends in an orderly way, and is not reset while the rest of the
+/// request is under way.
 class Http1Client {
 public:
   /// A call in progress; the client keeps it alive until it ends.
@@ -118,6 +120,9 @@
   void writeRequest(ActiveCall &Call);
   void handleInput(Connection &Source);
   void handleEvent(Connection &Source, short Events);
+  /// Ends a call whose response ends with the connection, once it is known what
+  /// becomes of the rest of its request.
+  void endWithConnection(const CallPtr &Call);
   /// Does nothing unless the connection is idle.
   void closeIdle(const Connection &Source);
   void closeExpiredConnections();
--- a/Source/FaultTests/RoutedBrokenAnswerTest.cpp
+++ b/Source/FaultTests/RoutedBrokenAnswerTest.cpp
@@ -5,7 +5,7 @@
 #include <array>
 #include <boost/test/unit_test.hpp>
 #include <map>
-#include <set>
+#include <optional>
 
 // What a server in trouble sends instead of an answer reaches no caller, and
 // proves nothing about the request or the server.
@@ -18,7 +18,21 @@
 /// What a server sends in place of the answer to the request of this id.
 using BrokenAnswer = std::function<std::string(const std::string &RequestId)>;
 
+/// A response without a length that begins with the head of its request, and
+/// whose connection is reset after a delay, while the body of the request is
+/// not read.
+struct EarlyAnswer {
+  /// Whether the stream from the server ends in an orderly way before that.
+  bool HalfClosed = false;
+  Common::Duration ResetAfter{};
+};
+
+/// Within the limit of a request, and more than sockets buffer.
+constexpr std::size_t LargeUploadBytes = 4'000'000;
+
 constexpr const char *ProperBody = "proper";
+constexpr const char *FirstEvent = "id: 1\ndata: a\n\n";
+constexpr const char *SecondEvent = "id: 2\ndata: b\n\n";
 constexpr const char *ProperEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 constexpr std::array Routes = {"/a/", "/a/once/", "/a/flow/"};
 
@@ -45,15 +59,13 @@
       this->Servers.push_back(std::make_unique<RoutedRawServer>(
           Cluster.loop(), RoutedCluster::serverAddress(Ip)));
       RoutedRawServer *const Server = this->Servers.back().get();
+      Server->OnHead = [this, Server](const RoutedRawServer::Arrival &Arrived) {
+        if (this->Early && this->Sends[Arrived.RequestId] == 0)
+          this->answerEarly(*Server, Arrived);
+      };
       Server->OnRequest = [this,
                            Server](const RoutedRawServer::Arrival &Arrived) {
-        if (this->Sends[Arrived.RequestId]++ == 0 && this->Broken)
-          Server->send(Arrived.Connection, this->Broken(Arrived.RequestId));
-        else if (isStream(Arrived.Head.Target))
-          this->sendStream(*Server, Arrived);
-        else
-          Server->send(Arrived.Connection,
-                       RawResponse::success(Arrived.RequestId, ProperBody));
+        this->answer(*Server, Arrived);
       };
     }
     Cluster.announce("draining");
@@ -82,6 +94,9 @@
   }
 
   BrokenAnswer Broken;
+  /// Sent instead of Broken if it is set.
+  std::optional<EarlyAnswer> Early;
+  std::string RequestBody = "body";
 
 private:
   static constexpr std::array Ips = {"127.0.8.40", "127.0.8.41"};
@@ -93,7 +108,7 @@
   std::shared_ptr<RoutedResponse> start(const std::string &Path) {
     ++this->LastRequest;
     return this->Cluster.startCall(
-        this->Cluster.entryAddress(), "POST", Path, "body",
+        this->Cluster.entryAddress(), "POST", Path, this->RequestBody,
         {{"X-Sycamorereach-Request-Id", this->lastId()},
          {"X-Sycamorereach-Request-Deadline", "3000"},
          {"Authorization", "Bearer key-1"}});
@@ -104,10 +119,38 @@
       this->Cluster.announceAt("breaking-" + std::to_string(I), Ips[I]);
   }
 
+  void answer(RoutedRawServer &Server,
+              const RoutedRawServer::Arrival &Arrived) {
+    if (this->Sends[Arrived.RequestId]++ == 0 && this->Broken)
+      Server.send(Arrived.Connection, this->Broken(Arrived.RequestId));
+    else if (isStream(Arrived.Head.Target))
+      this->sendStream(Server, Arrived);
+    else
+      Server.send(Arrived.Connection,
+                  RawResponse::success(Arrived.RequestId, ProperBody));
+  }
+
+  void answerEarly(RoutedRawServer &Server,
+                   const RoutedRawServer::Arrival &Arrived) {
+    ++this->Sends[Arrived.RequestId];
+    const auto Connection = Arrived.Connection;
+    Server.stopReading(Connection);
+    Server.send(Connection,
+                RawResponse::streamHead(Arrived.RequestId) +
+                    (isStream(Arrived.Head.Target) ? FirstEvent : "part"));
+    if (this->Early->HalfClosed)
+      Server.endWriting(Connection);
+    this->Timers.push_back(this->Cluster.loop().callAfter(
+        this->Early->ResetAfter,
+        [&Server, Connection] { Server.reset(Connection); }));
+  }
+
   void sendStream(RoutedRawServer &Server,
                   const RoutedRawServer::Arrival &Arrived) {
-    Server.send(Arrived.Connection,
-                RawResponse::streamHead(Arrived.RequestId) + ProperEvents);
+    const bool Resumed =
+        Network::findHeader(Arrived.Head.Headers, "Last-Event-Id").has_value();
+    Server.send(Arrived.Connection, RawResponse::streamHead(Arrived.RequestId) +
+                                        (Resumed ? SecondEvent : ProperEvents));
     this->Cluster.loop().defer([&Server, Connection = Arrived.Connection] {
       Server.close(Connection);
     });
@@ -118,6 +161,7 @@
   /// How often each request has arrived.
   std::map<std::string, int> Sends;
   int LastRequest = 0;
+  std::vector<Network::EventHandle> Timers;
 };
 
 /// Checks that the caller of a request whose first server sent Broken got the
@@ -194,6 +238,24 @@
     });
 }
 
+// Guards against MIXED: part of a body without a length was passed on as the
+// whole, although its connection was reset while the upload was still being
+// written.
+BOOST_AUTO_TEST_CASE(AnAnswerThatIsResetDuringAnUploadIsIncomplete) {
+  RoutedCluster Fixture;
+  BreakingServers Servers(startedCluster(Fixture));
+  Servers.RequestBody = std::string(LargeUploadBytes, 'u');
+  for (const bool HalfClosed : {false, true})
+    for (const auto Delay : {1ms, 20ms, 300ms}) {
+      Servers.Early = EarlyAnswer{HalfClosed, Delay};
+      checkOnAllRoutes(Servers,
+                       std::string(HalfClosed ? "half-closed, " : "") +
+                           "reset after " + std::to_string(Delay.count()) +
+                           " ms",
+                       nullptr);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace FaultTests
--- a/Source/UnitTests/Network/RawPeer.cpp
+++ b/Source/UnitTests/Network/RawPeer.cpp
@@ -26,6 +26,11 @@
   return Descriptor;
 }
 
+void resetOnClose(int Descriptor) {
+  const linger Discard{1, 0};
+  setsockopt(Descriptor, SOL_SOCKET, SO_LINGER, &Discard, sizeof(Discard));
+}
+
 } // namespace
 
 Network::Address allocateAddress() {
@@ -48,9 +53,14 @@
   return true;
 }
 
-RawServer::RawServer(Network::EventLoop &Loop, std::vector<Step> Script)
+RawServer::RawServer(Network::EventLoop &Loop, std::vector<Step> Script,
+                     int ReceiveBufferBytes)
     : Loop(Loop), Script(std::move(Script)), ServerAddress(allocateAddress()) {
   this->Listener = listeningSocket(this->ServerAddress);
+  // Accepted sockets inherit it.
+  if (ReceiveBufferBytes != 0)
+    setsockopt(this->Listener, SOL_SOCKET, SO_RCVBUF, &ReceiveBufferBytes,
+               sizeof(ReceiveBufferBytes));
   this->ReadEvent = Loop.onReadable(this->Listener, [this] { this->accept(); });
 }
 
@@ -67,6 +77,15 @@
         send(Each.first, Bytes.data(), Bytes.size(), MSG_NOSIGNAL));
 }
 
+void RawServer::resetAll() {
+  for (auto &Each : this->Peers) {
+    Each.second.ReadEvent.cancel();
+    resetOnClose(Each.first);
+    ::close(Each.first);
+  }
+  this->Peers.clear();
+}
+
 void RawServer::accept() {
   const int Descriptor =
       accept4(this->Listener, nullptr, nullptr, SOCK_NONBLOCK);
@@ -115,11 +134,12 @@
   if (!Bytes.empty())
     BOOST_REQUIRE(::write(Descriptor, Bytes.data(), Bytes.size()) ==
                   static_cast<ssize_t>(Bytes.size()));
-  if (CurrentStep.Reset) {
-    const linger ResetOnClose{1, 0};
-    setsockopt(Descriptor, SOL_SOCKET, SO_LINGER, &ResetOnClose,
-               sizeof(ResetOnClose));
-  }
+  if (CurrentStep.EndWriting)
+    shutdown(Descriptor, SHUT_WR);
+  if (CurrentStep.StopReading)
+    Sender.ReadEvent.cancel();
+  if (CurrentStep.Reset)
+    resetOnClose(Descriptor);
   if (CurrentStep.Close || CurrentStep.Reset) {
     this->Peers.erase(Descriptor);
     ::close(Descriptor);
--- a/Source/UnitTests/Network/RawPeer.h
+++ b/Source/UnitTests/Network/RawPeer.h
@@ -26,14 +26,24 @@
     /// Written before Write if the connection has carried another request: a
     /// late answer to that.
     std::string WriteIfReused = {};
+    /// Send the end of the stream after Write; the connection stays open for
+    /// reading.
+    bool EndWriting = false;
+    /// Leave in the socket what arrives after the request was answered.
+    bool StopReading = false;
   };
 
-  RawServer(Network::EventLoop &Loop, std::vector<Step> Script);
+  /// A ReceiveBufferBytes of 0 leaves the size of the receive buffers to the
+  /// kernel.
+  RawServer(Network::EventLoop &Loop, std::vector<Step> Script,
+            int ReceiveBufferBytes = 0);
   ~RawServer();
 
   /// Writes to all connections that the peers have not closed, without a
   /// request.
   void write(const std::string &Bytes);
+  /// Closes all connections with a TCP reset.
+  void resetAll();
 
   Network::Address address() const { return this->ServerAddress; }
   /// The requests received so far. After a step with BeforeBody, part of the
