EntryDaemon: An answer that is none is no crash of its server

A content whose first three servers each sent something that is no answer, such as a status of 000, was refused from then on as one that crashes servers: its callers got 503 and Retry-After, although the servers lived on.

Cause: Http1Client reported a malformed response as NoResponse, or as Truncated behind a good head, like a lost connection, and RoutedCall takes that for a crash. It now reports Malformed; the attempt fails as one that may have been executed, whatever its head claims, and counts against the server as a bad answer (ServerOutcome::Failed). The content and the parts of the prompt are not suspected: a crash ends the connection. A second attempt ends the same way.

--- a/Source/Core/Network/Http1Client.cpp
+++ b/Source/Core/Network/Http1Client.cpp
@@ -327,9 +327,7 @@
       return;
     }
     if (State != Http1Reader::State::NeedsMore || Consumed == 0) {
-      this->finishCall(*SharedCall, SharedCall->HeadReceived
-                                        ? Http1CallResult::Truncated
-                                        : Http1CallResult::NoResponse);
+      this->finishCall(*SharedCall, Http1CallResult::Malformed);
       return;
     }
   }
--- a/Source/Core/Network/Http1Client.h
+++ b/Source/Core/Network/Http1Client.h
@@ -31,6 +31,9 @@
   NoResponse,
   /// The response started but did not complete.
   Truncated,
+  /// What arrived is no response in HTTP/1.x, or exceeds the limits of one. It
+  /// proves nothing: the server may have executed the request.
+  Malformed,
 };
 
 struct Http1Call {
--- a/Source/EntryDaemon/RoutedAttempt.cpp
+++ b/Source/EntryDaemon/RoutedAttempt.cpp
@@ -507,6 +507,15 @@
     return;
   }
   Attempt &Current = *this->CurrentAttempt;
+  if (End == Network::Http1CallResult::Malformed) {
+    // No crash, which would have ended the connection.
+    this->handleAttemptFailure(Current.Splitter
+                                   ? AttemptResult::StreamInterrupted
+                                   : AttemptResult::MayHaveExecuted,
+                               CallFailure::BadAnswer,
+                               Routing::ServerOutcome::Failed);
+    return;
+  }
   const Platform::ResponseHeaders Decoded = Platform::decodeResponseHeaders(
       Current.ResponseHead->Status, Current.ResponseHead->Headers);
   if (Decoded.NotExecuted) {
--- a/Source/EntryDaemon/RoutedTakeover.cpp
+++ b/Source/EntryDaemon/RoutedTakeover.cpp
@@ -119,6 +119,8 @@
                     false, "not_sent");
   } else if (End == Result::NoResponse) {
     this->endSecond(Outcome::Unreachable, true, "lost");
+  } else if (End == Result::Malformed) {
+    this->endSecond(Outcome::Failed, true, "bad_answer");
   } else {
     const Network::Http1Head &Head = *this->SecondAttempt->ResponseHead;
     const Platform::ResponseHeaders Decoded =
--- a/Source/FaultTests/RoutedBrokenAnswerTest.cpp
+++ b/Source/FaultTests/RoutedBrokenAnswerTest.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 #include <map>
 #include <optional>
+#include <set>
 
 // What a server in trouble sends instead of an answer reaches no caller, and
 // proves nothing about the request or the server.
@@ -50,7 +51,7 @@
          "Content-Length: 6\r\n\r\nbroken";
 }
 
-/// Two servers that send a broken answer to a request the first time that it
+/// Servers that send a broken answer to a request the first time that it
 /// arrives at either of them, and a proper one after that.
 class BreakingServers {
 public:
@@ -93,13 +94,23 @@
     return *Response;
   }
 
+  /// Sends one request to Path and returns the response.
+  RoutedResponse requestOnce(const std::string &Path) {
+    const auto Response = this->start(Path);
+    BOOST_REQUIRE(this->Cluster.waitUntil([&] { return Response->Done; }));
+    return *Response;
+  }
+
+  /// Servers that have sent a broken answer.
+  std::size_t reachedServers() const { return this->Broke.size(); }
+
   BrokenAnswer Broken;
   /// Sent instead of Broken if it is set.
   std::optional<EarlyAnswer> Early;
   std::string RequestBody = "body";
 
 private:
-  static constexpr std::array Ips = {"127.0.8.40", "127.0.8.41"};
+  static constexpr std::array Ips = {"127.0.8.40", "127.0.8.41", "127.0.8.42"};
 
   std::string lastId() const {
     return "broken-" + std::to_string(this->LastRequest);
@@ -121,9 +132,10 @@
 
   void answer(RoutedRawServer &Server,
               const RoutedRawServer::Arrival &Arrived) {
-    if (this->Sends[Arrived.RequestId]++ == 0 && this->Broken)
+    if (this->Sends[Arrived.RequestId]++ == 0 && this->Broken) {
+      this->Broke.insert(&Server);
       Server.send(Arrived.Connection, this->Broken(Arrived.RequestId));
-    else if (isStream(Arrived.Head.Target))
+    } else if (isStream(Arrived.Head.Target))
       this->sendStream(Server, Arrived);
     else
       Server.send(Arrived.Connection,
@@ -160,6 +172,7 @@
   std::vector<std::unique_ptr<RoutedRawServer>> Servers;
   /// How often each request has arrived.
   std::map<std::string, int> Sends;
+  std::set<const RoutedRawServer *> Broke;
   int LastRequest = 0;
   std::vector<Network::EventHandle> Timers;
 };
@@ -256,6 +269,25 @@
     }
 }
 
+// Guards against sound requests being refused because what their servers sent
+// in place of an answer was taken for the crash of each server.
+BOOST_AUTO_TEST_CASE(AnAnswerThatIsNoneIsNoCrash) {
+  RoutedCluster Fixture;
+  BreakingServers Servers(startedCluster(Fixture));
+  Servers.RequestBody = "the same content";
+  Servers.Broken = [](const std::string &Id) {
+    return responseTo(Id, "HTTP/1.1 000 OK");
+  };
+  int Arrivals = 0;
+  while (Servers.reachedServers() < 3)
+    BOOST_TEST(Servers.request("/a/once/", Arrivals).Status == 502);
+  Servers.Broken = nullptr;
+  // Longer than a report takes to the leader, and its decision back.
+  const Common::TimePoint End = Fixture.loop().now() + 2s;
+  while (Fixture.loop().now() < End)
+    BOOST_TEST(Servers.requestOnce("/a/once/").Body == ProperBody);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace FaultTests
