Network: Chunks and lines are read only as they are framed

An answer whose chunk is longer than its size, or that has other bytes where a chunk, a line or the body ends, reached its caller as complete, with bytes left out or with framing read as body. The same reader took 'HTTP/1.1 200<CR>X' for a status line and swallowed the byte, so that the next field became part of the body, and requests with such framing were read that way too.

Cause: Debian's http-parser is built without its strict checks: where a line feed is due it takes any byte, behind the data of a chunk any two, and behind a chunk's size anything up to the end of the line. Http1HeadScanner now asks for a line feed behind each carriage return, and Http1ChunkScanner checks what is left of a chunked body without its data: size lines with their extensions, the ends of chunks, and trailers, whose names are tokens. Any other message is malformed.

What RFC 9112, section 7.1 says of each form: a size is hexadecimal digits, an extension follows a semicolon, CR LF ends both. Spaces behind a size stay accepted, as old servers pad sizes, and so do lines of the head and of trailers that end in a line feed only (section 2.2). Nothing else of what was accepted is sent by proper servers.

--- a/Source/Core/Network/Http1HeadScanner.h
+++ b/Source/Core/Network/Http1HeadScanner.h
@@ -19,6 +19,8 @@
   /// Takes the next bytes of a message; those behind the head are ignored.
   /// Returns false if the head is malformed.
   bool feed(std::string_view Bytes);
+  /// How many of the bytes fed last belong to the head.
+  std::size_t headBytes() const { return this->HeadBytes; }
 
 private:
   /// Returns false if the line is malformed.
@@ -27,9 +29,12 @@
   StartLine Expected;
   bool InStartLine = true;
   bool Ended = false;
+  /// A carriage return ends a line, together with a line feed.
+  bool LineFeedDue = false;
+  std::size_t HeadBytes = 0;
   /// Characters of the current line, without its end.
   std::size_t LineLength = 0;
-  /// The status line, as far as it has arrived.
+  /// The status line without its end, as far as it has arrived.
   std::string StatusLine;
 };
 
--- a/Source/Core/Network/Http1Reader.cpp
+++ b/Source/Core/Network/Http1Reader.cpp
@@ -54,6 +54,9 @@
   static int onBody(http_parser *RawParser, const char *Bytes,
                     std::size_t Length) {
     Http1Reader &Self = readerOf(RawParser);
+    if (!Self.checkFraming(Bytes))
+      return 1;
+    Self.FramingBegin = Bytes + Length;
     Self.BodyBytes += Length;
     if (Self.BodyBytes > Self.ReaderLimits.MaxBodyBytes) {
       Self.CurrentState = State::BodyTooLarge;
@@ -164,6 +167,7 @@
     Self.CurrentState = State::Malformed;
     return -1;
   }
+  Self.Chunked = !WithoutBody && (RawParser->flags & F_CHUNKED) != 0;
   // http-parser reads a body after these heads if they have a Content-Length.
   if (WithoutBody)
     return 1;
@@ -189,6 +193,8 @@
                                                        : HTTP_RESPONSE);
   this->HttpParser->Native.data = this;
   this->HeadScanner = this->newScanner();
+  this->ChunkScanner = Http1ChunkScanner();
+  this->Chunked = false;
   this->CurrentState = State::NeedsMore;
   this->HeadComplete = false;
   this->HeadMalformed = false;
@@ -208,6 +214,18 @@
                               : StartLine::Request);
 }
 
+bool Http1Reader::checkFraming(const char *End) {
+  if (!this->Chunked || End <= this->FramingBegin)
+    return true;
+  const std::string_view Framing(
+      this->FramingBegin, static_cast<std::size_t>(End - this->FramingBegin));
+  this->FramingBegin = End;
+  if (this->ChunkScanner.feed(Framing))
+    return true;
+  this->CurrentState = State::Malformed;
+  return false;
+}
+
 std::size_t Http1Reader::feed(std::string_view Bytes) {
   if (this->CurrentState != State::NeedsMore || Bytes.empty())
     return 0;
@@ -217,9 +235,14 @@
     this->CurrentState = State::Malformed;
     return 0;
   }
+  this->FramingBegin =
+      Bytes.data() + (WasInHead ? this->HeadScanner.headBytes() : 0);
   const std::size_t Consumed =
       http_parser_execute(&this->HttpParser->Native, &Parser::settings(),
                           Bytes.data(), Bytes.size());
+  if (this->CurrentState == State::NeedsMore ||
+      this->CurrentState == State::Complete)
+    this->checkFraming(Bytes.data() + Consumed);
   if (WasInHead) {
     this->HeaderBytes +=
         this->HeadComplete ? this->HttpParser->Native.nread : Bytes.size();
--- a/Source/Core/Network/Http1Reader.h
+++ b/Source/Core/Network/Http1Reader.h
@@ -1,6 +1,7 @@
 #ifndef SYCAMOREREACH_NETWORK_HTTP1READER_H
 #define SYCAMOREREACH_NETWORK_HTTP1READER_H
 
+#include "Network/Http1ChunkScanner.h"
 #include "Network/Http1HeadScanner.h"
 #include "Network/HttpMessage.h"
 
@@ -85,11 +86,18 @@
   friend struct Parser;
 
   Http1HeadScanner newScanner() const;
+  /// Checks the framing of a chunked body up to End. Returns false if it is
+  /// malformed; the state then says so.
+  bool checkFraming(const char *End);
 
   Kind MessageKind;
   Limits ReaderLimits;
   std::unique_ptr<Parser> HttpParser;
   Http1HeadScanner HeadScanner;
+  Http1ChunkScanner ChunkScanner;
+  /// Where the part of the bytes begins that was not checked as framing.
+  const char *FramingBegin = nullptr;
+  bool Chunked = false;
   State CurrentState = State::NeedsMore;
   bool HeadComplete = false;
   bool HeadMalformed = false;
--- a/Source/Core/Network/HttpSyntax.cpp
+++ b/Source/Core/Network/HttpSyntax.cpp
@@ -5,23 +5,20 @@
 
 namespace Network {
 
-namespace {
+bool isTokenCharacter(char Character) {
+  return absl::ascii_isalnum(static_cast<unsigned char>(Character)) ||
+         std::string_view("!#$%&'*+-.^_`|~").find(Character) !=
+             std::string_view::npos;
+}
 
-/// Horizontal tab, space, visible characters and bytes outside of ASCII.
 bool isTextCharacter(char Character) {
   return Character == '\t' ||
          !absl::ascii_iscntrl(static_cast<unsigned char>(Character));
 }
 
-} // namespace
-
 bool isToken(std::string_view Text) {
   return !Text.empty() &&
-         std::all_of(Text.begin(), Text.end(), [](char Character) {
-           return absl::ascii_isalnum(static_cast<unsigned char>(Character)) ||
-                  std::string_view("!#$%&'*+-.^_`|~").find(Character) !=
-                      std::string_view::npos;
-         });
+         std::all_of(Text.begin(), Text.end(), isTokenCharacter);
 }
 
 bool isStatusLine(std::string_view Line) {
--- a/Source/Core/Network/HttpSyntax.h
+++ b/Source/Core/Network/HttpSyntax.h
@@ -5,6 +5,13 @@
 
 namespace Network {
 
+/// Whether a character may be part of a token (RFC 9110, section 5.6.2).
+bool isTokenCharacter(char Character);
+
+/// Whether a character may be part of a field value or a reason phrase: a tab,
+/// a space, a visible character or a byte outside of ASCII.
+bool isTextCharacter(char Character);
+
 /// Whether Text is a token (RFC 9110, section 5.6.2), as names of fields are.
 bool isToken(std::string_view Text);
 
--- a/Source/UnitTests/Network/Http1ReaderTest.cpp
+++ b/Source/UnitTests/Network/Http1ReaderTest.cpp
@@ -1,7 +1,12 @@
 #include "Network/Http1Reader.h"
 
+#include "Common/Random.h"
+#include "TestSeeds.h"
+
 #include <boost/test/unit_test.hpp>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace UnitTests {
@@ -76,6 +81,13 @@
      "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
      "zz\r\nabc\r\n0\r\n\r\n",
      State::Malformed},
+    {"other bytes where a chunk ends",
+     "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+     "3\r\nabcXX0\r\n\r\n",
+     State::Malformed},
+    {"a head that ends in a carriage return only",
+     "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\rXabc",
+     State::Malformed},
     {"an upgrade",
      "GET / HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\n"
      "Upgrade: websocket\r\n\r\n",
@@ -174,6 +186,65 @@
   return Result;
 }();
 
+/// A response whose body is given with its chunk framing.
+std::string chunkedResponse(const std::string &Chunks) {
+  return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Chunks;
+}
+
+const std::vector<MessageCase> ChunkCases = {
+    {"two chunks", chunkedResponse("2\r\nok\r\n1\r\n!\r\n0\r\n\r\n"),
+     State::Complete},
+    {"upper case and leading zeros",
+     chunkedResponse("00A\r\n0123456789\r\n000\r\n\r\n"), State::Complete},
+    {"data that looks like framing",
+     chunkedResponse("7\r\n\r\n0\r\n\r\n\r\n0\r\n\r\n"), State::Complete},
+    {"an extension", chunkedResponse("2;a=\"b c\"\r\nok\r\n0;z\r\n\r\n"),
+     State::Complete},
+    {"an extension behind a space",
+     chunkedResponse("2 ; a=b\r\nok\r\n0\r\n\r\n"), State::Complete},
+    {"a size padded with spaces", chunkedResponse("2  \r\nok\r\n0 \r\n\r\n"),
+     State::Complete},
+    {"trailers", chunkedResponse("2\r\nok\r\n0\r\nA: b\r\nC:\r\n\r\n"),
+     State::Complete},
+    {"two sizes in a line", chunkedResponse("2 2\r\nok\r\n0\r\n\r\n"),
+     State::Malformed},
+    {"a sign ahead of a size", chunkedResponse("+2\r\nok\r\n0\r\n\r\n"),
+     State::Malformed},
+    {"a prefix ahead of a size", chunkedResponse("0x2\r\nok\r\n0\r\n\r\n"),
+     State::Malformed},
+    {"no size", chunkedResponse("\r\nok\r\n0\r\n\r\n"), State::Malformed},
+    {"a size line that ends in a carriage return only",
+     chunkedResponse("2\rXok\r\n0\r\n\r\n"), State::Malformed},
+    {"a control character in an extension",
+     chunkedResponse("2;\x01\r\nok\r\n0\r\n\r\n"), State::Malformed},
+    {"other bytes where a chunk ends", chunkedResponse("2\r\nokXX0\r\n\r\n"),
+     State::Malformed},
+    {"two carriage returns where a chunk ends",
+     chunkedResponse("2\r\nok\r\r0\r\n\r\n"), State::Malformed},
+    {"a chunk longer than its size", chunkedResponse("2\r\nok!!\r\n0\r\n\r\n"),
+     State::Malformed},
+    {"another byte where the body ends", chunkedResponse("2\r\nok\r\n0\r\n\rX"),
+     State::Malformed},
+    {"a trailer whose name is no token",
+     chunkedResponse("2\r\nok\r\n0\r\nA b: c\r\n\r\n"), State::Malformed},
+    {"a folded trailer", chunkedResponse("2\r\nok\r\n0\r\nA: b\r\n c\r\n\r\n"),
+     State::Malformed},
+    {"a trailer without a colon",
+     chunkedResponse("2\r\nok\r\n0\r\nHTTP/1.1 200 OK\r\n\r\n"),
+     State::Malformed}};
+
+const std::vector<MessageCase> LineEndCases = {
+    {"a status line that ends in a carriage return only",
+     "HTTP/1.1 200\rXContent-Length: 2\r\n\r\nok", State::Malformed},
+    {"a reason phrase that ends in a carriage return only",
+     "HTTP/1.1 200 OK\rXContent-Length: 2\r\n\r\nok", State::Malformed},
+    {"a field that ends in a carriage return only",
+     "HTTP/1.1 200 OK\r\nA: b\rContent-Length: 2\r\n\r\nok", State::Malformed},
+    {"a head that ends in a carriage return only",
+     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\rXok", State::Malformed},
+    {"two carriage returns ahead of a line feed",
+     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\r\nok", State::Malformed}};
+
 void checkResponses(const std::vector<MessageCase> &Cases) {
   for (const MessageCase &Each : Cases)
     for (const bool ByteByByte : {false, true}) {
@@ -197,6 +268,16 @@
 // the body.
 BOOST_AUTO_TEST_CASE(ReadsFieldsOfResponses) { checkResponses(FieldCases); }
 
+// Guards against bytes being left out of a body, or passed on with it, because
+// its framing was not what it says.
+BOOST_AUTO_TEST_CASE(ReadsChunksOfResponses) { checkResponses(ChunkCases); }
+
+// Guards against a byte being skipped where a line feed is due, so that the
+// rest of the message is read as something else.
+BOOST_AUTO_TEST_CASE(RejectsLinesThatEndInACarriageReturn) {
+  checkResponses(LineEndCases);
+}
+
 BOOST_AUTO_TEST_CASE(ParsesOrRejectsRequests) {
   for (const MessageCase &Each : RequestCases)
     for (const bool ByteByByte : {false, true}) {
@@ -207,6 +288,46 @@
     }
 }
 
+// Guards against damaged messages being read differently if their bytes arrive
+// in other parts, or bytes behind them being consumed.
+BOOST_AUTO_TEST_CASE(ReadsDamagedResponsesAlikeInAnyParts) {
+  const std::vector<std::string> Sound = {
+      responseTo("HTTP/1.1 200 OK"),
+      chunkedResponse("2\r\nok\r\n3 ;a=b\r\nall\r\n0\r\nA: b\r\n\r\n")};
+  const std::string Replacements("\r\n \t:;0129AZ\x01\x7f\xe9H/.", 20);
+  const TestSeeds Seeds = TestSeeds::create(2000);
+  for (std::uint64_t Seed = Seeds.First; Seed <= Seeds.Last; ++Seed) {
+    Common::Random Random(Seed);
+    std::string Bytes = Sound[Random.below(Sound.size())];
+    const std::size_t At = Random.below(Bytes.size());
+    if (Random.chance(0.3))
+      Bytes.erase(At, 1 + Random.below(3));
+    else
+      Bytes[At] = Replacements[Random.below(Replacements.size())];
+    Bytes += "HTTP/1.1 200 OK\r\n";
+    std::optional<std::pair<State, std::string>> Expected;
+    for (const std::size_t Part :
+         {std::size_t{1}, std::size_t{3}, 1 + Random.below(20), Bytes.size()}) {
+      Http1Reader Reader(Http1Reader::Kind::Responses, {1000, 1000});
+      std::size_t Offset = 0;
+      while (Offset < Bytes.size() && Reader.state() == State::NeedsMore)
+        if (const std::size_t Consumed =
+                Reader.feed(std::string_view(Bytes).substr(Offset, Part)))
+          Offset += Consumed;
+        else
+          break;
+      // How much of a malformed body came ahead of the damage may differ.
+      const bool Complete = Reader.state() == State::Complete;
+      const std::pair Read(Reader.state(),
+                           Complete ? Reader.takeBody() + Bytes.substr(Offset)
+                                    : "");
+      BOOST_TEST((!Expected || *Expected == Read),
+                 "seed " << Seed << ", parts of " << Part);
+      Expected = Read;
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(KeepsTargetAndHeadersUnchanged) {
   Http1Reader Reader(Http1Reader::Kind::Requests, {});
   readAll(Reader,
