Network: A change of protocol that was not asked for is no answer

A response 101 without an Upgrade field was skipped as an interim one, and what came behind it was passed on as the answer, although it is in another protocol, whatever it looks like. No request of ours asks for an upgrade, so a server may not send 101 (RFC 9110, section 15.2.2); with the fields of an upgrade it was malformed already.

Evidence: 3 checks of Http1InterimAnswer failed on the code as it was and pass now. Its other cases held: interim responses ahead of an answer, also with a length or chunks, which mean nothing there (RFC 9112, section 6.3), and one with a body, which is no answer.

--- a/Source/Core/Network/Http1Reader.cpp
+++ b/Source/Core/Network/Http1Reader.cpp
@@ -99,6 +99,9 @@
       [](const HttpHeader &Header) { return isToken(Header.Name); });
 }
 
+/// Changes what follows to a protocol that no request asks for.
+constexpr int SwitchingProtocols = 101;
+
 /// Whether the framing headers allow more than one interpretation, as in
 /// request smuggling.
 bool hasAmbiguousFraming(const Http1Head &Head) {
@@ -160,7 +163,7 @@
                       (RawParser->flags & F_CHUNKED) != 0 || WithoutBody;
   Head.CloseDelimited = Self.MessageKind == Kind::Responses && !Framed;
   if (hasAmbiguousFraming(Head) || !haveValidNames(Head.Headers) ||
-      RawParser->upgrade != 0 ||
+      RawParser->upgrade != 0 || Head.Status == SwitchingProtocols ||
       (Self.MessageKind == Kind::Responses &&
        holdsAnotherHead(Self.Reason, Head.Headers))) {
     Self.HeadMalformed = true;
--- /dev/null
+++ b/Source/UnitTests/Network/Http1InterimAnswerTest.cpp
@@ -0,0 +1,92 @@
+#include "Network/Http1Client.h"
+#include "Network/RawPeer.h"
+
+#include <boost/test/unit_test.hpp>
+#include <optional>
+
+// Interim responses (1xx), which end no call and prove nothing.
+namespace UnitTests {
+
+namespace {
+
+using namespace Network;
+using namespace std::chrono_literals;
+
+const std::string Final = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+const std::string Processing = "HTTP/1.1 102 Processing\r\nA: b\r\n\r\n";
+
+struct Outcome {
+  std::optional<Http1CallResult> CallResult;
+  int Status = 0;
+  std::string Body;
+};
+
+std::shared_ptr<Outcome> call(Http1Client &Client, const Address &To) {
+  auto Result = std::make_shared<Outcome>();
+  Http1Call Request;
+  Request.To = To;
+  Request.Method = "POST";
+  Request.Target = "/x";
+  Request.Headers = {{"Host", "h"}};
+  Http1CallHandlers Handlers;
+  Handlers.OnHead = [Result](const Http1Head &Head) {
+    Result->Status = Head.Status;
+    return true;
+  };
+  Handlers.OnBody = [Result](const std::string &Part) { Result->Body += Part; };
+  Handlers.OnDone = [Result](Http1CallResult CallResult) {
+    Result->CallResult = CallResult;
+  };
+  Client.start(std::move(Request), std::move(Handlers));
+  return Result;
+}
+
+struct Case {
+  const char *Description;
+  std::string Interim;
+  Http1CallResult Expected;
+};
+
+const std::vector<Case> Cases = {
+    {"100", "HTTP/1.1 100 Continue\r\n\r\n", Http1CallResult::Complete},
+    {"several", Processing + Processing + "HTTP/1.1 103 Early Hints\r\n\r\n",
+     Http1CallResult::Complete},
+    {"a length, which means nothing",
+     "HTTP/1.1 100 Continue\r\nContent-Length: 4\r\n\r\n",
+     Http1CallResult::Complete},
+    {"chunks, which mean nothing",
+     "HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n\r\n",
+     Http1CallResult::Complete},
+    {"a body", "HTTP/1.1 100 Continue\r\nContent-Length: 4\r\n\r\nbody",
+     Http1CallResult::Malformed},
+    {"a change of protocol that was not asked for",
+     "HTTP/1.1 101 Switching Protocols\r\n\r\n", Http1CallResult::Malformed},
+    {"an upgrade that was not asked for",
+     "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\n"
+     "Upgrade: x\r\n\r\n",
+     Http1CallResult::Malformed}};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Http1InterimAnswer)
+
+BOOST_AUTO_TEST_CASE(TheFinalAnswerFollows) {
+  for (const Case &Each : Cases) {
+    const auto Loop = *EventLoop::create();
+    RawServer Server(*Loop, {{Each.Interim + Final}});
+    Http1Client Client(*Loop);
+    const auto Result = call(Client, Server.address());
+    BOOST_TEST_CONTEXT(Each.Description) {
+      BOOST_REQUIRE(
+          runUntil(*Loop, [&] { return Result->CallResult.has_value(); }));
+      BOOST_CHECK(*Result->CallResult == Each.Expected);
+      const bool Complete = Each.Expected == Http1CallResult::Complete;
+      BOOST_TEST(Result->Status == (Complete ? 200 : 0));
+      BOOST_TEST(Result->Body == (Complete ? "ok" : ""));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace UnitTests
