Network: Interim responses do not keep a call open without end

A server that sent interim responses, or the lines of a head, without end kept its call open without end: the callers' requests ended at their deadlines, but a call to the platform (reports of usage, orders of servers) never ended, and each kept its connection and a server's bytes busy.

Cause: each arrival of bytes renewed the idle time, unless a response to another request had come. Only the parts of a body renew it now, as its description says, and more than 100 interim responses ahead of an answer are none.

Evidence: 3 tests of Http1InterimAnswer failed on the code as it was, two of them as their call had not ended after five seconds, and pass now.

--- a/Source/Core/Network/Http1Client.cpp
+++ b/Source/Core/Network/Http1Client.cpp
@@ -26,6 +26,9 @@
 /// Effectively unlimited: the consumer of the response limits its body.
 constexpr std::size_t MaxResponseBytes = std::size_t{1} << 40;
 constexpr std::size_t MaxResponseHeaderBytes = 64u << 10;
+/// More of them ahead of a response are no HTTP that a server has reason to
+/// send.
+constexpr std::size_t MaxInterimResponses = 100;
 /// How often a request that is still under way is looked at when its response
 /// has ended with the connection.
 constexpr Common::Duration UploadCheckPeriod = std::chrono::milliseconds(5);
@@ -91,8 +94,8 @@
   ActiveCall *CurrentCall = nullptr;
   bool Connected = false;
   bool SkippingResponse = false;
-  /// Whether a response to another request arrived.
-  bool ForeignReceived = false;
+  /// Since the request was written.
+  std::size_t InterimResponses = 0;
   /// False once the start of the next response in the byte stream is uncertain.
   bool Reusable = true;
   /// Set when the server has ended a response that ends with the connection.
@@ -255,6 +258,7 @@
   ++Call.ActiveConnection->Used.Use;
   if (Request.CorrelationId)
     Call.ActiveConnection->Carried.add(*Request.CorrelationId);
+  Call.ActiveConnection->InterimResponses = 0;
   Call.ActiveConnection->Reader.expectNoBody(Request.Method == "HEAD");
   evbuffer *Output = bufferevent_get_output(Call.ActiveConnection->Socket);
   evbuffer_add(Output, Head.data(), Head.size());
@@ -289,11 +293,14 @@
         Source.Reader.isHeadComplete() && !Source.Reader.isHeadMalformed();
     if (HeadDone && !SharedCall->HeadReceived && !Source.SkippingResponse) {
       const int Status = Source.Reader.head().Status;
-      const bool Interim = Status >= 100 && Status < 200;
+      const bool Interim = Status < 200;
+      if (Interim && ++Source.InterimResponses > MaxInterimResponses) {
+        this->finishCall(*SharedCall, Http1CallResult::Malformed);
+        return;
+      }
       if (Interim || !SharedCall->Handlers.OnHead(Source.Reader.head())) {
         Source.SkippingResponse = true;
         Source.Reusable = Source.Reusable && Interim;
-        Source.ForeignReceived = Source.ForeignReceived || !Interim;
       } else {
         SharedCall->HeadReceived = true;
       }
@@ -331,15 +338,13 @@
       return;
     }
   }
-  // The bytes of a foreign response are no sign of the response that is due.
-  const bool Progress = SharedCall->HeadReceived || !Source.ForeignReceived;
-  if (!SharedCall->Finished && SharedCall->Sent && Progress)
+  // Interim responses, responses to other requests and parts of a head are no
+  // sign of the response that is due.
+  if (!SharedCall->Finished && SharedCall->HeadReceived)
     SharedCall->Timer = this->Loop.callAfter(
         SharedCall->Request.IdleTimeout, [this, SharedCall] {
           if (!SharedCall->Finished)
-            this->finishCall(*SharedCall, SharedCall->HeadReceived
-                                              ? Http1CallResult::Truncated
-                                              : Http1CallResult::NoResponse);
+            this->finishCall(*SharedCall, Http1CallResult::Truncated);
         });
 }
 
--- a/Source/Core/Network/Http1Client.h
+++ b/Source/Core/Network/Http1Client.h
@@ -51,7 +51,8 @@
   std::shared_ptr<const std::string> SharedBody;
   /// Maximum time to open a connection.
   Common::Duration ConnectTimeout = std::chrono::milliseconds(250);
-  /// Maximum time until the response starts, and between parts of the response.
+  /// Maximum time until the head of the response is complete, and between parts
+  /// of its body. Interim responses do not extend it.
   Common::Duration IdleTimeout = std::chrono::seconds(30);
   /// Whether the request gets a new connection, which is closed after it. For
   /// requests whose response cannot be told from a late one to another request.
--- a/Source/UnitTests/Network/Http1InterimAnswerTest.cpp
+++ b/Source/UnitTests/Network/Http1InterimAnswerTest.cpp
@@ -12,6 +12,7 @@
 using namespace Network;
 using namespace std::chrono_literals;
 
+constexpr Common::Duration IdleTimeout = 300ms;
 const std::string Final = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 const std::string Processing = "HTTP/1.1 102 Processing\r\nA: b\r\n\r\n";
 
@@ -28,6 +29,7 @@
   Request.Method = "POST";
   Request.Target = "/x";
   Request.Headers = {{"Host", "h"}};
+  Request.IdleTimeout = IdleTimeout;
   Http1CallHandlers Handlers;
   Handlers.OnHead = [Result](const Http1Head &Head) {
     Result->Status = Head.Status;
@@ -87,6 +89,49 @@
   }
 }
 
+// Guards against a call that never ends, as each interim response renewed its
+// idle time.
+BOOST_AUTO_TEST_CASE(InterimAnswersDoNotRenewTheIdleTime) {
+  const auto Loop = *EventLoop::create();
+  RawServer Server(*Loop, {{Processing}});
+  Http1Client Client(*Loop);
+  const auto Result = call(Client, Server.address());
+  const auto Timer =
+      Loop->callEvery(IdleTimeout / 10, [&] { Server.write(Processing); });
+  BOOST_REQUIRE(
+      runUntil(*Loop, [&] { return Result->CallResult.has_value(); }));
+  BOOST_CHECK(*Result->CallResult == Http1CallResult::NoResponse);
+  BOOST_TEST(Result->Status == 0);
+}
+
+// Guards against a head that arrives without end doing the same.
+BOOST_AUTO_TEST_CASE(PartsOfAHeadDoNotRenewTheIdleTime) {
+  const auto Loop = *EventLoop::create();
+  RawServer Server(*Loop, {{"HTTP/1.1 200 OK\r\n"}});
+  Http1Client Client(*Loop);
+  const auto Result = call(Client, Server.address());
+  const auto Timer =
+      Loop->callEvery(IdleTimeout / 10, [&] { Server.write("A: b\r\n"); });
+  BOOST_REQUIRE(
+      runUntil(*Loop, [&] { return Result->CallResult.has_value(); }));
+  BOOST_CHECK(*Result->CallResult == Http1CallResult::NoResponse);
+}
+
+// Guards against a server that keeps its daemon busy with interim responses.
+BOOST_AUTO_TEST_CASE(TooManyInterimAnswersAreNone) {
+  const auto Loop = *EventLoop::create();
+  std::string Interims;
+  for (int I = 0; I < 1000; ++I)
+    Interims += Processing;
+  RawServer Server(*Loop, {{Interims + Final}});
+  Http1Client Client(*Loop);
+  const auto Result = call(Client, Server.address());
+  BOOST_REQUIRE(
+      runUntil(*Loop, [&] { return Result->CallResult.has_value(); }));
+  BOOST_CHECK(*Result->CallResult == Http1CallResult::Malformed);
+  BOOST_TEST(Result->Status == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace UnitTests
