Network: Calls of the own interface read answers as routed ones do

On the own interface, callers of plain services and models got what is no answer as one: statuses such as 20, 600, 0200 and 200x, HTTP/0.9, names of fields with spaces or control characters, and bodies cut or mixed with framing by two lengths, signs, unknown codings and chunk sizes. Proper answers were not read either: an interim response was taken for the final one, an answer without a length was empty if it had 'Connection: keep-alive', and a chunk extension failed the call.

Cause: HttpClient read answers with evhttp, which takes the status with atoi and splits fields at the colon. It now makes its calls with Http1Client, so that one reader says what an answer is, and one client when it is complete: in daemons, sycamorectl, sycamore-load and the stand-ins. Timeouts, reuse, port release and the size limit of an answer are as before; fields that HTTP cannot carry are left out of requests, as evhttp did for line ends. Http1Client ends its calls when it is destroyed, since daemons keep handles of them.

--- a/Source/Core/Network/Http1Client.cpp
+++ b/Source/Core/Network/Http1Client.cpp
@@ -32,10 +32,6 @@
 /// How often a request that is still under way is looked at when its response
 /// has ended with the connection.
 constexpr Common::Duration UploadCheckPeriod = std::chrono::milliseconds(5);
-/// The connection fails when sent data stays unacknowledged for this long. A
-/// network that drops packets silently reports no error by itself.
-constexpr unsigned UserTimeoutMilliseconds = 3000;
-
 /// The timeout of 'Keep-Alive: timeout=5'.
 Common::Duration parseKeepAliveTimeout(const Http1Head &Head) {
   const auto Header = findHeader(Head.Headers, "Keep-Alive");
@@ -71,6 +67,12 @@
     static_cast<void>(Reference.release());
 }
 
+void resetOnClose(bufferevent *Socket) {
+  const linger Discard{1, 0};
+  setsockopt(bufferevent_getfd(Socket), SOL_SOCKET, SO_LINGER, &Discard,
+             sizeof(Discard));
+}
+
 /// Whether bytes that libevent has not read, or the end of the stream, have
 /// arrived at the socket.
 bool hasUnreadInput(bufferevent *Socket) {
@@ -128,8 +130,12 @@
 }
 
 Http1Client::~Http1Client() {
-  this->ShuttingDown = true;
-  this->ActiveCalls.clear();
+  for (const auto &Each : this->ActiveCalls) {
+    ActiveCall &Call = *Each.second;
+    Call.Finished = true;
+    Call.Timer.cancel();
+    Call.ActiveConnection.reset();
+  }
 }
 
 Http1Client::CallPtr Http1Client::start(Http1Call Request,
@@ -303,6 +309,8 @@
         Source.Reusable = Source.Reusable && Interim;
       } else {
         SharedCall->HeadReceived = true;
+        if (SharedCall->Request.ResetOnClose)
+          resetOnClose(Source.Socket);
       }
       if (SharedCall->Finished)
         return;
@@ -352,10 +360,13 @@
   if ((Events & BEV_EVENT_CONNECTED) != 0) {
     const int Descriptor = bufferevent_getfd(Source.Socket);
     const int On = 1;
-    const unsigned Limit = UserTimeoutMilliseconds;
     setsockopt(Descriptor, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
-    setsockopt(Descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &Limit,
-               sizeof(Limit));
+    if (Source.CurrentCall) {
+      const auto Limit = static_cast<unsigned>(Common::toMilliseconds(
+          Source.CurrentCall->Request.AcknowledgementTimeout));
+      setsockopt(Descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &Limit,
+                 sizeof(Limit));
+    }
     Source.Connected = true;
     if (Source.CurrentCall && !this->withhold(*Source.CurrentCall))
       this->writeRequest(*Source.CurrentCall);
--- a/Source/Core/Network/Http1Client.h
+++ b/Source/Core/Network/Http1Client.h
@@ -54,6 +54,13 @@
   /// Maximum time until the head of the response is complete, and between parts
   /// of its body. Interim responses do not extend it.
   Common::Duration IdleTimeout = std::chrono::seconds(30);
+  /// The connection fails when sent data stays unacknowledged for this long. A
+  /// network that drops packets silently reports no error by itself.
+  Common::Duration AcknowledgementTimeout = std::chrono::seconds(3);
+  /// Whether the connection, once its response has begun, is closed by a reset.
+  /// Otherwise each closed connection keeps its port for a minute, and 470
+  /// calls a second to one server take all ports.
+  bool ResetOnClose = false;
   /// Whether the request gets a new connection, which is closed after it. For
   /// requests whose response cannot be told from a late one to another request.
   bool OwnConnection = false;
@@ -95,6 +102,7 @@
   using CallPtr = std::shared_ptr<ActiveCall>;
 
   explicit Http1Client(EventLoop &Loop);
+  /// Ends all calls without running another handler.
   ~Http1Client();
   Http1Client(const Http1Client &) = delete;
   Http1Client &operator=(const Http1Client &) = delete;
@@ -136,7 +144,6 @@
   std::map<ActiveCall *, CallPtr> ActiveCalls;
   EventHandle ExpiryTimer;
   std::uint64_t LastConnection = 0;
-  bool ShuttingDown = false;
 };
 
 } // namespace Network
--- a/Source/Core/Network/HttpClient.h
+++ b/Source/Core/Network/HttpClient.h
@@ -3,12 +3,11 @@
 
 #include "Network/Address.h"
 #include "Network/EventLoop.h"
+#include "Network/Http1Client.h"
 #include "Network/HttpMessage.h"
 
 #include <functional>
-#include <map>
 #include <memory>
-#include <vector>
 
 namespace Network {
 
@@ -19,8 +18,8 @@
   /// No byte of the request was written to a connection, so the server did not
   /// execute it.
   NotSent,
-  /// The request was sent, at least in part, but no complete response arrived.
-  /// The server may have executed it.
+  /// The request was sent, at least in part, but no complete response arrived,
+  /// or what arrived is none. The server may have executed it.
   Incomplete,
 };
 
@@ -38,7 +37,8 @@
 struct HttpCall {
   Address To;
   HttpRequest Request;
-  /// The call fails when the connection is inactive for longer than this.
+  /// Maximum time to open the connection, until the head of the response is
+  /// complete, and between parts of its body.
   Common::Duration Timeout = std::chrono::seconds(30);
   ConnectionPolicy Policy = ConnectionPolicy::Dedicated;
 };
@@ -53,7 +53,8 @@
   std::function<void(HttpCallResult, HttpResponse)> OnDone;
 };
 
-/// Handle of a call in progress. Destroying it does not cancel the call.
+/// Handle of a call in progress. Destroying it does not cancel the call. It
+/// must not be used once its client is destroyed.
 class HttpAttempt {
 public:
   /// Closes the connection; OnDone does not run.
@@ -70,32 +71,18 @@
   std::shared_ptr<State> SharedState;
 };
 
-/// HTTP client on evhttp. It never retries a request.
+/// Calls with whole requests, on Http1Client. It never retries a request.
+/// Fields of a request that HTTP cannot carry are left out.
 class HttpClient {
 public:
-  explicit HttpClient(EventLoop &Loop);
-  ~HttpClient();
+  explicit HttpClient(EventLoop &Loop) : Client(Loop) {}
   HttpClient(const HttpClient &) = delete;
   HttpClient &operator=(const HttpClient &) = delete;
 
   HttpAttempt start(HttpCall Call, HttpCallHandlers Handlers);
 
 private:
-  friend class HttpAttempt;
-  struct Connection;
-  static constexpr std::size_t MaxIdlePerAddress = 64;
-
-  /// An idle connection if there is one, otherwise a new one.
-  std::unique_ptr<Connection> acquire(const Address &To);
-  std::unique_ptr<Connection> open(const Address &To);
-  void release(std::unique_ptr<Connection> Released, bool Reusable);
-  void complete(const std::shared_ptr<HttpAttempt::State> &Attempt,
-                HttpCallResult Result, HttpResponse Response);
-
-  EventLoop &Loop;
-  std::map<Address, std::vector<std::unique_ptr<Connection>>> IdleConnections;
-  std::map<HttpAttempt::State *, std::shared_ptr<HttpAttempt::State>>
-      ActiveCalls;
+  Http1Client Client;
 };
 
 } // namespace Network
--- a/Source/Core/Network/HttpSyntax.cpp
+++ b/Source/Core/Network/HttpSyntax.cpp
@@ -21,6 +21,11 @@
          std::all_of(Text.begin(), Text.end(), isTokenCharacter);
 }
 
+bool isWritable(const HttpHeader &Header) {
+  return isToken(Header.Name) &&
+         std::all_of(Header.Value.begin(), Header.Value.end(), isTextCharacter);
+}
+
 bool isStatusLine(std::string_view Line) {
   constexpr std::string_view Protocol = "HTTP/1.";
   // A digit for the minor version and a space precede the status.
--- a/Source/Core/Network/HttpSyntax.h
+++ b/Source/Core/Network/HttpSyntax.h
@@ -1,6 +1,8 @@
 #ifndef SYCAMOREREACH_NETWORK_HTTPSYNTAX_H
 #define SYCAMOREREACH_NETWORK_HTTPSYNTAX_H
 
+#include "Network/HttpMessage.h"
+
 #include <string_view>
 
 namespace Network {
@@ -15,6 +17,10 @@
 /// Whether Text is a token (RFC 9110, section 5.6.2), as names of fields are.
 bool isToken(std::string_view Text);
 
+/// Whether a message can carry a field: its name is a token, and its value
+/// holds no control characters.
+bool isWritable(const HttpHeader &Header);
+
 /// Whether Line, without its end, is the status line of a response in HTTP/1.x
 /// (RFC 9112, section 4): one space between its parts, a status of three digits
 /// from 100 to 599, and no control characters in the reason phrase. The space
--- a/Source/FaultTests/ServiceCopyTest.cpp
+++ b/Source/FaultTests/ServiceCopyTest.cpp
@@ -16,6 +16,17 @@
          Body;
 }
 
+Membership::Announcement announcementOf(const Network::Address &Server) {
+  Membership::Announcement Result;
+  Result.BackendServer = Common::BackendServerId("orders1");
+  Result.Service = Common::ServiceName("orders");
+  Result.Address = Server;
+  Result.Host = Common::HostId("h-orders1");
+  Result.DataCentre = Common::DataCentreId("east");
+  Result.Incarnation = Common::Incarnation{1};
+  return Result;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(ServiceCopy)
@@ -39,13 +50,7 @@
                            : answer("200 OK", Arrived.Head.Target);
     Server.send(Arrived.Connection, Last);
   };
-  Membership::Announcement Announced;
-  Announced.BackendServer = Common::BackendServerId("orders1");
-  Announced.Service = Common::ServiceName("orders");
-  Announced.Address = Listen;
-  Announced.Host = Common::HostId("h-orders1");
-  Announced.DataCentre = Common::DataCentreId("east");
-  Announced.Incarnation = Common::Incarnation{1};
+  Membership::Announcement Announced = announcementOf(Listen);
   const auto Announce = [&] {
     ++Announced.Sequence;
     Fixture.announce(Announced);
@@ -67,6 +72,51 @@
   BOOST_TEST(Arrivals == Calls);
 }
 
+// Guards against MIXED: what a plain service sent in place of an answer was
+// passed on, and kept in the journal for all who ask with the same key.
+BOOST_AUTO_TEST_CASE(WhatIsNoAnswerIsNeitherPassedOnNorKept) {
+  Cluster Fixture;
+  Fixture.startAll();
+  const Network::Address Listen{
+      "127.0.0.1", static_cast<std::uint16_t>(Fixture.servicePort(1))};
+  RoutedRawServer Server(Fixture.loop(), Listen);
+  std::string Broken;
+  int Arrivals = 0;
+  Server.OnRequest = [&](const RoutedRawServer::Arrival &Arrived) {
+    ++Arrivals;
+    Server.send(Arrived.Connection, Broken);
+  };
+  Membership::Announcement Announced = announcementOf(Listen);
+  const std::vector<std::string> BrokenAnswers = {
+      answer("600 OK", "broken"), answer("20 OK", "broken"),
+      "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 6\r\n\r\nbroken"};
+  for (std::size_t I = 0; I < BrokenAnswers.size(); ++I) {
+    Broken = BrokenAnswers[I];
+    const auto Send = [&] {
+      ++Announced.Sequence;
+      Fixture.announce(Announced);
+      return Fixture.call(
+          Fixture.entryHttp(1), Network::HttpMethod::Post,
+          "/services/orders/reserve", "{}",
+          {{"Authorization", std::string("Bearer ") + Cluster::CallerKey},
+           {"Idempotency-Key", "broken-" + std::to_string(I)}});
+    };
+    Arrivals = 0;
+    CallResponse Response;
+    BOOST_REQUIRE(Fixture.waitUntil([&] {
+      Response = Send();
+      return Arrivals != 0;
+    }));
+    // The second time, the answer comes from the journal.
+    for (int Time = 0; Time < 2; ++Time) {
+      BOOST_TEST(Response.Status == 502, "answer " << I);
+      BOOST_TEST(Response.Body.find("answer_lost") != std::string::npos);
+      Response = Send();
+    }
+    BOOST_TEST(Arrivals == 1);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace FaultTests
--- a/Source/UnitTests/Network/HttpClientTest.cpp
+++ b/Source/UnitTests/Network/HttpClientTest.cpp
@@ -169,10 +169,106 @@
   return Result;
 }
 
+struct AnswerCase {
+  const char *Description;
+  RawServer::Step Step;
+  /// Status and body; "0 " if there is no answer.
+  std::string Expected;
+};
+
+RawServer::Step closing(const std::string &Bytes) { return {Bytes, true}; }
+
+const std::vector<AnswerCase> BrokenAnswers = {
+    {"status 000", {answer("000 OK", "part")}, "0 "},
+    {"status 20", {answer("20 OK", "part")}, "0 "},
+    {"status 600", {answer("600 OK", "part")}, "0 "},
+    {"status 0200", {answer("0200 OK", "part")}, "0 "},
+    {"status 200x", {answer("200x OK", "part")}, "0 "},
+    {"a signed status", {answer("+200 OK", "part")}, "0 "},
+    {"two spaces ahead of the status", {answer(" 200 OK", "part")}, "0 "},
+    {"no status", closing("HTTP/1.1\r\n\r\npart"), "0 "},
+    {"HTTP/0.9", closing("HTTP/0.9 200 OK\r\nContent-Length: 4\r\n\r\npart"),
+     "0 "},
+    {"a name with a space",
+     {"HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 4\r\n\r\npart"},
+     "0 "},
+    {"a space behind a name",
+     closing("HTTP/1.1 200 OK\r\nContent-Length : 9\r\n\r\npart"), "0 "},
+    {"a name with a control character",
+     {"HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\nContent-Length: 4\r\n\r\npart"},
+     "0 "},
+    {"an empty name",
+     {"HTTP/1.1 200 OK\r\n: 1\r\nContent-Length: 4\r\n\r\npart"},
+     "0 "},
+    {"two lengths",
+     {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 6\r\n\r\n"
+      "partly"},
+     "0 "},
+    {"a length with a sign",
+     {"HTTP/1.1 200 OK\r\nContent-Length: +4\r\n\r\npart"},
+     "0 "},
+    {"an unknown coding",
+     closing("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+             "4\r\npart\r\n0\r\n\r\n"),
+     "0 "},
+    {"a chunk with two sizes",
+     {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "4 4\r\npart\r\n0\r\n\r\n"},
+     "0 "},
+    {"a chunk that is too long",
+     {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "2\r\npart\r\n0\r\n\r\n"},
+     "0 "},
+    {"a change of protocol", {answer("101 Switching", "part")}, "0 "}};
+
+const std::vector<AnswerCase> ProperAnswers = {
+    {"no length, connection closed", closing("HTTP/1.1 200 OK\r\n\r\nwhole"),
+     "200 whole"},
+    {"no length, although the connection would stay open",
+     closing("HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n\r\nwhole"),
+     "200 whole"},
+    {"HTTP/1.0", closing("HTTP/1.0 200 OK\r\n\r\nwhole"), "200 whole"},
+    {"no reason phrase",
+     {"HTTP/1.1 404\r\nContent-Length: 5\r\n\r\nwhole"},
+     "404 whole"},
+    {"interim responses",
+     {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n"
+      "\r\n" +
+      Success},
+     "200 done"},
+    {"a chunk with an extension",
+     {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "5;a=b\r\nwhole\r\n0\r\n\r\n"},
+     "200 whole"},
+    {"trailers",
+     {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "5\r\nwhole\r\n0\r\nA: b\r\n\r\n"},
+     "200 whole"},
+    {"no body", {"HTTP/1.1 204 No Content\r\n\r\n"}, "204 "},
+    {"a status 599", {answer("599 Odd", "whole")}, "599 whole"}};
+
+void checkAnswers(const std::vector<AnswerCase> &Cases) {
+  for (const AnswerCase &Each : Cases) {
+    const auto Loop = *EventLoop::create();
+    RawServer Server(*Loop, {Each.Step});
+    HttpClient Http(*Loop);
+    BOOST_TEST_CONTEXT(Each.Description)
+    BOOST_TEST(get(*Loop, Http, Server.address()) == Each.Expected);
+  }
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(HttpClientTest)
 
+// Guards against what is no answer being passed on to the callers of plain
+// services and models, and being kept in the journal.
+BOOST_AUTO_TEST_CASE(WhatIsNoAnswerIsIncomplete) {
+  checkAnswers(BrokenAnswers);
+}
+
+BOOST_AUTO_TEST_CASE(ProperAnswersAreComplete) { checkAnswers(ProperAnswers); }
+
 /// A request must be sent at most once, also by evhttp, and must be reported as
 /// not sent only if nothing was written.
 BOOST_AUTO_TEST_CASE(failedCallsAreNotRetried) {
