EntryDaemon: An answer that is none is no crash on the own interface

A sound request was quarantined, together with all that ran beside it, once two servers of a plain service had sent something that is no answer: its callers got 'quarantined' although the servers lived on.

Cause: HttpClient reported what is no answer as Incomplete, like a lost connection. It now reports Malformed, which is Failure::InvalidAnswer for the dispatcher: the request is tried elsewhere as before, the server gets nothing until it announces itself again, and no crash is reported. Journaled requests still end as answer_lost, and streams of models are resumed elsewhere.

--- a/Source/Core/Network/HttpClient.cpp
+++ b/Source/Core/Network/HttpClient.cpp
@@ -34,8 +34,9 @@
     return HttpCallResult::NotSent;
   case Http1CallResult::NoResponse:
   case Http1CallResult::Truncated:
-  case Http1CallResult::Malformed:
     return HttpCallResult::Incomplete;
+  case Http1CallResult::Malformed:
+    return HttpCallResult::Malformed;
   }
   return HttpCallResult::Incomplete;
 }
@@ -54,7 +55,7 @@
     this->BodyBytes += Bytes.size();
     if (this->BodyBytes > MaxResponseBytes) {
       Http1Client::cancel(this->Call.lock());
-      this->end(HttpCallResult::Incomplete);
+      this->end(HttpCallResult::Malformed);
     } else if (this->Handlers.OnBody) {
       this->Handlers.OnBody(std::move(Bytes));
     } else {
--- a/Source/Core/Network/HttpClient.h
+++ b/Source/Core/Network/HttpClient.h
@@ -18,9 +18,12 @@
   /// No byte of the request was written to a connection, so the server did not
   /// execute it.
   NotSent,
-  /// The request was sent, at least in part, but no complete response arrived,
-  /// or what arrived is none. The server may have executed it.
+  /// The request was sent, at least in part, but no complete response arrived.
+  /// The server may have executed it.
   Incomplete,
+  /// What arrived is no response in HTTP/1.x, or exceeds the limits of one. The
+  /// server may have executed the request.
+  Malformed,
 };
 
 /// Which connection a call uses.
--- a/Source/Core/Routing/Dispatcher.cpp
+++ b/Source/Core/Routing/Dispatcher.cpp
@@ -18,6 +18,7 @@
   case Failure::StreamBroken:
     return RetryReason::StreamBroken;
   case Failure::ServerError:
+  case Failure::InvalidAnswer:
     return RetryReason::ServerError;
   }
   return RetryReason::ConnectionLost;
--- a/Source/Core/Routing/Dispatcher.h
+++ b/Source/Core/Routing/Dispatcher.h
@@ -67,6 +67,9 @@
   StreamBroken,
   /// The server returned an error and did not run the request.
   ServerError,
+  /// What the server sent is no answer. It goes on, and may have run the
+  /// request.
+  InvalidAnswer,
 };
 
 /// Options of the dispatch policy. Parts of it can be switched off for
--- a/Source/EntryDaemon/JournaledCall.cpp
+++ b/Source/EntryDaemon/JournaledCall.cpp
@@ -309,8 +309,10 @@
     return;
   }
   const auto &Service = this->Request.Service;
-  if (Result == Network::HttpCallResult::Incomplete) {
-    this->Dispatchers.reportCrash(Service, this->Server);
+  if (Result != Network::HttpCallResult::Complete) {
+    // A crash would have ended the connection.
+    if (Result != Network::HttpCallResult::Malformed)
+      this->Dispatchers.reportCrash(Service, this->Server);
     this->Dispatchers.remove(Service, this->Request.Work.Id);
     this->markUnknown();
     return;
--- a/Source/EntryDaemon/ModelCall.cpp
+++ b/Source/EntryDaemon/ModelCall.cpp
@@ -194,6 +194,11 @@
                            this->ErrorBody});
     return;
   }
+  if (Result == Network::HttpCallResult::Malformed) {
+    this->Dispatchers.onFailed(Service, Id, this->Server,
+                               Routing::Failure::InvalidAnswer);
+    return;
+  }
   const bool StreamStarted = this->Received.Tokens > 0;
   this->Dispatchers.onFailed(Service, Id, this->Server,
                              StreamStarted ? Routing::Failure::StreamBroken
--- a/Source/EntryDaemon/PlainCall.cpp
+++ b/Source/EntryDaemon/PlainCall.cpp
@@ -161,10 +161,12 @@
                                Routing::Failure::ConnectFailed);
     return;
   }
-  if (Result == Network::HttpCallResult::Incomplete) {
+  if (Result != Network::HttpCallResult::Complete) {
     this->MayHaveRun = true;
     this->Dispatchers.onFailed(Service, Id, this->Server,
-                               Routing::Failure::ConnectionLost);
+                               Result == Network::HttpCallResult::Malformed
+                                   ? Routing::Failure::InvalidAnswer
+                                   : Routing::Failure::ConnectionLost);
     return;
   }
   if (Answer.Status == StatusUnavailable) {
--- a/Source/FaultTests/ServiceCopyTest.cpp
+++ b/Source/FaultTests/ServiceCopyTest.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <map>
+#include <set>
 
 namespace FaultTests {
 
@@ -117,6 +118,53 @@
   }
 }
 
+// Guards against a sound request being quarantined because what its servers
+// sent in place of an answer was taken for their crash.
+BOOST_AUTO_TEST_CASE(AnAnswerThatIsNoneIsNoCrash) {
+  Cluster Fixture;
+  Fixture.startAll();
+  constexpr int Servers = 3;
+  std::vector<std::unique_ptr<RoutedRawServer>> Sockets;
+  std::vector<Membership::Announcement> Announced;
+  std::set<int> Broken;
+  bool Proper = false;
+  for (int I = 1; I <= Servers; ++I) {
+    const Network::Address Listen{
+        "127.0.0.1", static_cast<std::uint16_t>(Fixture.servicePort(I))};
+    Sockets.push_back(
+        std::make_unique<RoutedRawServer>(Fixture.loop(), Listen));
+    Sockets.back()->OnRequest = [&, I, Server = Sockets.back().get()](
+                                    const RoutedRawServer::Arrival &Arrived) {
+      if (!Proper)
+        Broken.insert(I);
+      Server->send(Arrived.Connection,
+                   Proper ? answer("200 OK", "proper")
+                          : "HTTP/1.1 200 OK\r\nContent-Length: +6\r\n\r\n");
+    };
+    Announced.push_back(announcementOf(Listen));
+    Announced.back().BackendServer =
+        Common::BackendServerId("orders" + std::to_string(I));
+  }
+  const auto Send = [&] {
+    for (Membership::Announcement &Each : Announced) {
+      ++Each.Sequence;
+      Fixture.announce(Each);
+    }
+    return Fixture.call(
+        Fixture.entryHttp(1), Network::HttpMethod::Get,
+        "/services/orders/stock", "",
+        {{"Authorization", std::string("Bearer ") + Cluster::CallerKey}});
+  };
+  BOOST_REQUIRE(Fixture.waitUntil([&] {
+    const CallResponse Response = Send();
+    BOOST_TEST(Response.Body.find("quarantined") == std::string::npos);
+    return Broken.size() == Servers;
+  }));
+  Proper = true;
+  for (int I = 0; I < Calls; ++I)
+    BOOST_TEST(Send().Body == "proper");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace FaultTests
--- a/Source/UnitTests/Network/HttpClientTest.cpp
+++ b/Source/UnitTests/Network/HttpClientTest.cpp
@@ -263,7 +263,7 @@
 
 // Guards against what is no answer being passed on to the callers of plain
 // services and models, and being kept in the journal.
-BOOST_AUTO_TEST_CASE(WhatIsNoAnswerIsIncomplete) {
+BOOST_AUTO_TEST_CASE(WhatIsNoAnswerIsNotPassedOn) {
   checkAnswers(BrokenAnswers);
 }
 
