--- a/Source/Core/Network/Http1Server.cpp
+++ b/Source/Core/Network/Http1Server.cpp
@@ -1,6 +1,7 @@
 #include "Network/Http1Server.h"
 
 #include "Network/BufferGrowth.h"
+#include "Network/HttpSyntax.h"
 #include "Network/ResourceGuard.h"
 #include "Network/SocketAddress.h"
 
@@ -543,6 +544,10 @@
                           std::string_view Body) {
   if (!this->Connection || this->Streaming)
     return;
+  if (!isWritableHead(Status, Headers)) {
+    this->reply(UnwritableHeadStatus, {}, "");
+    return;
+  }
   const std::string FramingHeaders =
       hasNoBody(Status) ? ""
                         : absl::StrCat("Content-Length: ", Body.size(), "\r\n");
@@ -555,6 +560,10 @@
 void Http1Exchange::startStream(int Status, const HttpHeaders &Headers) {
   if (!this->Connection || this->Streaming)
     return;
+  if (!isWritableHead(Status, Headers)) {
+    this->reply(UnwritableHeadStatus, {}, "");
+    return;
+  }
   this->Streaming = true;
   this->Connection->writeHead(Status, Headers,
                               "Transfer-Encoding: chunked\r\n");
--- a/Source/Core/Network/HttpServer.cpp
+++ b/Source/Core/Network/HttpServer.cpp
@@ -1,5 +1,7 @@
 #include "Network/HttpServer.h"
 
+#include "Network/HttpSyntax.h"
+
 #include <absl/strings/str_cat.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -115,6 +117,10 @@
 void HttpExchange::reply(const HttpResponse &Response) {
   if (!this->RawRequest)
     return;
+  if (!isWritableHead(Response.Status, Response.Headers)) {
+    this->reply({UnwritableHeadStatus, {}, ""});
+    return;
+  }
   this->addResponseHeaders(Response.Headers);
   evhttp_request *RawRequest = this->takeRequest();
   evbuffer *Body = evbuffer_new();
@@ -126,6 +132,10 @@
 void HttpExchange::startStream(int Status, const HttpHeaders &Headers) {
   if (!this->RawRequest || this->Streaming)
     return;
+  if (!isWritableHead(Status, Headers)) {
+    this->reply({UnwritableHeadStatus, {}, ""});
+    return;
+  }
   this->Streaming = true;
   this->addResponseHeaders(Headers);
   evhttp_send_reply_start(this->RawRequest, Status, nullptr);
--- a/Source/Core/Network/HttpServer.h
+++ b/Source/Core/Network/HttpServer.h
@@ -29,9 +29,11 @@
   /// Whether startStream() was called.
   bool isStreaming() const { return this->Streaming; }
 
-  /// Sends a complete response.
+  /// Sends a complete response. A head that HTTP/1.1 cannot carry is replaced
+  /// by status 502.
   void reply(const HttpResponse &Response);
-  /// Starts a response of unknown length.
+  /// Starts a response of unknown length. If HTTP/1.1 cannot carry the head,
+  /// status 502 is sent instead and nothing follows.
   void startStream(int Status, const HttpHeaders &Headers);
   void sendChunk(std::string_view Bytes);
   void endStream();
--- a/Source/Core/Network/HttpSyntax.cpp
+++ b/Source/Core/Network/HttpSyntax.cpp
@@ -26,6 +26,11 @@
          std::all_of(Header.Value.begin(), Header.Value.end(), isTextCharacter);
 }
 
+bool isWritableHead(int Status, const HttpHeaders &Headers) {
+  return Status >= 200 && Status < 600 &&
+         std::all_of(Headers.begin(), Headers.end(), isWritable);
+}
+
 bool isStatusLine(std::string_view Line) {
   constexpr std::string_view Protocol = "HTTP/1.";
   // A digit for the minor version and a space precede the status.
--- a/Source/Core/Network/HttpSyntax.h
+++ b/Source/Core/Network/HttpSyntax.h
@@ -21,6 +21,12 @@
 /// holds no control characters.
 bool isWritable(const HttpHeader &Header);
 
+/// Whether a message can carry the head of a final response: a status from 200
+/// to 599, and fields that isWritable() accepts.
+bool isWritableHead(int Status, const HttpHeaders &Headers);
+/// What servers send instead of a head that a message cannot carry.
+constexpr int UnwritableHeadStatus = 502;
+
 /// Whether Line, without its end, is the status line of a response in HTTP/1.x
 /// (RFC 9112, section 4): one space between its parts, a status of three digits
 /// from 100 to 599, and no control characters in the reason phrase. The space
--- a/Source/UnitTests/Network/Http1ContractTest.cpp
+++ b/Source/UnitTests/Network/Http1ContractTest.cpp
@@ -552,6 +552,52 @@
   BOOST_TEST(Received.find("part") == Received.rfind("part"));
 }
 
+// Guards against a head that is none being written to a caller, whatever a
+// server or the journal has handed over.
+BOOST_AUTO_TEST_CASE(WritesNoHeadThatIsNone) {
+  struct Case {
+    int Status;
+    HttpHeaders Headers;
+  };
+  const std::vector<Case> Cases = {{0, {}},
+                                   {99, {}},
+                                   {100, {}},
+                                   {600, {}},
+                                   {200, {{"X Odd", "1"}}},
+                                   {200, {{"", "1"}}},
+                                   {200, {{"X-Odd", "1\r\nX-More: 2"}}}};
+  for (const Case &Each : Cases)
+    for (const bool Stream : {false, true}) {
+      const auto Loop = createLoop();
+      Http1Server::Handlers Handlers;
+      Handlers.OnRequest = [&](const std::shared_ptr<Http1Exchange> &Exchange) {
+        if (Exchange->path() == "/sound") {
+          Exchange->reply(200, {{"X-Odd", "1"}}, "sound");
+          return;
+        }
+        if (!Stream) {
+          Exchange->reply(Each.Status, Each.Headers, "broken");
+          return;
+        }
+        Exchange->startStream(Each.Status, Each.Headers);
+        Exchange->sendChunk("broken");
+        Exchange->endStream();
+      };
+      const Address Listen = allocateAddress();
+      const auto Server = createServer(*Loop, Listen, std::move(Handlers));
+      RawCaller Caller(*Loop, Listen);
+      Caller.write("GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+                   "GET /sound HTTP/1.1\r\nHost: x\r\n\r\n");
+      BOOST_REQUIRE(runUntil(*Loop, [&] {
+        return Caller.received().find("sound") != std::string::npos;
+      }));
+      BOOST_TEST(Caller.received() ==
+                 "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n"
+                 "HTTP/1.1 200 OK\r\nX-Odd: 1\r\nContent-Length: "
+                 "5\r\n\r\nsound");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(AbortedStreamIsIncomplete) {
   const auto Loop = createLoop();
   Http1Server::Handlers Handlers;
--- a/Source/UnitTests/Network/HttpServerTest.cpp
+++ b/Source/UnitTests/Network/HttpServerTest.cpp
@@ -20,6 +20,41 @@
 
 BOOST_AUTO_TEST_SUITE(HttpServerTest)
 
+// Guards against a head that is none being written to a caller, whatever a
+// server or the journal has handed over.
+BOOST_AUTO_TEST_CASE(WritesNoHeadThatIsNone) {
+  const std::vector<HttpResponse> Answers = {
+      {0, {}, "broken"},
+      {99, {}, "broken"},
+      {600, {}, "broken"},
+      {200, {{"X Odd", "1"}}, "broken"},
+      {200, {{"X-Odd", "1\r\n X-More: 2"}}, "broken"}};
+  for (const HttpResponse &Each : Answers)
+    for (const bool Stream : {false, true}) {
+      const auto Loop = createLoop();
+      const Address Listen = allocateAddress();
+      auto Server = HttpServer::create(
+          *Loop, Listen, {},
+          [&](const std::shared_ptr<HttpExchange> &Exchange) {
+            if (!Stream) {
+              Exchange->reply(Each);
+              return;
+            }
+            Exchange->startStream(Each.Status, Each.Headers);
+            Exchange->sendChunk(Each.Body);
+            Exchange->endStream();
+          });
+      BOOST_REQUIRE(Server.ok());
+      RawCaller Caller(*Loop, Listen);
+      Caller.write("GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+      BOOST_REQUIRE(runUntil(*Loop, [&] { return Caller.ended(); }));
+      BOOST_TEST(Caller.received().substr(0, 25) ==
+                 "HTTP/1.1 502 Bad Gateway\r");
+      BOOST_TEST(Caller.received().find("Odd") == std::string::npos);
+      BOOST_TEST(Caller.received().find("broken") == std::string::npos);
+    }
+}
+
 // A planned stop waits for open exchanges, so it must not cut an answer that is
 // still in the process's output buffer.
 BOOST_AUTO_TEST_CASE(exchangeIsOpenUntilItsResponseIsWritten) {
