Network: No conclusion is drawn from a head beyond the limit

A head of over 64 KiB whose end came together with the bytes that exceed the limit was handed to the call before the call ended: its mark, its Retry-After and its status counted, and a request that says 'not executed' there could have been sent to a second server. If the end came later, the call ended without a head.

Cause: Http1Reader set the state, but not isHeadMalformed(), which Http1Client asks.

Evidence: 16 of 16 sizes of Http1Contract/AHeadBeyondTheLimitIsMalformed failed on the code as it was, and pass now.

--- a/Source/Core/Network/Http1Reader.cpp
+++ b/Source/Core/Network/Http1Reader.cpp
@@ -256,6 +256,7 @@
       ParsedBytes += Header.Name.size() + Header.Value.size();
     if (TooLarge || ParsedBytes > this->ReaderLimits.MaxHeaderBytes) {
       this->CurrentState = State::HeadersTooLarge;
+      this->HeadMalformed = true;
       return Consumed;
     }
   }
--- a/Source/Core/Network/Http1Reader.h
+++ b/Source/Core/Network/Http1Reader.h
@@ -68,7 +68,7 @@
 
   State state() const { return this->CurrentState; }
   bool isHeadComplete() const { return this->HeadComplete; }
-  /// Whether a complete head cannot be used, although it was parsed.
+  /// Whether a head, which may be complete, is malformed or too large.
   bool isHeadMalformed() const { return this->HeadMalformed; }
   /// Whether any byte of the current message has been parsed.
   bool isStarted() const { return this->Started; }
--- a/Source/UnitTests/Network/Http1ContractTest.cpp
+++ b/Source/UnitTests/Network/Http1ContractTest.cpp
@@ -305,6 +305,24 @@
   }
 }
 
+// Guards against a conclusion from a head beyond the limit, whose end comes
+// together with the bytes that exceed it.
+BOOST_AUTO_TEST_CASE(AHeadBeyondTheLimitIsMalformed) {
+  constexpr std::size_t MaxHeadBytes = 64u << 10;
+  for (std::size_t Beyond = 0; Beyond < 4096; Beyond += 256) {
+    const auto Loop = createLoop();
+    RawServer Server(*Loop, {{"HTTP/1.1 503 Busy\r\nNot-Executed: full\r\nA: " +
+                              std::string(MaxHeadBytes + Beyond, 'a') +
+                              "\r\nContent-Length: 0\r\n\r\n"}});
+    Http1Client Client(*Loop);
+    const auto Result = call(Client, Server.address());
+    BOOST_REQUIRE(
+        runUntil(*Loop, [&] { return Result->CallResult.has_value(); }));
+    BOOST_CHECK(*Result->CallResult == Http1CallResult::Malformed);
+    BOOST_TEST(Result->Status == 0, Beyond << " bytes");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(DoesNotReuseConnectionAfterTrailingBytes) {
   const auto Loop = createLoop();
   RawServer Server(*Loop, {{CompleteResponse + "junk"}, {CompleteResponse}});
