--- a/Source/EntryDaemon/RoutedAttempt.cpp
+++ b/Source/EntryDaemon/RoutedAttempt.cpp
@@ -509,11 +509,10 @@
   Attempt &Current = *this->CurrentAttempt;
   if (End == Network::Http1CallResult::Malformed) {
     // No crash, which would have ended the connection.
-    this->handleAttemptFailure(Current.Splitter
-                                   ? AttemptResult::StreamInterrupted
-                                   : AttemptResult::MayHaveExecuted,
-                               CallFailure::BadAnswer,
-                               Routing::ServerOutcome::Failed);
+    this->handleAttemptFailure(
+        Current.Splitter ? AttemptResult::StreamInterrupted
+                         : AttemptResult::MayHaveExecuted,
+        CallFailure::BadAnswer, Routing::ServerOutcome::Failed);
     return;
   }
   const Platform::ResponseHeaders Decoded = Platform::decodeResponseHeaders(
--- a/Source/UnitTests/Network/Http1ReaderTest.cpp
+++ b/Source/UnitTests/Network/Http1ReaderTest.cpp
@@ -294,7 +294,7 @@
   const std::vector<std::string> Sound = {
       responseTo("HTTP/1.1 200 OK"),
       chunkedResponse("2\r\nok\r\n3 ;a=b\r\nall\r\n0\r\nA: b\r\n\r\n")};
-  const std::string Replacements("\r\n \t:;0129AZ\x01\x7f\xe9H/.", 20);
+  const std::string Replacements = "\r\n \t:;0129AZ\x01\x7f\xe9H/.";
   const TestSeeds Seeds = TestSeeds::create(2000);
   for (std::uint64_t Seed = Seeds.First; Seed <= Seeds.Last; ++Seed) {
     Common::Random Random(Seed);
