--- a/Source/Core/Telemetry/LogEvents.h
+++ b/Source/Core/Telemetry/LogEvents.h
@@ -80,6 +80,10 @@
                                            {"request", "answer_id", "server",
                                             "connection", "use", "status",
                                             "not_executed"}};
+inline constexpr LogEvent<4> MalformedAnswer{
+    LogLevel::Warning,
+    "malformed_answer",
+    {"request", "server", "connection", "use"}};
 inline constexpr LogEvent<11> RunLost{
     LogLevel::Warning,
     "run_lost",
--- a/Source/EntryDaemon/RoutedAnswer.cpp
+++ b/Source/EntryDaemon/RoutedAnswer.cpp
@@ -73,6 +73,16 @@
   return Owner;
 }
 
+void RoutedCall::noteMalformed(bool FromSecond) {
+  this->Context.Metrics.incrementCounter("malformed_answers_total");
+  const std::optional<Attempt> &Receiver =
+      FromSecond ? this->SecondAttempt : this->CurrentAttempt;
+  if (Receiver)
+    Telemetry::log(Events::MalformedAnswer, this->CallerHeaders.RequestId,
+                   Receiver->Server.Id.str(), Receiver->Connection.Connection,
+                   Receiver->Connection.Use);
+}
+
 void RoutedCall::noteLeaving(const Attempt &Receiver,
                              const Platform::ResponseHeaders &Decoded) {
   // A misdirected request was answered by another server.
--- a/Source/EntryDaemon/RoutedAttempt.cpp
+++ b/Source/EntryDaemon/RoutedAttempt.cpp
@@ -204,6 +204,8 @@
       Self->handleBody(Bytes);
   };
   Handlers.OnDone = [Self, IsSecond](Network::Http1CallResult End) {
+    if (End == Network::Http1CallResult::Malformed)
+      Self->noteMalformed(*IsSecond);
     if (*IsSecond)
       Self->handleSecondEnd(End);
     else
--- a/Source/EntryDaemon/RoutedCall.h
+++ b/Source/EntryDaemon/RoutedCall.h
@@ -143,6 +143,8 @@
   /// Records for how long a server that rejects requests wants none.
   void noteRetryAfter(const Attempt &Receiver, int Status,
                       const Platform::ResponseHeaders &Decoded);
+  /// Logs and counts what is no answer, from the second or the current attempt.
+  void noteMalformed(bool FromSecond);
   /// Records that the server leaves, if the answer says so. Any answer counts,
   /// also one to another request.
   void noteLeaving(const Attempt &Receiver,
--- a/Source/FaultTests/RoutedBrokenAnswerTest.cpp
+++ b/Source/FaultTests/RoutedBrokenAnswerTest.cpp
@@ -220,6 +220,8 @@
     checkOnAllRoutes(Servers, StatusLine, [&](const std::string &Id) {
       return responseTo(Id, StatusLine);
     });
+  BOOST_TEST(Fixture.log("entry").find("event=malformed_answer") !=
+             std::string::npos);
 }
 
 // Guards against TWICE: a mark that says "not executed" in what is no answer
