--- a/Source/Core/Network/Http1Client.cpp
+++ b/Source/Core/Network/Http1Client.cpp
@@ -26,8 +26,7 @@
 /// Effectively unlimited: the consumer of the response limits its body.
 constexpr std::size_t MaxResponseBytes = std::size_t{1} << 40;
 constexpr std::size_t MaxResponseHeaderBytes = 64u << 10;
-/// More of them ahead of a response are no HTTP that a server has reason to
-/// send.
+/// A server has no reason to send more of them ahead of a response.
 constexpr std::size_t MaxInterimResponses = 100;
 /// How often a request that is still under way is looked at when its response
 /// has ended with the connection.
--- a/Source/Core/Network/Http1Reader.cpp
+++ b/Source/Core/Network/Http1Reader.cpp
@@ -99,7 +99,7 @@
       [](const HttpHeader &Header) { return isToken(Header.Name); });
 }
 
-/// Changes what follows to a protocol that no request asks for.
+/// A status that announces another protocol, which no request asks for.
 constexpr int SwitchingProtocols = 101;
 
 /// Whether the framing headers allow more than one interpretation, as in
--- a/Source/Core/Network/HttpClient.cpp
+++ b/Source/Core/Network/HttpClient.cpp
@@ -4,6 +4,7 @@
 
 #include <absl/strings/ascii.h>
 #include <algorithm>
+#include <iterator>
 
 namespace Network {
 
--- a/Source/Core/Network/HttpClient.h
+++ b/Source/Core/Network/HttpClient.h
@@ -56,8 +56,7 @@
   std::function<void(HttpCallResult, HttpResponse)> OnDone;
 };
 
-/// Handle of a call in progress. Destroying it does not cancel the call. It
-/// must not be used once its client is destroyed.
+/// Handle of a call in progress. Destroying it does not cancel the call.
 class HttpAttempt {
 public:
   /// Closes the connection; OnDone does not run.
