--- a/Source/Core/Telemetry/LogEvents.h
+++ b/Source/Core/Telemetry/LogEvents.h
@@ -191,6 +191,10 @@
 // Declarations.
 inline constexpr LogEvent<1> DeclarationInForce{
     LogLevel::Info, "declaration_in_force", {"version"}};
+inline constexpr LogEvent<5> DeclarationReceived{
+    LogLevel::Info,
+    "declaration_received",
+    {"version", "source", "bytes", "outcome", "handling_ms"}};
 inline constexpr LogEvent<2> DeclarationDecided{
     LogLevel::Info, "declaration_decided", {"version", "outcome"}};
 inline constexpr LogEvent<2> DeclarationNotNewer{
--- a/Source/EntryDaemon/Gateway.cpp
+++ b/Source/EntryDaemon/Gateway.cpp
@@ -137,7 +137,7 @@
     this->applyRegistryDelta(Delta);
   };
   Handlers.OnDeclaration = [this](const State::DeclarationPush &Push) {
-    this->applyDeclaration(Push);
+    this->handleDeclaration(Push, "push");
   };
   Handlers.FillPoll = [this](State::EntryPoll &Poll) { this->fillPoll(Poll); };
   Handlers.OnPollAnswer = [this](const State::EntryPollResponse &Answer,
@@ -238,7 +238,22 @@
     this->Context.Rollouts->refresh(Now);
 }
 
-void Gateway::applyDeclaration(const State::DeclarationPush &Push) {
+void Gateway::handleDeclaration(const State::DeclarationPush &Push,
+                                const char *Source) {
+  const Common::TimePoint ReceivedAt = this->Loop.now();
+  const DeclarationOutcome Outcome = this->applyDeclaration(Push);
+  // In the order of the enum DeclarationOutcome.
+  constexpr const char *Names[] = {"installed", "not_newer", "unreadable"};
+  const char *Name = Names[static_cast<std::size_t>(Outcome)];
+  this->Context.Metrics.incrementLabelledCounter("declarations_received_total",
+                                                 "outcome", Name);
+  Telemetry::log(Events::DeclarationReceived, Push.Version.Value, Source,
+                 Push.Document.size(), Name,
+                 Common::toMilliseconds(this->Loop.now() - ReceivedAt));
+}
+
+Gateway::DeclarationOutcome
+Gateway::applyDeclaration(const State::DeclarationPush &Push) {
   const auto IsNewer = [this](Common::ConfigurationVersion Version) {
     return !this->Context.Declaration ||
            Version > this->Context.Declaration->version();
@@ -246,17 +261,17 @@
   if (!IsNewer(Push.Version)) {
     if (Push.Version == this->Context.Declaration->version())
       this->StoredVersion = Push.Version;
-    return;
+    return DeclarationOutcome::NotNewer;
   }
   auto Decoded = Platform::decodeStoredConfiguration(Push.Document);
   if (!Decoded.ok()) {
     Telemetry::log(Events::DeclarationUnreadable, Push.Version.Value,
                    Decoded.status().message());
-    return;
+    return DeclarationOutcome::Unreadable;
   }
   this->StoredVersion = Push.Version;
   if (!IsNewer(Decoded->version()))
-    return;
+    return DeclarationOutcome::NotNewer;
   this->Context.Declaration =
       std::make_shared<const Configuration::ServiceMap>(std::move(*Decoded));
   const Configuration::RequestLimits &Declared =
@@ -272,6 +287,7 @@
   // Earlier polls were answered for the older version; only a new poll can
   // confirm this one.
   this->Control->pollSoon();
+  return DeclarationOutcome::Installed;
 }
 
 void Gateway::fillPoll(State::EntryPoll &Poll) {
@@ -302,7 +318,7 @@
   this->Context.PromptCrashes.setSuspects(Answer.Suspects);
   this->NewestVersion = std::max(this->NewestVersion, Answer.NewestVersion);
   if (Answer.Declaration)
-    this->applyDeclaration(*Answer.Declaration);
+    this->handleDeclaration(*Answer.Declaration, "poll_answer");
   const bool Current =
       this->Context.Declaration &&
       (Answer.NewestVersion <= this->Context.Declaration->version() ||
--- a/Source/EntryDaemon/Gateway.h
+++ b/Source/EntryDaemon/Gateway.h
@@ -33,7 +33,11 @@
   void
   recordClosedConnection(const Network::Http1Server::ClosedConnection &Closed);
   void applyRegistryDelta(const State::RegistryDelta &Delta);
-  void applyDeclaration(const State::DeclarationPush &Push);
+  enum class DeclarationOutcome { Installed, NotNewer, Unreadable };
+  /// Source names the message that the declaration came with.
+  void handleDeclaration(const State::DeclarationPush &Push,
+                         const char *Source);
+  DeclarationOutcome applyDeclaration(const State::DeclarationPush &Push);
   void fillPoll(State::EntryPoll &Poll);
   void applyPollAnswer(const State::EntryPollResponse &Answer,
                        Common::TimePoint PollSentAt);
