--- a/Source/FaultTests/Forwarder.cpp
+++ b/Source/FaultTests/Forwarder.cpp
@@ -48,6 +48,16 @@
     evconnlistener_free(this->Listener);
   this->DatagramEvent.cancel();
   close(this->DatagramSocket);
+  if (this->RateLimit)
+    ev_token_bucket_cfg_free(this->RateLimit);
+}
+
+void Forwarder::limitRate(std::size_t BytesPerSecond) {
+  constexpr std::size_t TicksPerSecond = 50;
+  constexpr timeval Tick = {0, 1'000'000 / TicksPerSecond};
+  const std::size_t BytesPerTick = BytesPerSecond / TicksPerSecond;
+  this->RateLimit = ev_token_bucket_cfg_new(
+      BytesPerTick, BytesPerTick, EV_RATE_LIMIT_MAX, EV_RATE_LIMIT_MAX, &Tick);
 }
 
 void Forwarder::unblock() {
@@ -112,6 +122,8 @@
         Current->Owner->forward(Current->ServerSide, Current->ClientSide);
       },
       nullptr, OnEvent, Accepted);
+  if (this->RateLimit)
+    bufferevent_set_rate_limit(Accepted->ServerSide, this->RateLimit);
   this->Connections[Accepted] = std::move(Created);
   const sockaddr_in SocketAddress = Network::toSocketAddress(this->Target);
   bufferevent_enable(Accepted->ClientSide, EV_READ | EV_WRITE);
--- a/Source/FaultTests/Forwarder.h
+++ b/Source/FaultTests/Forwarder.h
@@ -9,6 +9,7 @@
 #include <string>
 
 struct bufferevent;
+struct ev_token_bucket_cfg;
 struct evconnlistener;
 
 namespace FaultTests {
@@ -22,6 +23,9 @@
             const Network::Address &Target);
   ~Forwarder();
 
+  /// From now on, accepted connections carry at most BytesPerSecond from the
+  /// target to the client.
+  void limitRate(std::size_t BytesPerSecond);
   void block() { this->Blocked = true; }
   /// Forwards again. Discarded data stays lost, and open TCP connections are
   /// closed, as bytes are missing from their streams.
@@ -41,6 +45,8 @@
   Network::EventHandle DatagramEvent;
   std::map<Connection *, std::unique_ptr<Connection>> Connections;
   bool Blocked = false;
+  /// Null if the rate is not limited.
+  ev_token_bucket_cfg *RateLimit = nullptr;
 };
 
 } // namespace FaultTests
--- a/Source/FaultTests/RoutedCluster.cpp
+++ b/Source/FaultTests/RoutedCluster.cpp
@@ -28,6 +28,8 @@
 constexpr std::uint16_t LinkPort = 21'605;
 /// Used by a state daemon whose links are forwarded.
 constexpr std::uint16_t ForwardedLinkPort = 21'607;
+/// Where entry daemons with limited links reach the state daemons.
+constexpr std::uint16_t EntryLinkPort = 21'608;
 constexpr int Seeds = 3;
 /// Last byte of the first entry daemon's address.
 constexpr int FirstEntryByte = 10;
@@ -86,6 +88,7 @@
 RoutedCluster::~RoutedCluster() {
   this->Processes.clear();
   this->LinkForwarders.clear();
+  this->EntryForwarders.clear();
   this->Client.reset();
   this->Servers.clear();
   using namespace boost::unit_test;
@@ -196,7 +199,9 @@
           "gateway", "--name=" + Name, "--datacentre=dcstate1",
           "--http=" + this->entryAddress(Number).str(),
           "--ready=" + Network::Address{entryIp(Number), ReadyPort}.str(),
-          "--link-port=" + std::to_string(LinkPort),
+          "--link-port=" + std::to_string(this->EntryForwarders.empty()
+                                              ? LinkPort
+                                              : EntryLinkPort),
           "--seeds=" + seedAddresses(),
           "--revoke-time=" +
               std::to_string(std::chrono::milliseconds(RevokeTime).count()),
@@ -220,6 +225,16 @@
   }
 }
 
+void RoutedCluster::limitEntryLinks(std::size_t BytesPerSecond) {
+  for (int I = 1; I <= Seeds; ++I) {
+    const std::string Ip = stateDaemonIp(I);
+    this->EntryForwarders.push_back(std::make_unique<Forwarder>(
+        *this->Loop, Network::Address{Ip, EntryLinkPort},
+        Network::Address{Ip, LinkPort}));
+    this->EntryForwarders.back()->limitRate(BytesPerSecond);
+  }
+}
+
 void RoutedCluster::blockLinks() {
   for (const auto &Each : this->LinkForwarders)
     Each->block();
--- a/Source/FaultTests/RoutedCluster.h
+++ b/Source/FaultTests/RoutedCluster.h
@@ -56,6 +56,9 @@
   /// connections.
   void blockLinks();
   void unblockLinks();
+  /// Entry daemons that are started from now on reach the state daemons over
+  /// links that carry at most BytesPerSecond to them.
+  void limitEntryLinks(std::size_t BytesPerSecond);
   /// Entry daemon 1 is the process "entry", entry daemon 2 "entry2", and so on.
   void startEntryDaemon(int Number = 1);
   /// Starts a state daemon again that has ended or was stopped, and resumes a
@@ -178,6 +181,7 @@
   std::vector<std::unique_ptr<Network::Http1Server>> Servers;
   std::map<std::string, std::unique_ptr<Process>> Processes;
   std::vector<std::unique_ptr<Forwarder>> LinkForwarders;
+  std::vector<std::unique_ptr<Forwarder>> EntryForwarders;
   /// The state daemon whose links are forwarded; 0 if there is none.
   int ForwardedDaemon = 0;
   std::string Folder;
--- a/Source/FaultTests/RoutedConfigurationTest.cpp
+++ b/Source/FaultTests/RoutedConfigurationTest.cpp
@@ -1,4 +1,8 @@
+#include "Common/Hash.h"
 #include "FaultTests/RoutedCluster.h"
+#include "Network/Codec.h"
+#include "Network/FrameSocket.h"
+#include "State/ControlProtocol.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -11,6 +15,79 @@
 constexpr const char *ReadPath = "/sycamorereach/config/read";
 constexpr const char *ReplacePath = "/sycamorereach/config/replace";
 
+/// `config-apply-ms`: a configuration is obeyed this long after it was
+/// acknowledged.
+constexpr Common::Duration ApplyTime = std::chrono::milliseconds(2500);
+/// 7.5 Mbit/s.
+constexpr std::size_t SlowLinkBytesPerSecond = 937'500;
+
+/// A configuration with routes under /v<Version>/ and thousands of others.
+std::string largeDeclaration(std::uint64_t Version) {
+  constexpr std::uint64_t FurtherRoutes = 4'200;
+  Json Result = Json::parse(RoutedCluster::declaration(
+      Version, "/v" + std::to_string(Version) + "/"));
+  Json Further = Result["routes"][0];
+  for (std::uint64_t I = 0; I < FurtherRoutes; ++I) {
+    const std::string Number =
+        std::to_string(Common::hashBytes(std::to_string(I)));
+    Further["name"] = "further-" + Number;
+    Further["path-prefix"] = "/further/" + Number + "/";
+    Result["routes"].push_back(Further);
+  }
+  return Result.dump();
+}
+
+/// A state daemon that answers polls with the version of a large configuration
+/// and sends the configuration itself right behind its first answer.
+class PushingStateDaemon {
+public:
+  explicit PushingStateDaemon(RoutedCluster &Cluster) {
+    Network::FrameServer::Handlers Handlers;
+    Handlers.OnPayload = [this](Network::ConnectionId From,
+                                const std::string &Payload) {
+      const auto Frame = Network::decode<State::ControlFrame>(Payload);
+      if (Frame.ok())
+        if (const auto *Poll = std::get_if<State::EntryPoll>(&*Frame))
+          this->answer(From, *Poll);
+    };
+    Handlers.OnClosed = [](Network::ConnectionId) {};
+    Handlers.OnRefused = [](Common::RefusalReason) {};
+    auto Created = Network::FrameServer::create(
+        Cluster.loop(), RoutedCluster::linkAddress(1),
+        Network::ClusterKey{RoutedCluster::ClusterKey}, std::move(Handlers));
+    BOOST_REQUIRE(Created.ok());
+    this->Server = std::move(*Created);
+  }
+
+  static constexpr Common::ConfigurationVersion Version{5};
+  bool IsInstalled = false;
+  /// Polls that ask for the configuration which is on its way.
+  int Requests = 0;
+
+private:
+  void send(Network::ConnectionId To, const State::ControlFrame &Frame) {
+    this->Server->send(To, Network::encode(Frame));
+  }
+
+  void answer(Network::ConnectionId To, const State::EntryPoll &Poll) {
+    this->IsInstalled = Poll.InstalledVersion == Version;
+    if (!this->IsInstalled && Poll.NewestSeenVersion == Version)
+      ++this->Requests;
+    State::EntryPollResponse Answer;
+    Answer.Entry = Poll.Entry;
+    Answer.Incarnation = Poll.Incarnation;
+    Answer.Sequence = Poll.Sequence;
+    Answer.NewestVersion = Version;
+    this->send(To, Answer);
+    if (!std::exchange(this->Pushed, true))
+      this->send(
+          To, State::DeclarationPush{Version, largeDeclaration(Version.Value)});
+  }
+
+  std::unique_ptr<Network::FrameServer> Server;
+  bool Pushed = false;
+};
+
 /// The configuration in force has the version 3 and its routes under /a/.
 struct Fixture : RoutedCluster {
   Fixture() { this->startAll(); }
@@ -244,6 +321,45 @@
   BOOST_TEST(Test.isServed("/c/x"));
 }
 
+// Guards against CONFIG: an entry daemon on a slow link got each version of a
+// large configuration in turn and obeyed older ones for seconds.
+BOOST_AUTO_TEST_CASE(AQuickSeriesOfLargeVersionsIsInForceInTime) {
+  constexpr std::uint64_t LastVersion = 15;
+  // Shorter than the time in which the link carries a version.
+  constexpr Common::Duration Pause = std::chrono::milliseconds(500);
+  RoutedCluster Test;
+  Test.limitEntryLinks(SlowLinkBytesPerSecond);
+  Test.startAll();
+  Common::TimePoint AcknowledgedAt;
+  for (std::uint64_t Version = 4; Version <= LastVersion; ++Version) {
+    const Common::TimePoint Next = Test.loop().now() + Pause;
+    BOOST_REQUIRE(
+        Test.operatorCall("POST", ReplacePath, largeDeclaration(Version), 200));
+    AcknowledgedAt = Test.loop().now();
+    Test.waitUntil([&] { return Test.loop().now() >= Next; });
+  }
+  const std::string NewestPath = "/v" + std::to_string(LastVersion) + "/x";
+  BOOST_TEST(
+      Test.waitUntil([&] { return Test.request(NewestPath).Status == 200; }));
+  const Common::Duration Elapsed = Test.loop().now() - AcknowledgedAt;
+  BOOST_TEST((Elapsed < ApplyTime),
+             "in force after " << Common::toMilliseconds(Elapsed) << " ms");
+  // Other links are not slow.
+  BOOST_TEST(Test.log("entry").find("event=state_daemon_changed") ==
+             std::string::npos);
+}
+
+// Guards against CONFIG: an entry daemon asked the leader for a configuration
+// that was on its way, got further copies behind it, and later versions last.
+BOOST_AUTO_TEST_CASE(AConfigurationThatIsOnItsWayIsNotRequested) {
+  RoutedCluster Test;
+  Test.limitEntryLinks(SlowLinkBytesPerSecond);
+  PushingStateDaemon StateDaemon(Test);
+  Test.startEntryDaemon();
+  BOOST_TEST(Test.waitUntil([&] { return StateDaemon.IsInstalled; }));
+  BOOST_TEST(StateDaemon.Requests == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace FaultTests
