EntryDaemon: A declaration that is on its way is not requested from the leader

Cause: an entry daemon that knew of a version and had not installed it said so in each poll, and the leader attached the whole document to each answer. It cannot know that the state daemon's push is under way. On a link of 7.5 Mbit/s a push of 0.8 MB takes a second, in which two or three polls are sent; the copies queue ahead of everything that follows, the next version too. It takes a poll that the leader answers in the few milliseconds before the state daemon has applied the version, so it hits one entry daemon of 67 or so.

Change: the poll names the version only once it has been known for 0.3 s and while no message is arriving. The leader still helps an entry daemon whose state daemon lags.

--- a/Source/Core/Network/FrameSocket.h
+++ b/Source/Core/Network/FrameSocket.h
@@ -86,6 +86,8 @@
   FrameClient &operator=(const FrameClient &) = delete;
 
   bool isConnected() const { return this->Connected; }
+  /// Part of a frame has arrived, and the rest is still to come.
+  bool isReceiving() const { return !this->Buffer.empty(); }
   /// Connected, and data was received recently.
   bool isResponsive() const;
   /// Returns false if nothing was sent, because the connection is down or its
--- a/Source/Core/State/ControlProtocol.h
+++ b/Source/Core/State/ControlProtocol.h
@@ -306,7 +306,8 @@
   Common::DataCentreId DataCentre;
   std::uint64_t Sequence = 0;
   Common::ConfigurationVersion InstalledVersion;
-  /// The newest version named by any response so far.
+  /// The newest version named by any response so far, if the sender asks the
+  /// leader for it; 0 while it expects it from its state daemon.
   Common::ConfigurationVersion NewestSeenVersion;
   Common::WallTime Wall;
   /// Number of live entry daemons according to the last response.
--- a/Source/EntryDaemon/ControlLink.h
+++ b/Source/EntryDaemon/ControlLink.h
@@ -53,6 +53,9 @@
 
   ControlLink(Network::EventLoop &Loop, Options Opts, Handlers EventHandlers);
 
+  /// Whether a message of the state daemon is on its way, as it is for a while
+  /// with a large one on a slow link.
+  bool isReceiving() const { return this->Current.Client->isReceiving(); }
   /// Polls within a few milliseconds instead of at the next regular time.
   void pollSoon();
   /// Polls after Delay, unless a poll is already scheduled.
--- a/Source/EntryDaemon/Gateway.cpp
+++ b/Source/EntryDaemon/Gateway.cpp
@@ -23,6 +23,9 @@
 /// Delay until the next poll when a newer declaration exists than the one that
 /// this daemon has.
 constexpr Common::Duration CatchUpDelay = std::chrono::milliseconds(100);
+/// A state daemon has begun to send a declaration this long after the leader's
+/// answers first named its version.
+constexpr Common::Duration PushDelay = std::chrono::milliseconds(300);
 /// Token needs within this time share a request.
 constexpr Common::Duration TokenRequestDelay = std::chrono::milliseconds(1);
 /// The settings are also reloaded periodically, as they may change without a
@@ -297,7 +300,8 @@
   Poll.Usage = this->Context.Usage.counts();
   for (const auto &Each : this->Context.Servers.reportLoads())
     Poll.Loads.push_back({Each.Id, Each.Requests, Each.PromptTokens});
-  Poll.NewestSeenVersion = this->NewestVersion;
+  if (this->needsDeclarationFromLeader())
+    Poll.NewestSeenVersion = this->NewestVersion;
   Poll.EntryCount = this->EntryCount;
   for (const auto &Each : this->Context.Grants.recent(Now))
     Poll.RecentGrants.push_back({Each.Team, Each.CumulativeTokens});
@@ -309,6 +313,18 @@
   Poll.UsedRefusals = this->Context.Refusals.takeUsed();
 }
 
+void Gateway::noteNewestVersion(Common::ConfigurationVersion Version) {
+  if (Version <= this->NewestVersion)
+    return;
+  this->NewestVersion = Version;
+  this->NewestVersionKnownAt = this->Loop.now();
+}
+
+bool Gateway::needsDeclarationFromLeader() const {
+  return this->Loop.now() - this->NewestVersionKnownAt >= PushDelay &&
+         !this->Control->isReceiving();
+}
+
 void Gateway::applyPollAnswer(const State::EntryPollResponse &Answer,
                               Common::TimePoint PollSentAt) {
   const Common::TimePoint Now = this->Loop.now();
@@ -316,7 +332,7 @@
   this->Context.Refusals.replace(Answer.Refusals, Now);
   this->Context.Refusals.grantProbes(Answer.Probes, Now);
   this->Context.PromptCrashes.setSuspects(Answer.Suspects);
-  this->NewestVersion = std::max(this->NewestVersion, Answer.NewestVersion);
+  this->noteNewestVersion(Answer.NewestVersion);
   if (Answer.Declaration)
     this->handleDeclaration(*Answer.Declaration, "poll_answer");
   const bool Current =
--- a/Source/EntryDaemon/Gateway.h
+++ b/Source/EntryDaemon/Gateway.h
@@ -39,6 +39,10 @@
                          const char *Source);
   DeclarationOutcome applyDeclaration(const State::DeclarationPush &Push);
   void fillPoll(State::EntryPoll &Poll);
+  void noteNewestVersion(Common::ConfigurationVersion Version);
+  /// Whether the newest declaration is to come from the leader, because the
+  /// state daemon has neither sent it in time nor is sending it.
+  bool needsDeclarationFromLeader() const;
   void applyPollAnswer(const State::EntryPollResponse &Answer,
                        Common::TimePoint PollSentAt);
   void applyTokenDecisions(const State::TokenDecisions &Decided);
@@ -72,6 +76,7 @@
   std::uint32_t EntryCount = 0;
   /// The newest declaration version that a poll answer reported.
   Common::ConfigurationVersion NewestVersion;
+  Common::TimePoint NewestVersionKnownAt;
   /// The version under which the state daemons hold the installed declaration,
   /// or an invalid one that does not replace it. It differs from that of the
   /// document until the group has applied a State::CorrectVersionCommand.
