StateDaemon: Entry daemons get declarations on request, one at a time

Cause: the state daemon pushed each version in full to each entry daemon, whatever was still on its way. On a link that needs longer for one (0.8 MB: about a second at 7.5 Mbit/s) than the pause between two, versions queue without bound, and the newest is last. Each further link, opened because the answers to polls wait in the same queue, brought a copy more.

Change: an entry daemon asks for the next declaration and says which one it holds (DeclarationRequest); the state daemon answers once, with the newest when there is a newer one (DeclarationFeed). What is replaced while one is on its way is never sent. A link to a further state daemon brings no copy of what is held. Daemons of the previous release get, and send, each version unasked; they ignore the new frames.

The suite RoutedConfiguration passes.

--- a/Source/Core/State/ControlProtocol.h
+++ b/Source/Core/State/ControlProtocol.h
@@ -126,6 +126,30 @@
   }
 };
 
+/// Asks the connected state daemon for the next declaration. It answers with
+/// one RequestedDeclaration, once it has a newer version than HeldVersion, and
+/// sends no other until the next request. Sent ahead of the EntryHello and
+/// after each RequestedDeclaration. A state daemon of a release before it
+/// ignores the request and sends each declaration unasked, as a
+/// DeclarationPush.
+struct DeclarationRequest {
+  /// The version of the sender's declaration; none if it has no declaration.
+  std::optional<Common::ConfigurationVersion> HeldVersion;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(this->HeldVersion);
+  }
+};
+
+/// Response to a DeclarationRequest.
+struct RequestedDeclaration {
+  DeclarationPush Declaration;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(this->Declaration);
+  }
+};
+
 /// Tokens that one waiting request of an entry daemon takes from its team's
 /// allowance.
 struct TokenNeed {
@@ -452,7 +476,8 @@
                  TokenRequest, TokenDecisions, TokenPoolRequest, TokenPoolGrant,
                  ServerLoads, LeaveRequest, LeaveConfirmation, PeerHello,
                  ServerEndRequest, ServerEndConfirmation, EntryReport,
-                 EntryDirectives, ServerSpeeds, ServerVersions>;
+                 EntryDirectives, ServerSpeeds, ServerVersions,
+                 DeclarationRequest, RequestedDeclaration>;
 
 } // namespace State
 
--- a/Source/EntryDaemon/ControlLink.cpp
+++ b/Source/EntryDaemon/ControlLink.cpp
@@ -109,6 +109,9 @@
   if (!Link)
     return;
   Telemetry::log(Events::StateDaemonConnected, Link->peer().str());
+  // Ahead of the greeting, so that the state daemon does not send its
+  // declaration unasked.
+  this->requestDeclaration(*Link);
   Link->send(
       Network::encode(State::ControlFrame(State::EntryHello{this->Opts.Self})));
   this->sendPoll(*Link);
@@ -244,6 +247,11 @@
   To.send(Network::encode(State::ControlFrame(std::move(Report))));
 }
 
+void ControlLink::requestDeclaration(Network::FrameClient &From) {
+  From.send(Network::encode(State::ControlFrame(
+      State::DeclarationRequest{this->EventHandlers.HeldVersion()})));
+}
+
 void ControlLink::handleDirectives(const State::EntryDirectives &Directives) {
   if (Directives.Entry.empty()) {
     this->EventHandlers.OnDirectives(Directives, std::nullopt);
@@ -268,7 +276,12 @@
   if (const auto *Delta = std::get_if<State::RegistryDelta>(&*Frame)) {
     this->EventHandlers.OnRegistryDelta(*Delta);
   } else if (const auto *Push = std::get_if<State::DeclarationPush>(&*Frame)) {
-    this->EventHandlers.OnDeclaration(*Push);
+    this->EventHandlers.OnDeclaration(*Push, "push");
+  } else if (const auto *Requested =
+                 std::get_if<State::RequestedDeclaration>(&*Frame)) {
+    this->EventHandlers.OnDeclaration(Requested->Declaration, "request");
+    if (Network::FrameClient *Link = this->find(From))
+      this->requestDeclaration(*Link);
   } else if (const auto *Decided =
                  std::get_if<State::TokenDecisions>(&*Frame)) {
     if (Decided->Entry == this->Opts.Self &&
--- a/Source/EntryDaemon/ControlLink.h
+++ b/Source/EntryDaemon/ControlLink.h
@@ -29,7 +29,11 @@
   };
   struct Handlers {
     std::function<void(const State::RegistryDelta &)> OnRegistryDelta;
-    std::function<void(const State::DeclarationPush &)> OnDeclaration;
+    /// Gets a declaration and the name of what it came with, for the log.
+    std::function<void(const State::DeclarationPush &, const char *)>
+        OnDeclaration;
+    /// The version of the daemon's declaration, if it has one.
+    std::function<std::optional<Common::ConfigurationVersion>()> HeldVersion;
     /// Completes each poll with the daemon's own report before it is sent.
     std::function<void(State::EntryPoll &)> FillPoll;
     /// Gets the answer and the time at which its poll was sent.
@@ -80,6 +84,7 @@
   void poll();
   void sendPoll(Network::FrameClient &To);
   void sendReport(Network::FrameClient &To);
+  void requestDeclaration(Network::FrameClient &From);
   void handleDirectives(const State::EntryDirectives &Directives);
   void checkConnection();
   bool isAnswerOverdue() const;
--- a/Source/EntryDaemon/Gateway.cpp
+++ b/Source/EntryDaemon/Gateway.cpp
@@ -139,8 +139,14 @@
   Handlers.OnRegistryDelta = [this](const State::RegistryDelta &Delta) {
     this->applyRegistryDelta(Delta);
   };
-  Handlers.OnDeclaration = [this](const State::DeclarationPush &Push) {
-    this->handleDeclaration(Push, "push");
+  Handlers.OnDeclaration = [this](const State::DeclarationPush &Push,
+                                  const char *Source) {
+    this->handleDeclaration(Push, Source);
+  };
+  Handlers.HeldVersion = [this] {
+    return this->Context.Declaration
+               ? std::optional(this->Context.Declaration->version())
+               : std::nullopt;
   };
   Handlers.FillPoll = [this](State::EntryPoll &Poll) { this->fillPoll(Poll); };
   Handlers.OnPollAnswer = [this](const State::EntryPollResponse &Answer,
--- a/Source/StateDaemon/Controller.cpp
+++ b/Source/StateDaemon/Controller.cpp
@@ -75,6 +75,7 @@
     std::erase_if(this->PeerLevels, [From](const auto &Each) {
       return Each.second.Connection == From;
     });
+    this->Declarations.remove(From);
   };
   FrameHandlers.OnRefused = [this](Common::RefusalReason Reason) {
     this->Metrics.recordRefusal(Reason);
@@ -224,8 +225,7 @@
     return;
   this->PushedVersion = Version;
   Telemetry::log(Events::DeclarationInForce, Version.Value);
-  this->broadcastToEntries(
-      State::DeclarationPush{Version, this->State.document()});
+  this->publishDeclaration();
   this->decodeDeclaration();
   if (this->Duties)
     this->Duties->setDeclaration(this->Declaration);
@@ -314,6 +314,8 @@
     this->handleServerEndRequest(From, *Ends);
   else if (const auto *Peer = std::get_if<State::PeerHello>(&*Frame))
     this->handlePeerHello(From, *Peer);
+  else if (const auto *Wanted = std::get_if<State::DeclarationRequest>(&*Frame))
+    this->handleDeclarationRequest(From, *Wanted);
   else if (auto *Report = std::get_if<State::EntryReport>(&*Frame))
     this->handleEntryReport(From, std::move(*Report));
   else if (std::get_if<State::ServerLoads>(&*Frame) ||
@@ -388,7 +390,7 @@
   if (const auto Versions = this->versionsFor(Snapshot))
     this->sendTo(From, *Versions);
   this->sendTo(From, Snapshot);
-  if (this->State.hasDeclaration())
+  if (this->State.hasDeclaration() && !this->Declarations.contains(From))
     this->sendTo(From, State::DeclarationPush{this->State.declarationVersion(),
                                               this->State.document()});
 }
--- a/Source/StateDaemon/Controller.h
+++ b/Source/StateDaemon/Controller.h
@@ -8,6 +8,7 @@
 #include "Network/Http1Server.h"
 #include "State/ControlProtocol.h"
 #include "StateDaemon/ControllerSettings.h"
+#include "StateDaemon/DeclarationFeed.h"
 #include "StateDaemon/DutyRunner.h"
 #include "StateDaemon/EntryDaemonTracker.h"
 #include "StateDaemon/ReplicaDriver.h"
@@ -175,6 +176,11 @@
   void redirectToLeader(Network::Http1Exchange &Exchange,
                         const std::string &Path);
   void pushDeclaration();
+  /// Sends the declaration to the entry daemons that are to get it now.
+  void publishDeclaration();
+  void handleDeclarationRequest(Network::ConnectionId From,
+                                const State::DeclarationRequest &Request);
+  void sendRequestedDeclaration(const std::vector<Network::ConnectionId> &To);
   /// Pushes the declaration once the entries at hand are applied. To decode
   /// each one of a long log would keep this daemon from its peers for too long.
   void schedulePushDeclaration();
@@ -243,6 +249,7 @@
   std::shared_ptr<const Configuration::ServiceMap> Declaration;
   /// Connections of replicas that this replica's membership does not list yet.
   std::map<Consensus::ReplicaId, Network::ConnectionId> NonMemberConnections;
+  DeclarationFeed Declarations;
   bool DeclarationPushScheduled = false;
   /// Version of the last declaration that was pushed to entry daemons and
   /// decoded.
--- a/Source/UnitTests/EntryDaemon/ControlLinkTest.cpp
+++ b/Source/UnitTests/EntryDaemon/ControlLinkTest.cpp
@@ -94,7 +94,11 @@
     Options.Seeds = std::move(Seeds);
     ControlLink::Handlers Handlers;
     Handlers.OnRegistryDelta = [](const State::RegistryDelta &) {};
-    Handlers.OnDeclaration = [](const State::DeclarationPush &) {};
+    Handlers.OnDeclaration = [](const State::DeclarationPush &, const char *) {
+    };
+    Handlers.HeldVersion = [] {
+      return std::optional<Common::ConfigurationVersion>();
+    };
     Handlers.FillPoll = [](State::EntryPoll &) {};
     Handlers.OnPollAnswer = [this](const State::EntryPollResponse &,
                                    Common::TimePoint) { ++this->Answers; };
