StateDaemon: Requested declarations are sent compressed

Cause: one version of a large configuration alone takes most of a second on a link of 7.5 Mbit/s, so two of them, the one on its way and the newest, could still take longer than the 2.5 s in which a version must be in force, once callers' streams share the link.

The entry daemon checks the announced size before it takes memory.

Weighed: sending only the differences between two versions. It needs a shared form of both documents on both sides, and decoding takes as long as before.

RoutedConfiguration passes.

--- a/Scripts/setup.sh
+++ b/Scripts/setup.sh
@@ -4,7 +4,8 @@
 set -euo pipefail
 Packages=(g++ cmake ninja-build pkg-config ccache curl clang-format clang-tidy
   libevent-dev libcereal-dev libboost-dev libboost-log-dev libboost-test-dev
-  libdocopt-dev libabsl-dev libhttp-parser-dev nlohmann-json3-dev libxxhash-dev libssl-dev)
+  libdocopt-dev libabsl-dev libhttp-parser-dev nlohmann-json3-dev libxxhash-dev libssl-dev
+  libzstd-dev)
 Missing=()
 for Package in "${Packages[@]}"; do
   dpkg-query -W -f='${Status}' "$Package" 2>/dev/null |
--- a/Source/Core/State/ControlProtocol.h
+++ b/Source/Core/State/ControlProtocol.h
@@ -143,10 +143,12 @@
 
 /// Response to a DeclarationRequest.
 struct RequestedDeclaration {
-  DeclarationPush Declaration;
+  Common::ConfigurationVersion Version;
+  /// The document, compressed with Network::compress().
+  std::string CompressedDocument;
 
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(this->Declaration);
+    Ar(this->Version, this->CompressedDocument);
   }
 };
 
--- a/Source/EntryDaemon/ControlLink.cpp
+++ b/Source/EntryDaemon/ControlLink.cpp
@@ -1,6 +1,7 @@
 #include "EntryDaemon/ControlLink.h"
 
 #include "Network/Codec.h"
+#include "Network/Compression.h"
 #include "Telemetry/LogEvents.h"
 
 #include <algorithm>
@@ -252,6 +253,19 @@
       State::DeclarationRequest{this->EventHandlers.HeldVersion()})));
 }
 
+void ControlLink::handleRequestedDeclaration(
+    const State::RequestedDeclaration &Received) {
+  auto Document = Network::decompress(Received.CompressedDocument,
+                                      Network::FrameCodec::MaxPayloadBytes);
+  if (!Document.ok()) {
+    Telemetry::log(Events::DeclarationUnreadable, Received.Version.Value,
+                   Document.status().message());
+    return;
+  }
+  this->EventHandlers.OnDeclaration({Received.Version, std::move(*Document)},
+                                    "request");
+}
+
 void ControlLink::handleDirectives(const State::EntryDirectives &Directives) {
   if (Directives.Entry.empty()) {
     this->EventHandlers.OnDirectives(Directives, std::nullopt);
@@ -279,7 +293,7 @@
     this->EventHandlers.OnDeclaration(*Push, "push");
   } else if (const auto *Requested =
                  std::get_if<State::RequestedDeclaration>(&*Frame)) {
-    this->EventHandlers.OnDeclaration(Requested->Declaration, "request");
+    this->handleRequestedDeclaration(*Requested);
     if (Network::FrameClient *Link = this->find(From))
       this->requestDeclaration(*Link);
   } else if (const auto *Decided =
--- a/Source/EntryDaemon/ControlLink.h
+++ b/Source/EntryDaemon/ControlLink.h
@@ -85,6 +85,7 @@
   void sendPoll(Network::FrameClient &To);
   void sendReport(Network::FrameClient &To);
   void requestDeclaration(Network::FrameClient &From);
+  void handleRequestedDeclaration(const State::RequestedDeclaration &Received);
   void handleDirectives(const State::EntryDirectives &Directives);
   void checkConnection();
   bool isAnswerOverdue() const;
