StateDaemon: A version that is assigned again is sent

Cause: the feed takes a version for one that it has sent, and an invalid declaration of an earlier release (version 3.7, stored under 3) gives its version back once it is corrected to 2. The valid version 3 that followed was not sent on the same connection; only the leader's answer to a poll brought it.

Change: a lower version ends the record of what was sent.

--- a/Source/StateDaemon/DeclarationFeed.cpp
+++ b/Source/StateDaemon/DeclarationFeed.cpp
@@ -4,6 +4,10 @@
 
 bool DeclarationFeed::Subscriber::takeIfDue(
     Common::ConfigurationVersion Newest) {
+  // The version under which an invalid declaration was sent can be assigned
+  // again once that one counts as a lower version.
+  if (this->LastSent && Newest < *this->LastSent)
+    this->LastSent.reset();
   const bool IsNewer = !this->Held || Newest > *this->Held;
   // A daemon that could not use a version does not hold it and does not need
   // it again.
--- a/Source/UnitTests/StateDaemon/DeclarationFeedTest.cpp
+++ b/Source/UnitTests/StateDaemon/DeclarationFeedTest.cpp
@@ -68,6 +68,15 @@
   BOOST_TEST(this->declare(5) == 1u);
 }
 
+// Guards against a valid declaration that is taken for the invalid one which
+// had its version before.
+BOOST_FIXTURE_TEST_CASE(AVersionThatIsAssignedAgainIsSent, Fixture) {
+  BOOST_TEST(this->request(First, std::nullopt));
+  BOOST_TEST(!this->request(First, ConfigurationVersion{2}));
+  BOOST_TEST(this->declare(2) == 0u);
+  BOOST_TEST(this->declare(3) == 1u);
+}
+
 BOOST_FIXTURE_TEST_CASE(TheFirstDeclarationMayHaveTheVersion0, Fixture) {
   this->Newest = std::nullopt;
   BOOST_TEST(!this->request(First, std::nullopt));
