--- a/Source/UnitTests/EntryDaemon/ControlLinkTest.cpp
+++ b/Source/UnitTests/EntryDaemon/ControlLinkTest.cpp
@@ -1,6 +1,7 @@
 #include "EntryDaemon/ControlLink.h"
 
 #include "Network/Codec.h"
+#include "Network/Compression.h"
 #include "Network/RawPeer.h"
 #include "Network/SocketAddress.h"
 
@@ -39,6 +40,9 @@
 
   bool HasLeader = true;
   int Hellos = 0;
+  /// Sent one after the other, each in response to a request.
+  std::vector<State::RequestedDeclaration> Declarations;
+  int DeclarationRequests = 0;
 
 private:
   void handle(Network::ConnectionId From, const State::ControlFrame &Frame) {
@@ -47,6 +51,12 @@
       this->Server->send(From, Network::encode(State::ControlFrame(
                                    State::StateEndpoints{this->Members})));
     }
+    if (std::get_if<State::DeclarationRequest>(&Frame) &&
+        static_cast<std::size_t>(this->DeclarationRequests++) <
+            this->Declarations.size())
+      this->Server->send(
+          From, Network::encode(State::ControlFrame(
+                    this->Declarations[this->DeclarationRequests - 1])));
     const auto *Poll = std::get_if<State::EntryPoll>(&Frame);
     if (!Poll || !this->HasLeader)
       return;
@@ -85,6 +95,7 @@
 struct Fixture {
   std::unique_ptr<Network::EventLoop> Loop = *Network::EventLoop::create();
   int Answers = 0;
+  std::vector<std::string> Documents;
 
   std::unique_ptr<ControlLink> openLink(std::vector<Network::Address> Seeds) {
     ControlLink::Options Options;
@@ -94,7 +105,9 @@
     Options.Seeds = std::move(Seeds);
     ControlLink::Handlers Handlers;
     Handlers.OnRegistryDelta = [](const State::RegistryDelta &) {};
-    Handlers.OnDeclaration = [](const State::DeclarationPush &, const char *) {
+    Handlers.OnDeclaration = [this](const State::DeclarationPush &Received,
+                                    const char *) {
+      this->Documents.push_back(Received.Document);
     };
     Handlers.HeldVersion = [] {
       return std::optional<Common::ConfigurationVersion>();
@@ -176,6 +189,20 @@
   BOOST_TEST(Current.Hellos == 1);
 }
 
+// Guards against a damaged declaration that keeps the next one away.
+BOOST_FIXTURE_TEST_CASE(EachDeclarationIsFollowedByARequest, Fixture) {
+  const Network::Address At = allocateAddress();
+  LiveDaemon StateDaemon(*this->Loop, At, {{At, Common::DataCentreId("near")}});
+  StateDaemon.Declarations = {{{4}, *Network::compress("first")},
+                              {{5}, "damaged"},
+                              {{6}, *Network::compress("third")}};
+  const auto Link = this->openLink({At});
+  BOOST_TEST(runUntil(*this->Loop,
+                      [&] { return StateDaemon.DeclarationRequests == 4; }));
+  BOOST_TEST(this->Documents == std::vector<std::string>({"first", "third"}),
+             boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace UnitTests
