StateDaemon: The compressed declaration is kept by its content

Cause: the compressed form was kept by version. A version that belonged to an invalid declaration of an earlier release and is assigned again was sent with the invalid document. Entry daemons refused that as not newer, and got the valid one only from the leader's answer to a poll.

Change: it is kept by the hash of the document (DeclarationCompressor).

--- a/Source/FaultTests/RoutedCluster.h
+++ b/Source/FaultTests/RoutedCluster.h
@@ -57,7 +57,7 @@
   void blockLinks();
   void unblockLinks();
   /// Entry daemons that are started from now on reach the state daemons over
-  /// links that carry at most BytesPerSecond to them.
+  /// links that carry at most BytesPerSecond each to the entry daemon.
   void limitEntryLinks(std::size_t BytesPerSecond);
   /// Entry daemon 1 is the process "entry", entry daemon 2 "entry2", and so on.
   void startEntryDaemon(int Number = 1);
--- a/Source/FaultTests/RoutedConfigurationTest.cpp
+++ b/Source/FaultTests/RoutedConfigurationTest.cpp
@@ -366,7 +366,7 @@
 // large configuration in turn and obeyed older ones for seconds.
 BOOST_AUTO_TEST_CASE(AQuickSeriesOfLargeVersionsIsInForceInTime) {
   constexpr std::uint64_t LastVersion = 15;
-  // Shorter than the time in which the link carries a version.
+  // Shorter than the time in which the link carries a version uncompressed.
   constexpr Common::Duration Pause = std::chrono::milliseconds(500);
   RoutedCluster Test;
   Test.limitEntryLinks(SlowLinkBytesPerSecond);
@@ -385,7 +385,7 @@
   const Common::Duration Elapsed = Test.loop().now() - AcknowledgedAt;
   BOOST_TEST((Elapsed < ApplyTime),
              "in force after " << Common::toMilliseconds(Elapsed) << " ms");
-  // Other links are not slow.
+  // The entry daemon has kept its slow link.
   BOOST_TEST(Test.log("entry").find("event=state_daemon_changed") ==
              std::string::npos);
 }
--- a/Source/StateDaemon/Controller.h
+++ b/Source/StateDaemon/Controller.h
@@ -8,6 +8,7 @@
 #include "Network/Http1Server.h"
 #include "State/ControlProtocol.h"
 #include "StateDaemon/ControllerSettings.h"
+#include "StateDaemon/DeclarationCompressor.h"
 #include "StateDaemon/DeclarationFeed.h"
 #include "StateDaemon/DutyRunner.h"
 #include "StateDaemon/EntryDaemonTracker.h"
@@ -181,8 +182,6 @@
   void handleDeclarationRequest(Network::ConnectionId From,
                                 const State::DeclarationRequest &Request);
   void sendRequestedDeclaration(const std::vector<Network::ConnectionId> &To);
-  /// Compresses the declaration unless that is done.
-  absl::Status compressDeclaration();
   /// Pushes the declaration once the entries at hand are applied. To decode
   /// each one of a long log would keep this daemon from its peers for too long.
   void schedulePushDeclaration();
@@ -252,8 +251,7 @@
   /// Connections of replicas that this replica's membership does not list yet.
   std::map<Consensus::ReplicaId, Network::ConnectionId> NonMemberConnections;
   DeclarationFeed Declarations;
-  /// The declaration as it is sent to entry daemons that request it.
-  State::RequestedDeclaration CompressedDeclaration;
+  DeclarationCompressor Compressor;
   bool DeclarationPushScheduled = false;
   /// Version of the last declaration that was pushed to entry daemons and
   /// decoded.
--- a/Source/StateDaemon/ControllerDeclarations.cpp
+++ b/Source/StateDaemon/ControllerDeclarations.cpp
@@ -1,7 +1,6 @@
 #include "StateDaemon/Controller.h"
 
 #include "Network/Codec.h"
-#include "Network/Compression.h"
 #include "Telemetry/LogEvents.h"
 
 // How declarations reach the entry daemons.
@@ -34,30 +33,20 @@
     const std::vector<Network::ConnectionId> &To) {
   if (To.empty())
     return;
-  if (absl::Status Compressed = this->compressDeclaration(); !Compressed.ok()) {
+  const auto Message = this->Compressor.compress(
+      this->State.declarationVersion(), this->State.document());
+  if (!Message.ok()) {
     Telemetry::log(Telemetry::Events::DeclarationUnreadable,
                    this->State.declarationVersion().Value,
-                   Compressed.message());
+                   Message.status().message());
     return;
   }
   this->Metrics.incrementCounter("declarations_sent_total", To.size());
-  this->Metrics.incrementCounter(
-      "declaration_bytes_sent_total",
-      To.size() * this->CompressedDeclaration.CompressedDocument.size());
-  this->LinkServer->broadcast(
-      To, Network::encode(State::ControlFrame(this->CompressedDeclaration)));
-}
-
-absl::Status Controller::compressDeclaration() {
-  const Common::ConfigurationVersion Version = this->State.declarationVersion();
-  if (this->CompressedDeclaration.Version == Version &&
-      !this->CompressedDeclaration.CompressedDocument.empty())
-    return absl::OkStatus();
-  auto Compressed = Network::compress(this->State.document());
-  if (!Compressed.ok())
-    return Compressed.status();
-  this->CompressedDeclaration = {Version, std::move(*Compressed)};
-  return absl::OkStatus();
+  this->Metrics.incrementCounter("declaration_bytes_sent_total",
+                                 To.size() *
+                                     Message->CompressedDocument.size());
+  this->LinkServer->broadcast(To,
+                              Network::encode(State::ControlFrame(*Message)));
 }
 
 } // namespace StateDaemon
