Review: a heartbeat for an unknown service takes sound replicas out of use

One heartbeat of another writer for each replica's address ends the service until the replicas restart.

--- a/review/11/scenario.cpp
+++ b/review/11/scenario.cpp
@@ -7,11 +7,8 @@
 
 namespace {
 
-constexpr int FrontPort = 23601;
-constexpr int ControlPort = 23602;
-constexpr int ReadyPort = 23603;
-/// Where daemons of the zones a and b expect the links of all state daemons.
-constexpr int LinkPort = 23604;
+/// Daemons of the zones a and b expect all state daemons at this port.
+constexpr int LinkPort = Deployment::LinkPort;
 /// The same for the state daemon of zone c, and for the entry daemon there.
 /// Behind them stand links that can be cut, but for their own zone's daemon.
 constexpr int LinkPortOfZoneC = 23605;
@@ -65,12 +62,12 @@
                     "not");
       // The zone that is cut off is not that of the leader, so that no election
       // takes time from the cut.
-      if (!this->leads(3))
+      if (!this->Daemons.leads(3))
         break;
       if (Try == 4)
         throw CannotRun{"the state daemon of zone c leads"};
-      record().line("started again, as core-c-1 leads");
-      this->Daemons.clear();
+      record().line("started again, as core-c-3 leads");
+      this->Daemons.endAll();
     }
     this->heartbeats();
     this->awaitService(this->A);
@@ -79,9 +76,9 @@
       Each->heal();
 
     // The clients of zone c have open channels, which stay with their daemon.
-    Channel ToB({this->B, FrontPort});
+    Channel ToB(this->B);
     for (const char *Path : {"/docs/team/", "/notes/", "/orders/"})
-      if (this->ask(ToB, "edge-c-1", Path, TakenKey) != 200)
+      if (this->ask(ToB, "edge-c-13", Path, TakenKey) != 200)
         throw CannotRun{"the key is not obeyed before the change"};
 
     if (withTrouble()) {
@@ -97,16 +94,16 @@
     const auto AcknowledgedAt = Clock::now();
 
     std::this_thread::sleep_until(AcknowledgedAt + 2000ms);
-    Channel ToA({this->A, FrontPort});
-    this->ask(ToA, "edge-a-1", "/docs/team/", TakenKey);
-    this->ask(ToA, "edge-a-1", "/notes/", TakenKey);
+    Channel ToA(this->A);
+    this->ask(ToA, "edge-a-11", "/docs/team/", TakenKey);
+    this->ask(ToA, "edge-a-11", "/notes/", TakenKey);
 
     std::this_thread::sleep_until(AcknowledgedAt + RevokeTime + 50ms);
     record().line("revoke-ms after the acknowledgement has passed");
     while (Clock::now() < CutAt + CutTime - 100ms)
       for (const char *Path : {"/docs/team/", "/notes/", "/orders/"}) {
         const std::string Id = this->nextId();
-        this->ask(ToB, "edge-c-1", Path, TakenKey, Id);
+        this->ask(ToB, "edge-c-13", Path, TakenKey, Id);
         this->Judged.insert(Id);
         std::this_thread::sleep_for(40ms);
       }
@@ -118,7 +115,7 @@
     }
     std::this_thread::sleep_for(3000ms);
     for (const char *Path : {"/docs/team/", "/notes/", "/orders/"})
-      this->ask(ToB, "edge-c-1", Path, TakenKey);
+      this->ask(ToB, "edge-c-13", Path, TakenKey);
 
     int Ran = 0;
     const std::lock_guard Lock(this->Mutex);
@@ -160,7 +157,7 @@
 
   void startServer() {
     this->TheServer = std::make_unique<Server>(
-        Endpoint{this->Net.ip(20), ServerPort}, [this](const Message &Request) {
+        Endpoint{this->Daemons.network().ip(20), ServerPort}, [this](const Message &Request) {
           const std::lock_guard Lock(this->Mutex);
           this->Runs.insert(Request.header("x-sycamorereach-request-id"));
           return success(Request, "done");
@@ -172,12 +169,12 @@
     std::thread([this] {
       const std::string Born = std::to_string(wallMilliseconds());
       for (int Sequence = 1;; ++Sequence) {
-        callOnce({this->Net.ip(3), ControlPort},
+        callOnce(this->Daemons.control(3),
                  encodeRequest(
                      "POST", "/sycamorereach/replicas/i-1/heartbeat", Host,
                      {{"Content-Type", "application/json"}},
                      "{\"service\":\"yard-app\",\"address\":\"" +
-                         Endpoint{this->Net.ip(20), ServerPort}.str() +
+                         Endpoint{this->Daemons.network().ip(20), ServerPort}.str() +
                          "\",\"zone\":\"c\",\"version\":\"v1\",\"slots\":6,"
                          "\"state\":\"ready\",\"cold-left-ms\":0,"
                          "\"sequence\":" +
@@ -188,67 +185,10 @@
     }).detach();
   }
 
-  void start(const std::string &Name, const std::string &Zone,
-             const std::string &Ip, bool IsCore) {
-    Settings Values = smallDeployment();
-    Values["node-name"] = Name;
-    Values["zone"] = Zone;
-    Values["ip"] = Ip;
-    const int Port = Zone != "c" ? LinkPort
-                     : IsCore    ? LinkPortOfZoneC
-                                 : LinkPortOfEdgeC;
-    Values["port-range.0"] = std::to_string(Port);
-    Values["port-range.1"] = std::to_string(Port);
-    std::string Seeds;
-    for (int I = 1; I <= 3; ++I)
-      Seeds += (I > 1 ? "," : "") + Endpoint{this->Net.ip(I), ControlPort}.str();
-    Values["seeds"] = Seeds;
-    const std::string Folder = folderOfRun() + "/" + Name + "-" +
-                               std::to_string(++this->Started);
-    mkdir(Folder.c_str(), 0755);
-    if (IsCore) {
-      Values["bootstrap"] = "true";
-      Values["limits.memory-mb"] = "256";
-      Values["limits.max-fds"] = "4096";
-      Values["data-dir"] = Folder + "/data";
-      Values["listen.control"] = Endpoint{Ip, ControlPort}.str();
-    } else {
-      Values["limits.memory-mb"] = "260";
-      Values["limits.max-fds"] = "4100";
-      Values["listen.front"] = Endpoint{Ip, FrontPort}.str();
-      Values["listen.ready"] = Endpoint{Ip, ReadyPort}.str();
-    }
-    const std::string File = Folder + "/local.toml";
-    std::ofstream(File) << render(
-        readFile(IsCore ? "deploy/state.settings" : "deploy/entry.settings"),
-        Values);
-    const std::vector<std::string> Command =
-        IsCore ? std::vector<std::string>{"target/Source/StateDaemon/"
-                                          "sycamore-state",
-                                          "control"}
-               : std::vector<std::string>{"target/Source/EntryDaemon/"
-                                          "sycamore-entry",
-                                          "gateway"};
-    this->Daemons[Name] = std::make_unique<Process>(
-        std::vector<std::string>{Command[0], Command[1],
-                                 "--settings-file=" + File},
-        Folder + "/log");
-    record().line("started %s in zone %s", Name.c_str(), Zone.c_str());
-  }
-
-  bool leads(int Number) const {
-    const Endpoint To{this->Net.ip(Number), ControlPort};
-    const auto Answer = callOnce(
-        To,
-        encodeRequest("GET", "/sycamorereach/config/read", To.str(), {}, ""),
-        1000ms);
-    return Answer && Answer->status() == 200;
-  }
-
   void openLinks() {
     const auto Add = [this](int Last, int From, int To, bool StartsCut) {
-      return std::make_unique<Link>(Endpoint{this->Net.ip(Last), From},
-                                    Endpoint{this->Net.ip(Last), To},
+      return std::make_unique<Link>(Endpoint{this->Daemons.network().ip(Last), From},
+                                    Endpoint{this->Daemons.network().ip(Last), To},
                                     StartsCut);
     };
     this->Links.push_back(Add(1, LinkPortOfZoneC, LinkPort, false));
@@ -262,30 +202,30 @@
   }
 
   void startDaemons() {
-    this->start("core-a-1", "a", this->Net.ip(1), true);
-    this->start("core-b-1", "b", this->Net.ip(2), true);
+    this->Daemons.startCore(1, "a", true);
+    this->Daemons.startCore(2, "b", true);
     // The last one to start is not the first to ask for votes.
     std::this_thread::sleep_for(290ms);
-    this->start("core-c-1", "c", this->Net.ip(3), true);
-    this->start("edge-a-1", "a", this->A, false);
-    this->start("edge-c-1", "c", this->B, false);
+    this->Daemons.startCore(3, "c", true, LinkPortOfZoneC);
+    this->Daemons.startEdge(11, "a");
+    this->Daemons.startEdge(13, "c", LinkPortOfEdgeC);
   }
 
   void declare(const std::string &Document, const char *What) {
-    const std::vector<Endpoint> Reached = {{this->Net.ip(1), ControlPort},
-                                           {this->Net.ip(2), ControlPort}};
+    const std::vector<Endpoint> Reached = {this->Daemons.control(1),
+                                           this->Daemons.control(2)};
     if (!callControl(Reached, "POST", "/sycamorereach/config/replace", Document,
                      15s))
       throw CannotRun{std::string("not acknowledged: ") + What};
     record().line("acknowledged %s", What);
   }
 
-  void awaitService(const std::string &Ip) {
+  void awaitService(const Endpoint &At) {
     const auto Until = Clock::now() + 15s;
     while (Clock::now() < Until) {
       const std::string Id = this->nextId();
       const auto Answer = callOnce(
-          {Ip, FrontPort},
+          At,
           encodeRequest("POST", "/orders/" + Id, Host,
                         {{"X-Sycamorereach-Request-Id", Id},
                          {"Authorization", std::string("Bearer ") + KeptKey}},
@@ -298,20 +238,18 @@
     throw CannotRun{"an entry daemon does not serve"};
   }
 
-  Network Net;
-  const std::string A = Net.ip(11);
-  const std::string B = Net.ip(13);
+  Deployment Daemons;
+  const Endpoint A = Daemons.front(11);
+  const Endpoint B = Daemons.front(13);
   std::unique_ptr<Server> TheServer;
   /// Between zone c and the others.
   std::vector<std::unique_ptr<Link>> Links;
   std::unique_ptr<Link> WithinZone;
-  std::map<std::string, std::unique_ptr<Process>> Daemons;
   std::mutex Mutex;
   /// Ids of the requests that the server ran.
   std::set<std::string> Runs;
   std::set<std::string> Judged;
   std::atomic<int> LastId{0};
-  int Started = 0;
 };
 
 } // namespace
--- a/review/harness-3/Harness.h
+++ b/review/harness-3/Harness.h
@@ -623,6 +623,100 @@
       .count();
 }
 
+/// The project's daemons, started with the commands of the deploy file. Core
+/// machines have the addresses 1, 2 and so on, the first three of them the seeds.
+class Deployment {
+public:
+  static constexpr int FrontPort = 23601;
+  static constexpr int ControlPort = 23602;
+  static constexpr int ReadyPort = 23603;
+  static constexpr int LinkPort = 23604;
+
+  const Network &network() const { return this->Net; }
+  Endpoint control(int Core) const {
+    return {this->Net.ip(Core), ControlPort};
+  }
+  Endpoint front(int Last) const { return {this->Net.ip(Last), FrontPort}; }
+
+  void startCore(int Number, const std::string &Zone, bool Bootstrap,
+                 int Links = LinkPort) {
+    const std::string Name = "core-" + Zone + "-" + std::to_string(Number);
+    Settings Values = this->common(Name, Zone, this->Net.ip(Number), Links);
+    Values["bootstrap"] = Bootstrap ? "true" : "false";
+    Values["limits.memory-mb"] = "256";
+    Values["limits.max-fds"] = "4096";
+    Values["data-dir"] = folderOfRun() + "/" + Name + "-data" +
+                         std::to_string(this->Generation);
+    Values["listen.control"] = this->control(Number).str();
+    if (!this->DutyAddress.empty()) {
+      Values["cloud-api.address"] = this->DutyAddress;
+      Values["cloud-api.rate-per-s"] = "50.0";
+      Values["cloud-api.duty-per-s"] = "50.0";
+      Values["cloud-api.duties"] = "usage_report,scale";
+    }
+    this->start(Name, Values, "deploy/state.settings",
+                {"target/Source/StateDaemon/sycamore-state", "control"});
+  }
+  void startEdge(int Last, const std::string &Zone, int Links = LinkPort) {
+    const std::string Name = "edge-" + Zone + "-" + std::to_string(Last);
+    Settings Values = this->common(Name, Zone, this->Net.ip(Last), Links);
+    Values["limits.memory-mb"] = "260";
+    Values["limits.max-fds"] = "4100";
+    Values["listen.front"] = this->front(Last).str();
+    Values["listen.ready"] = Endpoint{this->Net.ip(Last), ReadyPort}.str();
+    this->start(Name, Values, "deploy/entry.settings",
+                {"target/Source/EntryDaemon/sycamore-entry", "gateway"});
+  }
+  Process &process(const std::string &Name) {
+    return *this->Processes.at(Name);
+  }
+  /// Ends all daemons; the next core machines have empty disks.
+  void endAll() {
+    this->Processes.clear();
+    ++this->Generation;
+  }
+  /// Whether the state daemon leads, as only that one answers a read.
+  bool leads(int Core) const {
+    const auto Answer = callOnce(
+        this->control(Core),
+        encodeRequest("GET", "/sycamorereach/config/read",
+                      this->control(Core).str(), {}, ""),
+        1000ms);
+    return Answer && Answer->status() == 200;
+  }
+  /// The address of the platform's interface for duties; none if empty.
+  std::string DutyAddress;
+
+private:
+  Settings common(const std::string &Name, const std::string &Zone,
+                  const std::string &Ip, int Links) const {
+    Settings Values = smallDeployment();
+    Values["node-name"] = Name;
+    Values["zone"] = Zone;
+    Values["ip"] = Ip;
+    Values["port-range.0"] = std::to_string(Links);
+    Values["port-range.1"] = std::to_string(Links);
+    Values["seeds"] = this->control(1).str() + "," + this->control(2).str() +
+                      "," + this->control(3).str();
+    return Values;
+  }
+  void start(const std::string &Name, const Settings &Values,
+             const std::string &Template, std::vector<std::string> Command) {
+    const std::string File = folderOfRun() + "/" + Name + ".toml";
+    std::ofstream(File) << render(readFile(Template), Values);
+    Command.push_back("--settings-file=" + File);
+    this->Processes.erase(Name);
+    this->Processes[Name] = std::make_unique<Process>(
+        Command, folderOfRun() + "/" + Name + ".log");
+    record().line("started %s in zone %s", Name.c_str(),
+                  valueOf(Values, "zone").c_str());
+  }
+
+  Network Net;
+  int Generation = 1;
+  std::map<std::string, std::unique_ptr<Process>> Processes;
+};
+
 /// Runs the scenario and turns its outcome into the exit status.
 inline int runScenario(const std::function<bool()> &Broken) {
   std::signal(SIGPIPE, SIG_IGN);
