Review: an entry daemon never learns of a server that was silent when it connected

A replica is cut off for 9.8 s while the entry daemons are stopped and started in turn; afterwards no request reaches it.

--- a/review/harness-3/Harness.h
+++ b/review/harness-3/Harness.h
@@ -5,6 +5,7 @@
 // templates, and stand-ins for clients, servers, the operator and a network
 // that can be cut. Only POSIX calls and the standard library.
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <atomic>
 #include <chrono>
@@ -331,6 +332,8 @@
 
 // ----------------------------------------------------- processes and settings
 
+/// To be started by the main thread only: the kernel ends the process when the
+/// thread that started it ends.
 class Process {
 public:
   Process(const std::vector<std::string> &Command, const std::string &LogPath) {
