Review: an acknowledged rollout order is lost beside another one

An order that repeats a target after a roll-back, beside the order of another service, is answered 200 and has no effect.

--- a/review/harness-3/Harness.h
+++ b/review/harness-3/Harness.h
@@ -673,6 +673,12 @@
   Process &process(const std::string &Name) {
     return *this->Processes.at(Name);
   }
+  /// SIGKILL to all daemons at once; their disks stay.
+  void killAll() {
+    for (const auto &Each : this->Processes)
+      Each.second->signal(SIGKILL);
+    this->Processes.clear();
+  }
   /// Ends all daemons; the next core machines have empty disks.
   void endAll() {
     this->Processes.clear();
@@ -689,11 +695,15 @@
   }
   /// The address of the platform's interface for duties; none if empty.
   std::string DutyAddress;
+  /// Bounds of another deployment, which replace those of the small ones.
+  Settings OtherBounds;
 
 private:
   Settings common(const std::string &Name, const std::string &Zone,
                   const std::string &Ip, int Links) const {
     Settings Values = smallDeployment();
+    for (const auto &[Bound, Value] : this->OtherBounds)
+      Values[Bound] = Value;
     Values["node-name"] = Name;
     Values["zone"] = Zone;
     Values["ip"] = Ip;
