--- a/review/11/scenario.cpp
+++ b/review/11/scenario.cpp
@@ -37,9 +37,8 @@
                        Route("orders", "/orders/", "unsafe", false);
   if (Closed)
     Routes += "," + Route("docs-team", "/docs/team/", "safe", false);
-  const std::string Keys =
-      std::string("\"") + KeptKey + "\"" +
-      (Closed ? "" : std::string(",\"") + TakenKey + "\"");
+  const std::string Keys = std::string("\"") + KeptKey + "\"" +
+                           (Closed ? "" : std::string(",\"") + TakenKey + "\"");
   return "{\"version\":" + std::to_string(Version) + ",\"routes\":[" + Routes +
          "],\"services\":[{\"name\":\"yard-app\",\"health-path\":\"/health\","
          "\"max-conns\":110,\"protocol\":\"h1\",\"tls\":false}],"
@@ -137,13 +136,13 @@
           const std::string &Key, std::string Id = "") {
     if (Id.empty())
       Id = this->nextId();
-    const auto Answer = Over.call(
-        encodeRequest("POST", Path + Id, Host,
-                      {{"X-Sycamorereach-Request-Id", Id},
-                       {"X-Sycamorereach-Request-Deadline", "1500"},
-                       {"Authorization", "Bearer " + Key}},
-                      "order"),
-        2000ms);
+    const auto Answer =
+        Over.call(encodeRequest("POST", Path + Id, Host,
+                                {{"X-Sycamorereach-Request-Id", Id},
+                                 {"X-Sycamorereach-Request-Deadline", "1500"},
+                                 {"Authorization", "Bearer " + Key}},
+                                "order"),
+                  2000ms);
     const int Status = Answer ? Answer->status() : 0;
     bool Ran;
     {
@@ -157,7 +156,8 @@
 
   void startServer() {
     this->TheServer = std::make_unique<Server>(
-        Endpoint{this->Daemons.network().ip(20), ServerPort}, [this](const Message &Request) {
+        Endpoint{this->Daemons.network().ip(20), ServerPort},
+        [this](const Message &Request) {
           const std::lock_guard Lock(this->Mutex);
           this->Runs.insert(Request.header("x-sycamorereach-request-id"));
           return success(Request, "done");
@@ -169,17 +169,18 @@
     std::thread([this] {
       const std::string Born = std::to_string(wallMilliseconds());
       for (int Sequence = 1;; ++Sequence) {
-        callOnce(this->Daemons.control(3),
-                 encodeRequest(
-                     "POST", "/sycamorereach/replicas/i-1/heartbeat", Host,
-                     {{"Content-Type", "application/json"}},
-                     "{\"service\":\"yard-app\",\"address\":\"" +
-                         Endpoint{this->Daemons.network().ip(20), ServerPort}.str() +
-                         "\",\"zone\":\"c\",\"version\":\"v1\",\"slots\":6,"
-                         "\"state\":\"ready\",\"cold-left-ms\":0,"
-                         "\"sequence\":" +
-                         std::to_string(Sequence) + ",\"born\":" + Born + "}"),
-                 1000ms);
+        callOnce(
+            this->Daemons.control(3),
+            encodeRequest(
+                "POST", "/sycamorereach/replicas/i-1/heartbeat", Host,
+                {{"Content-Type", "application/json"}},
+                "{\"service\":\"yard-app\",\"address\":\"" +
+                    Endpoint{this->Daemons.network().ip(20), ServerPort}.str() +
+                    "\",\"zone\":\"c\",\"version\":\"v1\",\"slots\":6,"
+                    "\"state\":\"ready\",\"cold-left-ms\":0,"
+                    "\"sequence\":" +
+                    std::to_string(Sequence) + ",\"born\":" + Born + "}"),
+            1000ms);
         std::this_thread::sleep_for(1200ms);
       }
     }).detach();
@@ -187,9 +188,9 @@
 
   void openLinks() {
     const auto Add = [this](int Last, int From, int To, bool StartsCut) {
-      return std::make_unique<Link>(Endpoint{this->Daemons.network().ip(Last), From},
-                                    Endpoint{this->Daemons.network().ip(Last), To},
-                                    StartsCut);
+      return std::make_unique<Link>(
+          Endpoint{this->Daemons.network().ip(Last), From},
+          Endpoint{this->Daemons.network().ip(Last), To}, StartsCut);
     };
     this->Links.push_back(Add(1, LinkPortOfZoneC, LinkPort, false));
     this->Links.push_back(Add(2, LinkPortOfZoneC, LinkPort, false));
--- a/review/12/scenario.cpp
+++ b/review/12/scenario.cpp
@@ -1,5 +1,5 @@
-// A replica is cut off for a while, and the entry daemons are stopped and
-// started in turn meanwhile. Afterwards the replica announces itself as before.
+// Two operators order rollouts of two services at once, one of them again after
+// it was rolled back. Then the final fault: all processes are killed.
 
 #include "Harness.h"
 
@@ -7,228 +7,173 @@
 
 namespace {
 
-constexpr int ServerPort = 23606;
-/// Where the servers behind the links listen.
-constexpr int HiddenServerPort = 23608;
 constexpr char Host[] = "yard.example";
-constexpr char Key[] = "key-1";
-constexpr int Edges[] = {11, 12};
-/// The site cuts single machines off for up to 10 s.
-constexpr auto CutTime = 9800ms;
-/// From the start of the cut to the first stop, and between the stops.
-constexpr auto FirstStop = 2500ms;
-constexpr auto StopGap = 1400ms;
-/// After the cut, before requests are judged, and for how long they are.
-constexpr auto SettleTime = 5000ms;
-constexpr auto JudgedTime = 30s;
+constexpr int Cores = 4;
+/// Longer than the time in which an order counts as the repeat of an earlier
+/// one: ack-ms, and a margin of 2 s in the code.
+constexpr auto PauseBeforeNextOrder = 9000ms;
+constexpr auto RecoverTime = 15s;
 
 std::string configuration() {
-  const auto Route = [](const std::string &Name, const std::string &Prefix,
-                        const std::string &Service) {
-    return "{\"name\":\"" + Name + "\",\"host\":\"" + Host +
-           "\",\"path-prefix\":\"" + Prefix +
-           "\",\"route-kind\":\"safe\",\"timeout-ms\":800,\"slo-ms\":150,"
-           "\"priority\":2,\"service\":\"" +
-           Service +
-           "\",\"max-attempts\":2,\"public\":false,\"sticky\":false,"
-           "\"resumable\":false}";
-  };
   const auto Service = [](const std::string &Name) {
     return "{\"name\":\"" + Name +
            "\",\"health-path\":\"/health\",\"max-conns\":110,"
            "\"protocol\":\"h1\",\"tls\":false}";
   };
-  return "{\"version\":3,\"routes\":[" +
-         Route("stock-read", "/stock/", "orders") + "," +
-         Route("grade-query", "/grade/", "assistant") + "],\"services\":[" +
-         Service("orders") + "," + Service("assistant") +
+  return std::string("{\"version\":3,\"routes\":[{\"name\":\"a\",\"host\":\"") +
+         Host +
+         "\",\"path-prefix\":\"/a/\",\"route-kind\":\"unsafe\","
+         "\"timeout-ms\":800,\"slo-ms\":150,\"priority\":2,"
+         "\"service\":\"bureau-app\",\"max-attempts\":1,\"public\":false,"
+         "\"sticky\":false,\"resumable\":false}],\"services\":[" +
+         Service("bureau-app") + "," + Service("lm-pool") +
          "],\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":4194304,"
          "\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000},"
-         "\"tenants\":[{\"name\":\"team-1\",\"api-keys\":[\"" +
-         Key + "\"],\"priority\":1}]}";
+         "\"tenants\":[{\"name\":\"team-1\",\"api-keys\":[\"key-1\"],"
+         "\"priority\":1}]}";
 }
 
-/// A server, its heartbeats, and the link by which all others reach it.
-struct Replica {
-  std::string Id;
-  std::string Service;
-  Endpoint Address;
-  std::unique_ptr<Server> Program;
-  std::unique_ptr<Link> Path;
-  std::atomic<bool> IsCut{false};
-  std::atomic<int> Acknowledged{0};
-};
-
 class Scenario {
 public:
   bool run() {
-    for (int I = 1; I <= 4; ++I)
-      this->Daemons.startCore(I, std::string(1, "abcd"[I - 1]), true);
-    for (const int Each : Edges)
-      this->Daemons.startEdge(Each, "a");
+    // The bounds of the sheet whose deployment has rollouts.
+    this->Daemons.OtherBounds = {
+        {"bounds.contact-ms", "4000"},      {"bounds.ack-ms", "5000"},
+        {"bounds.catch-up-s", "6"},         {"bounds.drain-ms", "2500"},
+        {"bounds.config-apply-ms", "2500"}, {"bounds.max-stretch-ms", "6000"},
+        {"bounds.expose-share", "0.1"},     {"bounds.expose-slack", "50"},
+        {"bounds.rollback-ms", "5000"},     {"bounds.recover-s", "15"}};
+    this->startAll(true);
     if (!callControl(this->controls(), "POST", "/sycamorereach/config/replace",
                      configuration(), 15s))
       throw CannotRun{"the configuration is not acknowledged"};
-    // Five servers, of which one is cut off: a share of 0.2.
-    this->startReplica("orders-1", "orders", 20);
-    for (int I = 1; I <= 4; ++I)
-      this->startReplica("assistant-" + std::to_string(I), "assistant", 30 + I);
-    this->awaitAll();
 
-    Replica &Orders = *this->Replicas.front();
-    const auto CutAt = Clock::now();
-    if (withTrouble()) {
-      record().line("%s is cut off from all machines for %lld ms",
-                    Orders.Id.c_str(),
-                    static_cast<long long>(CutTime.count()));
-      Orders.IsCut = true;
-      Orders.Path->cut();
+    // A first order, which is rolled back, as no replica has the version in
+    // time.
+    if (!this->order("first operator", "bureau-app", "v2", 1))
+      throw CannotRun{"the first order is not acknowledged"};
+    const auto OrderedAt = Clock::now();
+    while (this->state("bureau-app") != "rolled_back") {
+      if (Clock::now() > OrderedAt + 15s)
+        throw CannotRun{"the first rollout does not end"};
+      std::this_thread::sleep_for(200ms);
     }
-    this->restartInTurn(CutAt);
-    std::this_thread::sleep_until(CutAt + CutTime);
-    if (withTrouble()) {
-      Orders.Path->heal();
-      Orders.IsCut = false;
-      record().line("the cut ends");
+    std::this_thread::sleep_until(OrderedAt + PauseBeforeNextOrder);
+
+    bool FirstAcknowledged = false;
+    bool SecondAcknowledged = false;
+    const auto OrderOther = [&] {
+      SecondAcknowledged = this->order("second operator", "lm-pool", "v2", 60);
+    };
+    const auto OrderAgain = [&] {
+      FirstAcknowledged = this->order("first operator", "bureau-app", "v2", 60);
+    };
+    if (withTrouble() && this->AtOnce) {
+      std::thread Other(OrderOther);
+      std::thread Again(OrderAgain);
+      Other.join();
+      Again.join();
+    } else {
+      OrderOther();
+      OrderAgain();
     }
-    std::this_thread::sleep_for(SettleTime);
-    Orders.Acknowledged = 0;
+    if (!FirstAcknowledged || !SecondAcknowledged)
+      throw CannotRun{"an order is not acknowledged"};
+    std::this_thread::sleep_for(500ms);
+    this->state("bureau-app");
+    this->state("lm-pool");
 
-    std::map<std::string, std::map<int, int>> Answers;
-    const auto Until = Clock::now() + JudgedTime;
-    while (Clock::now() < Until)
-      for (const int Edge : Edges)
-        for (const char *Kind : {"/stock/", "/grade/"}) {
-          ++Answers[Kind][this->ask(Edge, Kind)];
-          std::this_thread::sleep_for(25ms);
-        }
-    record().line("heartbeats of %s acknowledged meanwhile: %d",
-                  Orders.Id.c_str(), Orders.Acknowledged.load());
-    int Requests = 0;
-    int Served = 0;
-    for (const auto &[Kind, ByStatus] : Answers)
-      for (const auto &[Status, Count] : ByStatus) {
-        record().line("%s: %d requests got %d", Kind.c_str(), Count, Status);
-        Requests += Count;
-        Served += Status == 200 ? Count : 0;
-      }
-    const double ServedShare = static_cast<double>(Served) / Requests;
-    bool Starved = false;
-    for (auto &[Kind, ByStatus] : Answers) {
-      int OfKind = 0;
-      for (const auto &Each : ByStatus)
-        OfKind += Each.second;
-      const double Share = static_cast<double>(ByStatus[200]) / OfKind;
-      record().line("%s is served in %.3f of its requests, all in %.3f",
-                    Kind.c_str(), Share, ServedShare);
-      Starved = Starved || Share < ServedShare / 4;
+    if (withTrouble()) {
+      record().line("final fault: all processes are killed");
+      this->Daemons.killAll();
+      std::this_thread::sleep_for(1300ms);
+      this->startAll(false);
     }
-    return Starved;
+    const auto Until = Clock::now() + RecoverTime;
+    std::string Ordered;
+    std::string OrderedOther;
+    do {
+      Ordered = this->state("bureau-app");
+      OrderedOther = this->state("lm-pool");
+      std::this_thread::sleep_for(1000ms);
+    } while (Clock::now() < Until);
+    if (Ordered.empty() || OrderedOther.empty())
+      throw CannotRun{"the rollouts are not read back"};
+    const bool Lost = Ordered != "running" || OrderedOther != "running";
+    record().line("both orders were acknowledged, for 60 s each; read back: "
+                  "bureau-app %s, lm-pool %s",
+                  Ordered.c_str(), OrderedOther.c_str());
+    return Lost;
   }
 
 private:
+  void startAll(bool First) {
+    for (int I = 1; I <= Cores; ++I)
+      this->Daemons.startCore(I, std::string(1, "abcd"[I - 1]), First);
+    this->Daemons.startEdge(11, "a");
+  }
   std::vector<Endpoint> controls() const {
     std::vector<Endpoint> Result;
-    for (int I = 1; I <= 4; ++I)
+    for (int I = 1; I <= Cores; ++I)
       Result.push_back(this->Daemons.control(I));
     return Result;
   }
-
-  int ask(int Edge, const std::string &Path) {
-    const std::string Id = "request-" + std::to_string(++this->LastId);
-    const auto Answer = callOnce(
-        this->Daemons.front(Edge),
-        encodeRequest("GET", Path + Id, Host,
-                      {{"X-Sycamorereach-Request-Id", Id},
-                       {"X-Sycamorereach-Request-Deadline", "1500"},
-                       {"Authorization", std::string("Bearer ") + Key}},
-                      ""),
-        2000ms);
-    return Answer ? Answer->status() : 0;
+  /// The operators know the leader from their earlier calls.
+  std::vector<Endpoint> leaderFirst() const {
+    std::vector<Endpoint> Result = this->controls();
+    for (int I = 1; I <= Cores; ++I)
+      if (this->Daemons.leads(I))
+        std::swap(Result[0], Result[static_cast<std::size_t>(I - 1)]);
+    return Result;
   }
 
-  /// SIGTERM to one entry daemon after the other, and a start after each has
-  /// ended.
-  void restartInTurn(Clock::time_point From) {
-    std::set<int> Stopping;
-    std::size_t Stopped = 0;
-    while (Stopped < std::size(Edges) || !Stopping.empty()) {
-      if (Stopped < std::size(Edges) &&
-          Clock::now() >= From + FirstStop + StopGap * Stopped) {
-        const int Edge = Edges[Stopped++];
-        record().line("SIGTERM to edge-a-%d", Edge);
-        this->Daemons.process("edge-a-" + std::to_string(Edge)).signal(SIGTERM);
-        Stopping.insert(Edge);
-      }
-      for (const int Edge : std::set<int>(Stopping))
-        if (this->Daemons.process("edge-a-" + std::to_string(Edge)).ended()) {
-          Stopping.erase(Edge);
-          this->Daemons.startEdge(Edge, "a");
-        }
-      if (Clock::now() > From + 15s)
-        throw CannotRun{"an entry daemon does not stop"};
-      std::this_thread::sleep_for(5ms);
-    }
+  /// Sends an order until it has a clear answer.
+  bool order(const char *Operator, const std::string &Service,
+             const std::string &Target, int Seconds) {
+    const std::vector<Endpoint> Called = this->leaderFirst();
+    this->awaitBoth(Service, Seconds);
+    const auto Answer =
+        callControl(Called, "POST", "/sycamorereach/rollouts/begin",
+                    "{\"service\":\"" + Service + "\",\"target\":\"" + Target +
+                        "\",\"duration-s\":" + std::to_string(Seconds) + "}",
+                    10s, {200, 400, 404, 409, 422});
+    record().line("%s orders %s to %s in %d s -> %d", Operator, Service.c_str(),
+                  Target.c_str(), Seconds, Answer ? Answer->status() : 0);
+    return Answer && Answer->status() == 200;
   }
-
-  void startReplica(const std::string &Id, const std::string &Service,
-                    int Last) {
-    auto Added = std::make_unique<Replica>();
-    Replica *Started = Added.get();
-    this->Replicas.push_back(std::move(Added));
-    Started->Id = Id;
-    Started->Service = Service;
-    const std::string Ip = this->Daemons.network().ip(Last);
-    Started->Address = {Ip, ServerPort};
-    Started->Program = std::make_unique<Server>(
-        Endpoint{Ip, HiddenServerPort},
-        [](const Message &Request) { return success(Request, "done"); });
-    Started->Path = std::make_unique<Link>(Started->Address,
-                                           Endpoint{Ip, HiddenServerPort});
-    std::thread([this, Started] {
-      const std::string Born = std::to_string(wallMilliseconds());
-      int Sequence = 0;
-      while (true) {
-        ++Sequence;
-        const std::string Body =
-            "{\"service\":\"" + Started->Service + "\",\"address\":\"" +
-            Started->Address.str() +
-            "\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":6,"
-            "\"state\":\"ready\",\"cold-left-ms\":0,\"sequence\":" +
-            std::to_string(Sequence) + ",\"born\":" + Born + "}";
-        // While the replica is cut off, its heartbeats reach no daemon.
-        std::vector<Endpoint> Called = this->controls();
-        std::rotate(Called.begin(), Called.begin() + Sequence % 4,
-                    Called.end());
-        if (!Started->IsCut &&
-            callControl(Called, "POST",
-                        "/sycamorereach/replicas/" + Started->Id + "/heartbeat",
-                        Body, 1000ms))
-          ++Started->Acknowledged;
-        std::this_thread::sleep_for(1200ms);
-      }
-    }).detach();
+  /// Lets the two orders that are sent at once begin together. The one that is
+  /// repeated comes a little later, as the fault needs the other one to be
+  /// taken first.
+  void awaitBoth(const std::string &Service, int Seconds) {
+    if (!withTrouble() || !this->AtOnce || Seconds == 1)
+      return;
+    ++this->Ready;
+    while (this->Ready < 2)
+      std::this_thread::yield();
+    if (Service == "bureau-app")
+      std::this_thread::sleep_for(200us);
   }
 
-  void awaitAll() {
-    const auto Until = Clock::now() + 15s;
-    int InARow = 0;
-    while (InARow < 40) {
-      if (Clock::now() > Until)
-        throw CannotRun{"the replicas are not used"};
-      bool Served = true;
-      for (const int Edge : Edges)
-        for (const char *Kind : {"/stock/", "/grade/"})
-          Served = Served && this->ask(Edge, Kind) == 200;
-      InARow = Served ? InARow + 1 : 0;
-      std::this_thread::sleep_for(20ms);
-    }
-    record().line("both kinds are served at both entry daemons");
+  std::string state(const std::string &Service) {
+    const auto Answer =
+        callControl(this->controls(), "GET",
+                    "/sycamorereach/rollouts/" + Service + "/read", "", 2000ms);
+    if (!Answer)
+      return "";
+    std::string State =
+        Answer->Body.substr(Answer->Body.find("\"state\":\"") + 9);
+    State = State.substr(0, State.find('"'));
+    if (State != this->Seen[Service])
+      record().line("read of %s: %s", Service.c_str(), Answer->Body.c_str());
+    return this->Seen[Service] = State;
   }
 
+  /// AT_ONCE=0 sends the orders one after the other, with the final fault.
+  const bool AtOnce =
+      !std::getenv("AT_ONCE") || std::string(std::getenv("AT_ONCE")) != "0";
   Deployment Daemons;
-  std::vector<std::unique_ptr<Replica>> Replicas;
-  std::atomic<int> LastId{0};
+  std::atomic<int> Ready{0};
+  std::map<std::string, std::string> Seen;
 };
 
 } // namespace
--- a/review/13/scenario.cpp
+++ b/review/13/scenario.cpp
@@ -1,5 +1,5 @@
-// Another writer announces a service that the configuration does not name, at
-// the addresses of replicas that serve.
+// A replica is cut off for a while, and the entry daemons are stopped and
+// started in turn meanwhile. Afterwards the replica announces itself as before.
 
 #include "Harness.h"
 
@@ -8,12 +8,19 @@
 namespace {
 
 constexpr int ServerPort = 23606;
+/// Where the servers behind the links listen.
+constexpr int HiddenServerPort = 23608;
 constexpr char Host[] = "yard.example";
 constexpr char Key[] = "key-1";
-/// The site's order service has four replicas, its other one more.
-constexpr int Replicas = 4;
-constexpr auto SettleTime = 3000ms;
-constexpr auto JudgedTime = 20s;
+constexpr int Edges[] = {11, 12};
+/// The site cuts single machines off for up to 10 s.
+constexpr auto CutTime = 9800ms;
+/// From the start of the cut to the first stop, and between the stops.
+constexpr auto FirstStop = 2500ms;
+constexpr auto StopGap = 1400ms;
+/// After the cut, before requests are judged, and for how long they are.
+constexpr auto SettleTime = 5000ms;
+constexpr auto JudgedTime = 30s;
 
 std::string configuration() {
   const auto Route = [](const std::string &Name, const std::string &Prefix,
@@ -41,33 +48,61 @@
          Key + "\"],\"priority\":1}]}";
 }
 
+/// A server, its heartbeats, and the link by which all others reach it.
+struct Replica {
+  std::string Id;
+  std::string Service;
+  Endpoint Address;
+  std::unique_ptr<Server> Program;
+  std::unique_ptr<Link> Path;
+  std::atomic<bool> IsCut{false};
+  std::atomic<int> Acknowledged{0};
+};
+
 class Scenario {
 public:
   bool run() {
     for (int I = 1; I <= 4; ++I)
       this->Daemons.startCore(I, std::string(1, "abcd"[I - 1]), true);
-    this->Daemons.startEdge(11, "a");
+    for (const int Each : Edges)
+      this->Daemons.startEdge(Each, "a");
     if (!callControl(this->controls(), "POST", "/sycamorereach/config/replace",
                      configuration(), 15s))
       throw CannotRun{"the configuration is not acknowledged"};
-    for (int I = 0; I < Replicas; ++I) {
-      this->startReplica("orders", I);
-      this->startReplica("assistant", I);
-    }
+    // Five servers, of which one is cut off: a share of 0.2.
+    this->startReplica("orders-1", "orders", 20);
+    for (int I = 1; I <= 4; ++I)
+      this->startReplica("assistant-" + std::to_string(I), "assistant", 30 + I);
     this->awaitAll();
 
-    if (withTrouble())
-      for (int I = 0; I < Replicas; ++I)
-        this->sendForeignHeartbeat(I);
+    Replica &Orders = *this->Replicas.front();
+    const auto CutAt = Clock::now();
+    if (withTrouble()) {
+      record().line("%s is cut off from all machines for %lld ms",
+                    Orders.Id.c_str(), static_cast<long long>(CutTime.count()));
+      Orders.IsCut = true;
+      Orders.Path->cut();
+    }
+    this->restartInTurn(CutAt);
+    std::this_thread::sleep_until(CutAt + CutTime);
+    if (withTrouble()) {
+      Orders.Path->heal();
+      Orders.IsCut = false;
+      record().line("the cut ends");
+    }
     std::this_thread::sleep_for(SettleTime);
+    Orders.Acknowledged = 0;
 
     std::map<std::string, std::map<int, int>> Answers;
     const auto Until = Clock::now() + JudgedTime;
-    while (Clock::now() < Until) {
-      for (const char *Kind : {"/stock/", "/grade/"})
-        ++Answers[Kind][this->ask(Kind)];
-      std::this_thread::sleep_for(50ms);
-    }
+    while (Clock::now() < Until)
+      for (const int Edge : Edges)
+        for (const char *Kind : {"/stock/", "/grade/"}) {
+          ++Answers[Kind][this->ask(Edge, Kind)];
+          std::this_thread::sleep_for(25ms);
+        }
+    record().line("heartbeats of %s acknowledged meanwhile: %d",
+                  Orders.Id.c_str(), Orders.Acknowledged.load());
     int Requests = 0;
     int Served = 0;
     for (const auto &[Kind, ByStatus] : Answers)
@@ -76,8 +111,6 @@
         Requests += Count;
         Served += Status == 200 ? Count : 0;
       }
-    record().line("heartbeats of the replicas since then: %d, acknowledged: %d",
-                  this->Beats.load(), this->AcknowledgedBeats.load());
     const double ServedShare = static_cast<double>(Served) / Requests;
     bool Starved = false;
     for (auto &[Kind, ByStatus] : Answers) {
@@ -99,15 +132,11 @@
       Result.push_back(this->Daemons.control(I));
     return Result;
   }
-  Endpoint addressOf(const std::string &Service, int Number) const {
-    return {this->Daemons.network().ip((Service == "orders" ? 20 : 30) + Number),
-            ServerPort};
-  }
 
-  int ask(const std::string &Path) {
+  int ask(int Edge, const std::string &Path) {
     const std::string Id = "request-" + std::to_string(++this->LastId);
     const auto Answer = callOnce(
-        this->Daemons.front(11),
+        this->Daemons.front(Edge),
         encodeRequest("GET", Path + Id, Host,
                       {{"X-Sycamorereach-Request-Id", Id},
                        {"X-Sycamorereach-Request-Deadline", "1500"},
@@ -117,68 +146,88 @@
     return Answer ? Answer->status() : 0;
   }
 
-  static std::string heartbeat(const std::string &Service,
-                               const Endpoint &Address, int Sequence,
-                               std::int64_t Born) {
-    return "{\"service\":\"" + Service + "\",\"address\":\"" + Address.str() +
-           "\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":6,"
-           "\"state\":\"ready\",\"cold-left-ms\":0,\"sequence\":" +
-           std::to_string(Sequence) + ",\"born\":" + std::to_string(Born) + "}";
+  /// SIGTERM to one entry daemon after the other, and a start after each has
+  /// ended.
+  void restartInTurn(Clock::time_point From) {
+    std::set<int> Stopping;
+    std::size_t Stopped = 0;
+    while (Stopped < std::size(Edges) || !Stopping.empty()) {
+      if (Stopped < std::size(Edges) &&
+          Clock::now() >= From + FirstStop + StopGap * Stopped) {
+        const int Edge = Edges[Stopped++];
+        record().line("SIGTERM to edge-a-%d", Edge);
+        this->Daemons.process("edge-a-" + std::to_string(Edge)).signal(SIGTERM);
+        Stopping.insert(Edge);
+      }
+      for (const int Edge : std::set<int>(Stopping))
+        if (this->Daemons.process("edge-a-" + std::to_string(Edge)).ended()) {
+          Stopping.erase(Edge);
+          this->Daemons.startEdge(Edge, "a");
+        }
+      if (Clock::now() > From + 15s)
+        throw CannotRun{"an entry daemon does not stop"};
+      std::this_thread::sleep_for(5ms);
+    }
   }
 
-  void startReplica(const std::string &Service, int Number) {
-    const Endpoint At = this->addressOf(Service, Number);
-    this->Servers.push_back(
-        std::make_unique<Server>(At, [](const Message &Request) {
-          return success(Request, "done");
-        }));
-    std::thread([this, Service, Number, At] {
-      const std::string Path = "/sycamorereach/replicas/" + Service + "-" +
-                               std::to_string(Number) + "/heartbeat";
-      const std::int64_t Born = wallMilliseconds();
-      for (int Sequence = 1;; ++Sequence) {
-        ++this->Beats;
-        if (callControl(this->controls(), "POST", Path,
-                        heartbeat(Service, At, Sequence, Born), 1000ms))
-          ++this->AcknowledgedBeats;
+  void startReplica(const std::string &Id, const std::string &Service,
+                    int Last) {
+    auto Added = std::make_unique<Replica>();
+    Replica *Started = Added.get();
+    this->Replicas.push_back(std::move(Added));
+    Started->Id = Id;
+    Started->Service = Service;
+    const std::string Ip = this->Daemons.network().ip(Last);
+    Started->Address = {Ip, ServerPort};
+    Started->Program = std::make_unique<Server>(
+        Endpoint{Ip, HiddenServerPort},
+        [](const Message &Request) { return success(Request, "done"); });
+    Started->Path = std::make_unique<Link>(Started->Address,
+                                           Endpoint{Ip, HiddenServerPort});
+    std::thread([this, Started] {
+      const std::string Born = std::to_string(wallMilliseconds());
+      int Sequence = 0;
+      while (true) {
+        ++Sequence;
+        const std::string Body =
+            "{\"service\":\"" + Started->Service + "\",\"address\":\"" +
+            Started->Address.str() +
+            "\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":6,"
+            "\"state\":\"ready\",\"cold-left-ms\":0,\"sequence\":" +
+            std::to_string(Sequence) + ",\"born\":" + Born + "}";
+        // While the replica is cut off, its heartbeats reach no daemon.
+        std::vector<Endpoint> Called = this->controls();
+        std::rotate(Called.begin(), Called.begin() + Sequence % 4,
+                    Called.end());
+        if (!Started->IsCut &&
+            callControl(Called, "POST",
+                        "/sycamorereach/replicas/" + Started->Id + "/heartbeat",
+                        Body, 1000ms))
+          ++Started->Acknowledged;
         std::this_thread::sleep_for(1200ms);
       }
     }).detach();
   }
 
-  void sendForeignHeartbeat(int Number) {
-    const Endpoint At = this->addressOf("orders", Number);
-    const std::string Body =
-        heartbeat("host-monitor", At, 1, wallMilliseconds());
-    const auto Answer = callControl(this->controls(), "POST",
-                                    "/sycamorereach/replicas/monitor-" +
-                                        std::to_string(Number) + "/heartbeat",
-                                    Body, 1000ms, {200, 400, 422});
-    record().line("another writer's heartbeat %s -> %d", Body.c_str(),
-                  Answer ? Answer->status() : 0);
-  }
-
   void awaitAll() {
     const auto Until = Clock::now() + 15s;
     int InARow = 0;
-    while (InARow < 20) {
+    while (InARow < 40) {
       if (Clock::now() > Until)
         throw CannotRun{"the replicas are not used"};
-      const bool Served = this->ask("/stock/") == 200 &&
-                          this->ask("/grade/") == 200;
+      bool Served = true;
+      for (const int Edge : Edges)
+        for (const char *Kind : {"/stock/", "/grade/"})
+          Served = Served && this->ask(Edge, Kind) == 200;
       InARow = Served ? InARow + 1 : 0;
       std::this_thread::sleep_for(20ms);
     }
-    this->Beats = 0;
-    this->AcknowledgedBeats = 0;
-    record().line("both kinds are served");
+    record().line("both kinds are served at both entry daemons");
   }
 
   Deployment Daemons;
-  std::vector<std::unique_ptr<Server>> Servers;
+  std::vector<std::unique_ptr<Replica>> Replicas;
   std::atomic<int> LastId{0};
-  std::atomic<int> Beats{0};
-  std::atomic<int> AcknowledgedBeats{0};
 };
 
 } // namespace
--- a/review/14/scenario.cpp
+++ b/review/14/scenario.cpp
@@ -1,5 +1,5 @@
-// Two operators order rollouts of two services at once, one of them again after
-// it was rolled back. Then the final fault: all processes are killed.
+// Another writer announces a service that the configuration does not name, at
+// the addresses of replicas that serve.
 
 #include "Harness.h"
 
@@ -7,172 +7,177 @@
 
 namespace {
 
+constexpr int ServerPort = 23606;
 constexpr char Host[] = "yard.example";
-constexpr int Cores = 4;
-/// Longer than the time in which an order counts as the repeat of an earlier
-/// one: ack-ms, and a margin of 2 s in the code.
-constexpr auto PauseBeforeNextOrder = 9000ms;
-constexpr auto RecoverTime = 15s;
+constexpr char Key[] = "key-1";
+/// The site's order service has four replicas, its other one more.
+constexpr int Replicas = 4;
+constexpr auto SettleTime = 3000ms;
+constexpr auto JudgedTime = 20s;
 
 std::string configuration() {
+  const auto Route = [](const std::string &Name, const std::string &Prefix,
+                        const std::string &Service) {
+    return "{\"name\":\"" + Name + "\",\"host\":\"" + Host +
+           "\",\"path-prefix\":\"" + Prefix +
+           "\",\"route-kind\":\"safe\",\"timeout-ms\":800,\"slo-ms\":150,"
+           "\"priority\":2,\"service\":\"" +
+           Service +
+           "\",\"max-attempts\":2,\"public\":false,\"sticky\":false,"
+           "\"resumable\":false}";
+  };
   const auto Service = [](const std::string &Name) {
     return "{\"name\":\"" + Name +
            "\",\"health-path\":\"/health\",\"max-conns\":110,"
            "\"protocol\":\"h1\",\"tls\":false}";
   };
-  return std::string("{\"version\":3,\"routes\":[{\"name\":\"a\",\"host\":\"") +
-         Host +
-         "\",\"path-prefix\":\"/a/\",\"route-kind\":\"unsafe\","
-         "\"timeout-ms\":800,\"slo-ms\":150,\"priority\":2,"
-         "\"service\":\"bureau-app\",\"max-attempts\":1,\"public\":false,"
-         "\"sticky\":false,\"resumable\":false}],\"services\":[" +
-         Service("bureau-app") + "," + Service("lm-pool") +
+  return "{\"version\":3,\"routes\":[" +
+         Route("stock-read", "/stock/", "orders") + "," +
+         Route("grade-query", "/grade/", "assistant") + "],\"services\":[" +
+         Service("orders") + "," + Service("assistant") +
          "],\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":4194304,"
          "\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000},"
-         "\"tenants\":[{\"name\":\"team-1\",\"api-keys\":[\"key-1\"],"
-         "\"priority\":1}]}";
+         "\"tenants\":[{\"name\":\"team-1\",\"api-keys\":[\"" +
+         Key + "\"],\"priority\":1}]}";
 }
 
 class Scenario {
 public:
   bool run() {
-    // The bounds of the sheet whose deployment has rollouts.
-    this->Daemons.OtherBounds = {
-        {"bounds.contact-ms", "4000"},      {"bounds.ack-ms", "5000"},
-        {"bounds.catch-up-s", "6"},         {"bounds.drain-ms", "2500"},
-        {"bounds.config-apply-ms", "2500"}, {"bounds.max-stretch-ms", "6000"},
-        {"bounds.expose-share", "0.1"},     {"bounds.expose-slack", "50"},
-        {"bounds.rollback-ms", "5000"},     {"bounds.recover-s", "15"}};
-    this->startAll(true);
+    for (int I = 1; I <= 4; ++I)
+      this->Daemons.startCore(I, std::string(1, "abcd"[I - 1]), true);
+    this->Daemons.startEdge(11, "a");
     if (!callControl(this->controls(), "POST", "/sycamorereach/config/replace",
                      configuration(), 15s))
       throw CannotRun{"the configuration is not acknowledged"};
-
-    // A first order, which is rolled back, as no replica has the version in
-    // time.
-    if (!this->order("first operator", "bureau-app", "v2", 1))
-      throw CannotRun{"the first order is not acknowledged"};
-    const auto OrderedAt = Clock::now();
-    while (this->state("bureau-app") != "rolled_back") {
-      if (Clock::now() > OrderedAt + 15s)
-        throw CannotRun{"the first rollout does not end"};
-      std::this_thread::sleep_for(200ms);
+    for (int I = 0; I < Replicas; ++I) {
+      this->startReplica("orders", I);
+      this->startReplica("assistant", I);
     }
-    std::this_thread::sleep_until(OrderedAt + PauseBeforeNextOrder);
-
-    bool FirstAcknowledged = false;
-    bool SecondAcknowledged = false;
-    const auto OrderOther = [&] {
-      SecondAcknowledged = this->order("second operator", "lm-pool", "v2", 60);
-    };
-    const auto OrderAgain = [&] {
-      FirstAcknowledged = this->order("first operator", "bureau-app", "v2", 60);
-    };
-    if (withTrouble() && this->AtOnce) {
-      std::thread Other(OrderOther);
-      std::thread Again(OrderAgain);
-      Other.join();
-      Again.join();
-    } else {
-      OrderOther();
-      OrderAgain();
+    this->awaitAll();
+
+    if (withTrouble())
+      for (int I = 0; I < Replicas; ++I)
+        this->sendForeignHeartbeat(I);
+    std::this_thread::sleep_for(SettleTime);
+
+    std::map<std::string, std::map<int, int>> Answers;
+    const auto Until = Clock::now() + JudgedTime;
+    while (Clock::now() < Until) {
+      for (const char *Kind : {"/stock/", "/grade/"})
+        ++Answers[Kind][this->ask(Kind)];
+      std::this_thread::sleep_for(50ms);
     }
-    if (!FirstAcknowledged || !SecondAcknowledged)
-      throw CannotRun{"an order is not acknowledged"};
-    std::this_thread::sleep_for(500ms);
-    this->state("bureau-app");
-    this->state("lm-pool");
-
-    if (withTrouble()) {
-      record().line("final fault: all processes are killed");
-      this->Daemons.killAll();
-      std::this_thread::sleep_for(1300ms);
-      this->startAll(false);
+    int Requests = 0;
+    int Served = 0;
+    for (const auto &[Kind, ByStatus] : Answers)
+      for (const auto &[Status, Count] : ByStatus) {
+        record().line("%s: %d requests got %d", Kind.c_str(), Count, Status);
+        Requests += Count;
+        Served += Status == 200 ? Count : 0;
+      }
+    record().line("heartbeats of the replicas since then: %d, acknowledged: %d",
+                  this->Beats.load(), this->AcknowledgedBeats.load());
+    const double ServedShare = static_cast<double>(Served) / Requests;
+    bool Starved = false;
+    for (auto &[Kind, ByStatus] : Answers) {
+      int OfKind = 0;
+      for (const auto &Each : ByStatus)
+        OfKind += Each.second;
+      const double Share = static_cast<double>(ByStatus[200]) / OfKind;
+      record().line("%s is served in %.3f of its requests, all in %.3f",
+                    Kind.c_str(), Share, ServedShare);
+      Starved = Starved || Share < ServedShare / 4;
     }
-    const auto Until = Clock::now() + RecoverTime;
-    std::string Ordered;
-    std::string OrderedOther;
-    do {
-      Ordered = this->state("bureau-app");
-      OrderedOther = this->state("lm-pool");
-      std::this_thread::sleep_for(1000ms);
-    } while (Clock::now() < Until);
-    if (Ordered.empty() || OrderedOther.empty())
-      throw CannotRun{"the rollouts are not read back"};
-    const bool Lost = Ordered != "running" || OrderedOther != "running";
-    record().line("both orders were acknowledged, for 60 s each; read back: "
-                  "bureau-app %s, lm-pool %s",
-                  Ordered.c_str(), OrderedOther.c_str());
-    return Lost;
+    return Starved;
   }
 
 private:
-  void startAll(bool First) {
-    for (int I = 1; I <= Cores; ++I)
-      this->Daemons.startCore(I, std::string(1, "abcd"[I - 1]), First);
-    this->Daemons.startEdge(11, "a");
-  }
   std::vector<Endpoint> controls() const {
     std::vector<Endpoint> Result;
-    for (int I = 1; I <= Cores; ++I)
+    for (int I = 1; I <= 4; ++I)
       Result.push_back(this->Daemons.control(I));
     return Result;
   }
-  /// The operators know the leader from their earlier calls.
-  std::vector<Endpoint> leaderFirst() const {
-    std::vector<Endpoint> Result = this->controls();
-    for (int I = 1; I <= Cores; ++I)
-      if (this->Daemons.leads(I))
-        std::swap(Result[0], Result[static_cast<std::size_t>(I - 1)]);
-    return Result;
+  Endpoint addressOf(const std::string &Service, int Number) const {
+    return {
+        this->Daemons.network().ip((Service == "orders" ? 20 : 30) + Number),
+        ServerPort};
+  }
+
+  int ask(const std::string &Path) {
+    const std::string Id = "request-" + std::to_string(++this->LastId);
+    const auto Answer = callOnce(
+        this->Daemons.front(11),
+        encodeRequest("GET", Path + Id, Host,
+                      {{"X-Sycamorereach-Request-Id", Id},
+                       {"X-Sycamorereach-Request-Deadline", "1500"},
+                       {"Authorization", std::string("Bearer ") + Key}},
+                      ""),
+        2000ms);
+    return Answer ? Answer->status() : 0;
   }
 
-  /// Sends an order until it has a clear answer.
-  bool order(const char *Operator, const std::string &Service,
-             const std::string &Target, int Seconds) {
-    const std::vector<Endpoint> Called = this->leaderFirst();
-    this->awaitBoth(Service, Seconds);
-    const auto Answer = callControl(
-        Called, "POST", "/sycamorereach/rollouts/begin",
-        "{\"service\":\"" + Service + "\",\"target\":\"" + Target +
-            "\",\"duration-s\":" + std::to_string(Seconds) + "}",
-        10s, {200, 400, 404, 409, 422});
-    record().line("%s orders %s to %s in %d s -> %d", Operator, Service.c_str(),
-                  Target.c_str(), Seconds, Answer ? Answer->status() : 0);
-    return Answer && Answer->status() == 200;
+  static std::string heartbeat(const std::string &Service,
+                               const Endpoint &Address, int Sequence,
+                               std::int64_t Born) {
+    return "{\"service\":\"" + Service + "\",\"address\":\"" + Address.str() +
+           "\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":6,"
+           "\"state\":\"ready\",\"cold-left-ms\":0,\"sequence\":" +
+           std::to_string(Sequence) + ",\"born\":" + std::to_string(Born) + "}";
   }
-  /// Lets the two orders that are sent at once begin together. The one that is
-  /// repeated comes a little later, as the fault needs the other one to be
-  /// taken first.
-  void awaitBoth(const std::string &Service, int Seconds) {
-    if (!withTrouble() || !this->AtOnce || Seconds == 1)
-      return;
-    ++this->Ready;
-    while (this->Ready < 2)
-      std::this_thread::yield();
-    if (Service == "bureau-app")
-      std::this_thread::sleep_for(200us);
+
+  void startReplica(const std::string &Service, int Number) {
+    const Endpoint At = this->addressOf(Service, Number);
+    this->Servers.push_back(std::make_unique<Server>(
+        At, [](const Message &Request) { return success(Request, "done"); }));
+    std::thread([this, Service, Number, At] {
+      const std::string Path = "/sycamorereach/replicas/" + Service + "-" +
+                               std::to_string(Number) + "/heartbeat";
+      const std::int64_t Born = wallMilliseconds();
+      for (int Sequence = 1;; ++Sequence) {
+        ++this->Beats;
+        if (callControl(this->controls(), "POST", Path,
+                        heartbeat(Service, At, Sequence, Born), 1000ms))
+          ++this->AcknowledgedBeats;
+        std::this_thread::sleep_for(1200ms);
+      }
+    }).detach();
   }
 
-  std::string state(const std::string &Service) {
-    const auto Answer = callControl(
-        this->controls(), "GET", "/sycamorereach/rollouts/" + Service + "/read",
-        "", 2000ms);
-    if (!Answer)
-      return "";
-    std::string State = Answer->Body.substr(Answer->Body.find("\"state\":\"") + 9);
-    State = State.substr(0, State.find('"'));
-    if (State != this->Seen[Service])
-      record().line("read of %s: %s", Service.c_str(), Answer->Body.c_str());
-    return this->Seen[Service] = State;
+  void sendForeignHeartbeat(int Number) {
+    const Endpoint At = this->addressOf("orders", Number);
+    const std::string Body =
+        heartbeat("host-monitor", At, 1, wallMilliseconds());
+    const auto Answer = callControl(this->controls(), "POST",
+                                    "/sycamorereach/replicas/monitor-" +
+                                        std::to_string(Number) + "/heartbeat",
+                                    Body, 1000ms, {200, 400, 422});
+    record().line("another writer's heartbeat %s -> %d", Body.c_str(),
+                  Answer ? Answer->status() : 0);
+  }
+
+  void awaitAll() {
+    const auto Until = Clock::now() + 15s;
+    int InARow = 0;
+    while (InARow < 20) {
+      if (Clock::now() > Until)
+        throw CannotRun{"the replicas are not used"};
+      const bool Served =
+          this->ask("/stock/") == 200 && this->ask("/grade/") == 200;
+      InARow = Served ? InARow + 1 : 0;
+      std::this_thread::sleep_for(20ms);
+    }
+    this->Beats = 0;
+    this->AcknowledgedBeats = 0;
+    record().line("both kinds are served");
   }
 
-  /// AT_ONCE=0 sends the orders one after the other, with the final fault.
-  const bool AtOnce =
-      !std::getenv("AT_ONCE") || std::string(std::getenv("AT_ONCE")) != "0";
   Deployment Daemons;
-  std::atomic<int> Ready{0};
-  std::map<std::string, std::string> Seen;
+  std::vector<std::unique_ptr<Server>> Servers;
+  std::atomic<int> LastId{0};
+  std::atomic<int> Beats{0};
+  std::atomic<int> AcknowledgedBeats{0};
 };
 
 } // namespace
--- a/review/harness-3/Harness.h
+++ b/review/harness-3/Harness.h
@@ -136,8 +136,8 @@
 inline bool sendAll(int Socket, const std::string &Bytes) {
   std::size_t Sent = 0;
   while (Sent < Bytes.size()) {
-    const ssize_t Size = send(Socket, Bytes.data() + Sent, Bytes.size() - Sent,
-                              MSG_NOSIGNAL);
+    const ssize_t Size =
+        send(Socket, Bytes.data() + Sent, Bytes.size() - Sent, MSG_NOSIGNAL);
     if (Size <= 0)
       return false;
     Sent += static_cast<std::size_t>(Size);
@@ -257,8 +257,8 @@
                                  const std::string &Host,
                                  const HeaderList &Headers,
                                  const std::string &Body) {
-  std::string Result = Method + " " + Path + " HTTP/1.1\r\nHost: " + Host +
-                       "\r\n";
+  std::string Result =
+      Method + " " + Path + " HTTP/1.1\r\nHost: " + Host + "\r\n";
   for (const auto &[Name, Value] : Headers)
     Result += Name + ": " + Value + "\r\n";
   if (Method == "POST")
@@ -301,20 +301,21 @@
 
 /// A call to the operator's or the servers' interface: to one daemon after the
 /// other, with two redirections, until the answer has one of these statuses.
-inline std::optional<Message>
-callControl(const std::vector<Endpoint> &Daemons, const std::string &Method,
-            const std::string &Path, const std::string &Body,
-            std::chrono::milliseconds Limit,
-            const std::set<int> &Wanted = {200}) {
+inline std::optional<Message> callControl(const std::vector<Endpoint> &Daemons,
+                                          const std::string &Method,
+                                          const std::string &Path,
+                                          const std::string &Body,
+                                          std::chrono::milliseconds Limit,
+                                          const std::set<int> &Wanted = {200}) {
   const auto Until = Clock::now() + Limit;
   for (std::size_t Next = 0; Clock::now() < Until; ++Next) {
     Endpoint To = Daemons[Next % Daemons.size()];
     for (int Hop = 0; Hop < 3; ++Hop) {
-      auto Answer = callOnce(
-          To,
-          encodeRequest(Method, Path, To.str(),
-                        {{"Content-Type", "application/json"}}, Body),
-          1000ms);
+      auto Answer =
+          callOnce(To,
+                   encodeRequest(Method, Path, To.str(),
+                                 {{"Content-Type", "application/json"}}, Body),
+                   1000ms);
       if (!Answer)
         break;
       if (Wanted.count(Answer->status()))
@@ -341,7 +342,8 @@
     if (this->Id == 0) {
       // Ends with the script, however that ends.
       prctl(PR_SET_PDEATHSIG, SIGKILL);
-      const int Log = open(LogPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+      const int Log =
+          open(LogPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(Log, 1);
       dup2(Log, 2);
       std::vector<char *> Arguments;
@@ -392,8 +394,8 @@
   return Found == Values.end() ? "" : Found->second;
 }
 
-/// Fills a template in: {{a.b}}, {{#a}} .. {{/a}} and {{^a}} .. {{/a}} of single
-/// values, which are all that the project's two templates use.
+/// Fills a template in: {{a.b}}, {{#a}} .. {{/a}} and {{^a}} .. {{/a}} of
+/// single values, which are all that the project's two templates use.
 inline std::string render(const std::string &Template, const Settings &Values) {
   std::string Result;
   std::size_t At = 0;
@@ -490,8 +492,8 @@
 private:
   void accept() {
     while (true) {
-      const int Socket = ::accept4(this->Listener, nullptr, nullptr,
-                                   SOCK_CLOEXEC);
+      const int Socket =
+          ::accept4(this->Listener, nullptr, nullptr, SOCK_CLOEXEC);
       if (Socket < 0)
         return;
       std::thread([this, Socket] {
@@ -596,7 +598,8 @@
   std::set<int> Sockets;
 };
 
-// -------------------------------------------------------------------- a network
+// -------------------------------------------------------------------- a
+// network
 
 /// Loopback addresses and ports that are free at the start of the script.
 class Network {
@@ -627,7 +630,8 @@
 }
 
 /// The project's daemons, started with the commands of the deploy file. Core
-/// machines have the addresses 1, 2 and so on, the first three of them the seeds.
+/// machines have the addresses 1, 2 and so on, the first three of them the
+/// seeds.
 class Deployment {
 public:
   static constexpr int FrontPort = 23601;
@@ -636,9 +640,7 @@
   static constexpr int LinkPort = 23604;
 
   const Network &network() const { return this->Net; }
-  Endpoint control(int Core) const {
-    return {this->Net.ip(Core), ControlPort};
-  }
+  Endpoint control(int Core) const { return {this->Net.ip(Core), ControlPort}; }
   Endpoint front(int Last) const { return {this->Net.ip(Last), FrontPort}; }
 
   void startCore(int Number, const std::string &Zone, bool Bootstrap,
@@ -648,8 +650,8 @@
     Values["bootstrap"] = Bootstrap ? "true" : "false";
     Values["limits.memory-mb"] = "256";
     Values["limits.max-fds"] = "4096";
-    Values["data-dir"] = folderOfRun() + "/" + Name + "-data" +
-                         std::to_string(this->Generation);
+    Values["data-dir"] =
+        folderOfRun() + "/" + Name + "-data" + std::to_string(this->Generation);
     Values["listen.control"] = this->control(Number).str();
     if (!this->DutyAddress.empty()) {
       Values["cloud-api.address"] = this->DutyAddress;
@@ -686,11 +688,11 @@
   }
   /// Whether the state daemon leads, as only that one answers a read.
   bool leads(int Core) const {
-    const auto Answer = callOnce(
-        this->control(Core),
-        encodeRequest("GET", "/sycamorereach/config/read",
-                      this->control(Core).str(), {}, ""),
-        1000ms);
+    const auto Answer =
+        callOnce(this->control(Core),
+                 encodeRequest("GET", "/sycamorereach/config/read",
+                               this->control(Core).str(), {}, ""),
+                 1000ms);
     return Answer && Answer->status() == 200;
   }
   /// The address of the platform's interface for duties; none if empty.
@@ -719,8 +721,8 @@
     std::ofstream(File) << render(readFile(Template), Values);
     Command.push_back("--settings-file=" + File);
     this->Processes.erase(Name);
-    this->Processes[Name] = std::make_unique<Process>(
-        Command, folderOfRun() + "/" + Name + ".log");
+    this->Processes[Name] =
+        std::make_unique<Process>(Command, folderOfRun() + "/" + Name + ".log");
     record().line("started %s in zone %s", Name.c_str(),
                   valueOf(Values, "zone").c_str());
   }
