--- a/review/12/scenario.cpp
+++ b/review/12/scenario.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr char Host[] = "yard.example";
+constexpr char BeginPath[] = "/sycamorereach/rollouts/begin";
 constexpr int Cores = 4;
 /// With the repeated order, eight orders are in progress at once.
 constexpr int OtherServices = 7;
@@ -60,8 +61,7 @@
 
     // A first order, which is rolled back, as no replica has the version in
     // time.
-    if (!this->order("first operator", "bureau-app", "v2", 1))
-      throw CannotRun{"the first order is not acknowledged"};
+    this->order("bureau-app", 1);
     const auto OrderedAt = Clock::now();
     while (this->state("bureau-app") != "rolled_back") {
       if (Clock::now() > OrderedAt + 15s)
@@ -70,28 +70,15 @@
     }
     std::this_thread::sleep_until(OrderedAt + PauseBeforeNextOrder);
 
-    std::atomic<int> Acknowledged{0};
-    const auto OrderOther = [&](int Number) {
-      Acknowledged +=
-          this->order("second operator", otherService(Number), "v2", 60);
-    };
-    const auto OrderAgain = [&] {
-      Acknowledged += this->order("first operator", "bureau-app", "v2", 60);
-    };
-    if (withTrouble() && this->AtOnce) {
-      std::vector<std::thread> Orders;
-      for (int I = 1; I <= OtherServices; ++I)
-        Orders.emplace_back(OrderOther, I);
-      Orders.emplace_back(OrderAgain);
-      for (std::thread &Each : Orders)
-        Each.join();
-    } else {
-      for (int I = 1; I <= OtherServices; ++I)
-        OrderOther(I);
-      OrderAgain();
-    }
-    if (Acknowledged != OtherServices + 1)
-      throw CannotRun{"an order is not acknowledged"};
+    std::vector<std::string> Ordered;
+    for (int I = 1; I <= OtherServices; ++I)
+      Ordered.push_back(otherService(I));
+    Ordered.push_back("bureau-app");
+    if (withTrouble() && this->AtOnce)
+      this->orderAtOnce(Ordered, 60);
+    else
+      for (const std::string &Each : Ordered)
+        this->order(Each, 60);
     std::this_thread::sleep_for(500ms);
     this->state("bureau-app");
 
@@ -103,9 +90,6 @@
     }
     std::this_thread::sleep_for(RecoverTime);
     int Gone = 0;
-    std::vector<std::string> Ordered = {"bureau-app"};
-    for (int I = 1; I <= OtherServices; ++I)
-      Ordered.push_back(otherService(I));
     for (const std::string &Each : Ordered) {
       const std::string State = this->state(Each);
       if (State.empty())
@@ -129,40 +113,49 @@
       Result.push_back(this->Daemons.control(I));
     return Result;
   }
-  /// The operators know the leader from their earlier calls.
-  std::vector<Endpoint> leaderFirst() const {
-    std::vector<Endpoint> Result = this->controls();
-    for (int I = 1; I <= Cores; ++I)
-      if (this->Daemons.leads(I))
-        std::swap(Result[0], Result[static_cast<std::size_t>(I - 1)]);
-    return Result;
+  static std::string body(const std::string &Service, int Seconds) {
+    return "{\"service\":\"" + Service +
+           "\",\"target\":\"v2\",\"duration-s\":" + std::to_string(Seconds) +
+           "}";
   }
 
-  /// Sends an order until it has a clear answer.
-  bool order(const char *Operator, const std::string &Service,
-             const std::string &Target, int Seconds) {
-    const std::vector<Endpoint> Called = this->leaderFirst();
-    this->awaitBoth(Service, Seconds);
-    const auto Answer =
-        callControl(Called, "POST", "/sycamorereach/rollouts/begin",
-                    "{\"service\":\"" + Service + "\",\"target\":\"" + Target +
-                        "\",\"duration-s\":" + std::to_string(Seconds) + "}",
-                    10s, {200, 400, 404, 409, 422});
-    record().line("%s orders %s to %s in %d s -> %d", Operator, Service.c_str(),
-                  Target.c_str(), Seconds, Answer ? Answer->status() : 0);
-    return Answer && Answer->status() == 200;
+  /// Sends an order until it is acknowledged.
+  void order(const std::string &Service, int Seconds) {
+    if (!callControl(this->controls(), "POST", BeginPath,
+                     body(Service, Seconds), 10s))
+      throw CannotRun{"not acknowledged: the order of " + Service};
+    record().line("%s to v2 in %d s: acknowledged", Service.c_str(), Seconds);
   }
-  /// Lets the orders that are sent at once begin together. The one that is
-  /// repeated comes a little later, as the fault needs another one to be taken
-  /// first.
-  void awaitBoth(const std::string &Service, int Seconds) {
-    if (!withTrouble() || !this->AtOnce || Seconds == 1)
-      return;
-    ++this->Ready;
-    while (this->Ready < OtherServices + 1)
-      std::this_thread::yield();
-    if (Service == "bureau-app")
-      std::this_thread::sleep_for(200us);
+
+  /// Sends the orders to the leader at the same moment, and those again that
+  /// get no acknowledgement.
+  void orderAtOnce(const std::vector<std::string> &Services, int Seconds) {
+    int Leader = 0;
+    for (int I = 1; I <= Cores; ++I)
+      if (this->Daemons.leads(I))
+        Leader = I;
+    if (Leader == 0)
+      throw CannotRun{"no state daemon leads"};
+    const Endpoint To = this->Daemons.control(Leader);
+    std::vector<std::unique_ptr<Channel>> Channels;
+    for (std::size_t I = 0; I < Services.size(); ++I)
+      Channels.push_back(std::make_unique<Channel>(To));
+    std::this_thread::sleep_for(50ms);
+    for (std::size_t I = 0; I < Services.size(); ++I)
+      Channels[I]->send(encodeRequest("POST", BeginPath, To.str(),
+                                      {{"Content-Type", "application/json"}},
+                                      body(Services[I], Seconds)));
+    std::vector<std::string> Again;
+    for (std::size_t I = 0; I < Services.size(); ++I) {
+      const auto Answer = Channels[I]->receive(2000ms);
+      record().line("%s to v2 in %d s, at once with the others -> %d",
+                    Services[I].c_str(), Seconds,
+                    Answer ? Answer->status() : 0);
+      if (!Answer || Answer->status() != 200)
+        Again.push_back(Services[I]);
+    }
+    for (const std::string &Each : Again)
+      this->order(Each, Seconds);
   }
 
   std::string state(const std::string &Service) {
@@ -183,7 +176,6 @@
   const bool AtOnce =
       !std::getenv("AT_ONCE") || std::string(std::getenv("AT_ONCE")) != "0";
   Deployment Daemons;
-  std::atomic<int> Ready{0};
   std::map<std::string, std::string> Seen;
 };
 
--- a/review/harness-3/Harness.h
+++ b/review/harness-3/Harness.h
@@ -279,8 +279,12 @@
   bool isOpen() const { return this->Socket >= 0; }
   std::optional<Message> call(const std::string &Request,
                               std::chrono::milliseconds Limit) {
-    if (this->Socket < 0 || !sendAll(this->Socket, Request))
-      return std::nullopt;
+    return this->send(Request) ? this->receive(Limit) : std::nullopt;
+  }
+  bool send(const std::string &Request) {
+    return this->Socket >= 0 && sendAll(this->Socket, Request);
+  }
+  std::optional<Message> receive(std::chrono::milliseconds Limit) {
     return this->Input.read(Limit);
   }
 
