EntryDaemon: A request with a key needs a confirmed declaration on any route

Cause: RoutedCall::resolve asked whether the declaration is valid only where the held one says that the route needs a key. Whether a route is public, and whether there are teams, may itself be out of date.

Change: a request that brings a key runs only by a declaration that a leader has confirmed recently, whatever the declaration says of its route. Requests without a key on public routes are served as before.

Ruled out: a request that was accepted in time and waits (the rule counts from when it was sent, 1 s of margin); the moment from which the validity counts (when the poll was sent, on the clock that counts suspensions).

--- a/Source/EntryDaemon/RoutedCall.cpp
+++ b/Source/EntryDaemon/RoutedCall.cpp
@@ -83,24 +83,25 @@
     return false;
   }
   this->CallerHeaders = std::move(*Decoded);
-  const bool DeclarationValid =
-      this->Context.declarationValid(this->Context.Loop.now());
   this->Route = this->Declaration->route(
       hostWithoutPort(this->CallerHeaders.Host), this->Exchange->path());
+  const bool NeedsKey =
+      this->Route && !this->Route->Public && this->Declaration->requiresKeys();
+  // What the declaration says of routes and teams may be out of date as a
+  // whole: a newer one may have taken away any key that a request brings.
+  const bool NeedsValidDeclaration =
+      !this->Route || NeedsKey || !this->CallerHeaders.Key.empty();
+  if (NeedsValidDeclaration &&
+      !this->Context.declarationValid(this->Context.Loop.now())) {
+    this->fail(CallFailure::StaleDeclaration, HttpStatus::Unavailable,
+               RetryAfterNoDeclaration);
+    return false;
+  }
   if (!this->Route) {
-    if (DeclarationValid)
-      this->fail(CallFailure::UnknownRoute, HttpStatus::NotFound);
-    else
-      this->fail(CallFailure::StaleDeclaration, HttpStatus::Unavailable,
-                 RetryAfterNoDeclaration);
+    this->fail(CallFailure::UnknownRoute, HttpStatus::NotFound);
     return false;
   }
-  if (!this->Route->Public && this->Declaration->requiresKeys()) {
-    if (!DeclarationValid) {
-      this->fail(CallFailure::StaleDeclaration, HttpStatus::Unavailable,
-                 RetryAfterNoDeclaration);
-      return false;
-    }
+  if (NeedsKey) {
     this->Team = this->Declaration->findTeamByKey(this->CallerHeaders.Key);
     if (!this->Team) {
       this->fail(CallFailure::UnknownKey, HttpStatus::Unauthorized);
--- a/Source/FaultTests/RoutedServingTest.cpp
+++ b/Source/FaultTests/RoutedServingTest.cpp
@@ -846,6 +846,42 @@
       Fixture.waitUntil([&] { return Fixture.request("/a/x").Status == 200; }));
 }
 
+// Guards against CONFIG: with a revoked key, requests ran behind a cut where
+// the held configuration calls the route public or has no teams.
+BOOST_AUTO_TEST_CASE(AKeyNeedsAConfirmedConfigurationOnAnyRoute) {
+  using Json = nlohmann::json;
+  for (const bool HasTeams : {true, false}) {
+    RoutedCluster Fixture;
+    Fixture.startAll();
+    Json Open = Json::parse(RoutedCluster::declaration(4, "/open/"));
+    for (Json &Each : Open["routes"])
+      Each["public"] = HasTeams;
+    if (!HasTeams)
+      Open.erase("tenants");
+    BOOST_REQUIRE(Fixture.operatorCall("POST", "/sycamorereach/config/replace",
+                                       Open.dump(), 200));
+    BOOST_REQUIRE(Fixture.waitUntil([&] {
+      Fixture.announce("ready");
+      return Fixture.request("/open/x").Status == 200;
+    }));
+    for (int I = 1; I <= RoutedCluster::StateDaemons; ++I)
+      Fixture.process("state" + std::to_string(I)).signal(SIGSTOP);
+    const auto Refused = [&](const char *Key) {
+      return Fixture.request("/open/x", Key).Status == 503;
+    };
+    BOOST_TEST(Fixture.waitUntil([&] { return Refused("key-1"); }));
+    const int RequestsBefore = Fixture.ServerRequests;
+    for (const char *Key : {"key-1", "key-2", "key-of-nobody"})
+      BOOST_TEST(Refused(Key), Key);
+    BOOST_TEST(Fixture.ServerRequests == RequestsBefore);
+    // What needs no key is still served.
+    BOOST_TEST(Fixture.request("/open/x", "").Status == 200);
+    for (int I = 1; I <= RoutedCluster::StateDaemons; ++I)
+      Fixture.process("state" + std::to_string(I)).signal(SIGCONT);
+    BOOST_TEST(Fixture.waitUntil([&] { return !Refused("key-1"); }));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AShutdownEndsWhatItTookAndThenRefuses) {
   RoutedCluster Fixture;
   Fixture.startAll();
