StateDaemon: An order is answered by what became of its own command

Cause: orders that were proposed before one of them was applied got the same number, so all but the first were ignored. Whether an order took effect was judged by the recorded rollout, and an earlier one had the same target.

Change: ControlState::apply says whether a command took effect, and ReplicaDriver hands it to the proposer. RolloutOrders decides an order that was ignored again, by the state that resulted. What is replicated is as before, so no protocol level is needed.

--- a/Source/Core/Rollout/RolloutBook.cpp
+++ b/Source/Core/Rollout/RolloutBook.cpp
@@ -4,12 +4,12 @@
 
 namespace Rollout {
 
-void RolloutBook::apply(const BeginRolloutCommand &Command) {
+bool RolloutBook::apply(const BeginRolloutCommand &Command) {
   if (Command.Number != this->nextNumber())
-    return;
+    return false;
   ServiceRollout &Rollout = this->Services[Command.Service];
   if (Rollout.Number.Value != 0 && Rollout.isRunning())
-    return;
+    return false;
   this->LastNumber = Command.Number;
   Rollout.Number = Command.Number;
   Rollout.Target = Command.Target;
@@ -24,30 +24,35 @@
     Rollout.Current = Phase::Completed;
     Rollout.Cause = "only_version_already";
   }
+  return true;
 }
 
-void RolloutBook::apply(const AdvanceRolloutCommand &Command) {
+bool RolloutBook::apply(const AdvanceRolloutCommand &Command) {
   ServiceRollout *Rollout = this->running(Command.Service, Command.Number);
-  if (Rollout && Command.To < Phase::Completed)
-    Rollout->Current = std::max(Rollout->Current, Command.To);
+  if (!Rollout || Command.To >= Phase::Completed ||
+      Command.To <= Rollout->Current)
+    return false;
+  Rollout->Current = Command.To;
+  return true;
 }
 
-void RolloutBook::apply(const EndRolloutCommand &Command) {
+bool RolloutBook::apply(const EndRolloutCommand &Command) {
   ServiceRollout *Rollout = this->running(Command.Service, Command.Number);
   if (!Rollout)
-    return;
+    return false;
   Rollout->Cause = Command.Cause;
   Rollout->Figures = Command.Figures;
   if (Command.Completed) {
     Rollout->Current = Phase::Completed;
     Rollout->OnlyVersion = Rollout->Target;
     Rollout->RefusedVersions.clear();
-    return;
+    return true;
   }
   Rollout->Current = Phase::RolledBack;
   Rollout->RefusedVersions.push_back(Rollout->Target);
   if (Rollout->RefusedVersions.size() > MaxRefusedVersions)
     Rollout->RefusedVersions.erase(Rollout->RefusedVersions.begin());
+  return true;
 }
 
 const ServiceRollout *
--- a/Source/Core/Rollout/RolloutBook.h
+++ b/Source/Core/Rollout/RolloutBook.h
@@ -10,9 +10,15 @@
 /// The rollouts of all services, as replicated by the log. Deterministic.
 class RolloutBook {
 public:
-  void apply(const BeginRolloutCommand &Command);
-  void apply(const AdvanceRolloutCommand &Command);
-  void apply(const EndRolloutCommand &Command);
+  // Each returns whether the command took effect.
+
+  /// Ignored unless the command has the next number and no rollout of the
+  /// service is running.
+  bool apply(const BeginRolloutCommand &Command);
+  /// Ignored unless the rollout is running in an earlier phase.
+  bool apply(const AdvanceRolloutCommand &Command);
+  /// Ignored unless the rollout is running.
+  bool apply(const EndRolloutCommand &Command);
 
   /// Null if no rollout of the service was ever ordered.
   const ServiceRollout *find(const Common::ServiceName &Service) const;
--- a/Source/Core/State/ControlState.cpp
+++ b/Source/Core/State/ControlState.cpp
@@ -3,46 +3,56 @@
 #include "Network/Codec.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace State {
 
-void ControlState::apply(const ControlCommand &Command) {
-  std::visit([this](const auto &Each) { this->applyCommand(Each); }, Command);
+CommandEffect ControlState::apply(const ControlCommand &Command) {
+  const bool TookEffect = std::visit(
+      [this](const auto &Each) { return this->applyCommand(Each); }, Command);
+  return TookEffect ? CommandEffect::Applied : CommandEffect::Ignored;
 }
 
-void ControlState::applyCommand(const DeclareCommand &Command) {
+bool ControlState::applyCommand(const DeclareCommand &Command) {
   if (this->hasDeclaration() && Command.Version <= this->Version)
-    return;
+    return false;
   this->Version = Command.Version;
   this->Document = Command.Document;
+  return true;
 }
 
-void ControlState::applyCommand(const CorrectVersionCommand &Command) {
-  if (this->Version == Command.Stored)
-    this->Version = std::min(this->Version, Command.Corrected);
+bool ControlState::applyCommand(const CorrectVersionCommand &Command) {
+  if (this->Version != Command.Stored || Command.Corrected >= this->Version)
+    return false;
+  this->Version = Command.Corrected;
+  return true;
 }
 
-void ControlState::applyCommand(const RecordUsageCommand &Command) {
+bool ControlState::applyCommand(const RecordUsageCommand &Command) {
   // The first counts recorded for a window are final; later commands for the
   // same window have no effect.
-  this->Usage.emplace(Command.Window, WindowUsage{Command.Counts, false});
+  const bool Inserted =
+      this->Usage.emplace(Command.Window, WindowUsage{Command.Counts, false})
+          .second;
   const std::uint64_t Newest = this->Usage.rbegin()->first.Value;
   std::erase_if(this->Usage, [Newest](const auto &Each) {
     return Each.first.Value + RetainedWindows < Newest;
   });
+  return Inserted;
 }
 
-void ControlState::applyCommand(const MarkUsageReportedCommand &Command) {
+bool ControlState::applyCommand(const MarkUsageReportedCommand &Command) {
   const auto Found = this->Usage.find(Command.Window);
-  if (Found != this->Usage.end())
-    Found->second.Reported = true;
+  if (Found == this->Usage.end())
+    return false;
+  return !std::exchange(Found->second.Reported, true);
 }
 
-void ControlState::applyCommand(const RefuseCommand &Command) {
+bool ControlState::applyCommand(const RefuseCommand &Command) {
   Refusal Added{Command.Causes};
   for (const Refusal &Each : this->Refusals) {
     if (Common::includesCauses(Command.Causes, Each.Causes))
-      return;
+      return false;
     // Probes of a larger set were probes of this one.
     if (Common::includesCauses(Each.Causes, Command.Causes))
       Added.Probes = std::max(Added.Probes, Each.Probes);
@@ -53,39 +63,49 @@
   this->Refusals.push_back(std::move(Added));
   if (this->Refusals.size() > MaxRefusals)
     this->Refusals.erase(this->Refusals.begin());
+  return true;
 }
 
-void ControlState::applyCommand(const EndRefusalCommand &Command) {
-  std::erase_if(this->Refusals, [&](const Refusal &Each) {
-    return Each.Causes == Command.Causes;
-  });
+bool ControlState::applyCommand(const EndRefusalCommand &Command) {
+  return std::erase_if(this->Refusals, [&](const Refusal &Each) {
+           return Each.Causes == Command.Causes;
+         }) != 0;
 }
 
-void ControlState::applyCommand(const ProbeRefusalCommand &Command) {
+bool ControlState::applyCommand(const ProbeRefusalCommand &Command) {
+  bool Counted = false;
   for (Refusal &Each : this->Refusals)
-    if (Each.Causes == Command.Causes && Each.Probes == Command.Number)
+    if (Each.Causes == Command.Causes && Each.Probes == Command.Number) {
       ++Each.Probes;
+      Counted = true;
+    }
+  return Counted;
 }
 
-void ControlState::applyCommand(const RaiseProtocolLevelCommand &Command) {
-  this->Level = std::max(this->Level, Command.Level);
+bool ControlState::applyCommand(const RaiseProtocolLevelCommand &Command) {
+  if (Command.Level <= this->Level)
+    return false;
+  this->Level = Command.Level;
+  return true;
 }
 
-void ControlState::applyCommand(const RecordServerEndsCommand &Command) {
+bool ControlState::applyCommand(const RecordServerEndsCommand &Command) {
+  bool Recorded = false;
   for (const Membership::ServerEnd &Each : Command.Ends)
-    this->recordServerEnd(Each);
+    Recorded = this->recordServerEnd(Each) || Recorded;
+  return Recorded;
 }
 
-void ControlState::recordServerEnd(const Membership::ServerEnd &End) {
+bool ControlState::recordServerEnd(const Membership::ServerEnd &End) {
   if (this->hasServerEnd(End))
-    return;
+    return false;
   this->Ends[End.Id] = RecordedEnd{End, ++this->LastEndNumber};
-  if (this->Ends.size() <= MaxServerEnds)
-    return;
-  this->Ends.erase(std::min_element(this->Ends.begin(), this->Ends.end(),
-                                    [](const auto &A, const auto &B) {
-                                      return A.second.Number < B.second.Number;
-                                    }));
+  if (this->Ends.size() > MaxServerEnds)
+    this->Ends.erase(std::min_element(
+        this->Ends.begin(), this->Ends.end(), [](const auto &A, const auto &B) {
+          return A.second.Number < B.second.Number;
+        }));
+  return true;
 }
 
 bool ControlState::hasServerEnd(const Membership::ServerEnd &End) const {
--- a/Source/Core/State/ControlState.h
+++ b/Source/Core/State/ControlState.h
@@ -126,6 +126,15 @@
                  Rollout::BeginRolloutCommand, Rollout::AdvanceRolloutCommand,
                  Rollout::EndRolloutCommand, CorrectVersionCommand>;
 
+/// What became of a command in the log. All replicas that apply it find the
+/// same.
+enum class CommandEffect {
+  Applied,
+  /// It changed nothing: the state includes it already, or the command no
+  /// longer fits the state, as another one was recorded before it.
+  Ignored,
+};
+
 /// Requests with all of these causes are refused.
 struct Refusal {
   Common::CauseSet Causes;
@@ -148,7 +157,7 @@
   /// dropped, as reports that late are not accepted any more.
   static constexpr std::uint64_t RetainedWindows = 24;
 
-  void apply(const ControlCommand &Command);
+  CommandEffect apply(const ControlCommand &Command);
 
   Common::ConfigurationVersion declarationVersion() const {
     return this->Version;
@@ -204,25 +213,26 @@
     }
   };
 
-  void applyCommand(const DeclareCommand &Command);
-  void applyCommand(const CorrectVersionCommand &Command);
-  void applyCommand(const RecordUsageCommand &Command);
-  void applyCommand(const MarkUsageReportedCommand &Command);
-  void applyCommand(const RefuseCommand &Command);
-  void applyCommand(const EndRefusalCommand &Command);
-  void applyCommand(const ProbeRefusalCommand &Command);
-  void applyCommand(const RaiseProtocolLevelCommand &Command);
-  void applyCommand(const RecordServerEndsCommand &Command);
-  void applyCommand(const Rollout::BeginRolloutCommand &Command) {
-    this->Rollouts.apply(Command);
+  // Each returns whether the command took effect.
+  bool applyCommand(const DeclareCommand &Command);
+  bool applyCommand(const CorrectVersionCommand &Command);
+  bool applyCommand(const RecordUsageCommand &Command);
+  bool applyCommand(const MarkUsageReportedCommand &Command);
+  bool applyCommand(const RefuseCommand &Command);
+  bool applyCommand(const EndRefusalCommand &Command);
+  bool applyCommand(const ProbeRefusalCommand &Command);
+  bool applyCommand(const RaiseProtocolLevelCommand &Command);
+  bool applyCommand(const RecordServerEndsCommand &Command);
+  bool applyCommand(const Rollout::BeginRolloutCommand &Command) {
+    return this->Rollouts.apply(Command);
   }
-  void applyCommand(const Rollout::AdvanceRolloutCommand &Command) {
-    this->Rollouts.apply(Command);
+  bool applyCommand(const Rollout::AdvanceRolloutCommand &Command) {
+    return this->Rollouts.apply(Command);
   }
-  void applyCommand(const Rollout::EndRolloutCommand &Command) {
-    this->Rollouts.apply(Command);
+  bool applyCommand(const Rollout::EndRolloutCommand &Command) {
+    return this->Rollouts.apply(Command);
   }
-  void recordServerEnd(const Membership::ServerEnd &End);
+  bool recordServerEnd(const Membership::ServerEnd &End);
   /// The bytes by which the encoding of a state at Level is longer than that of
   /// the release of that level.
   static std::string snapshotEndUnknownAt(ProtocolLevel Level);
--- a/Source/StateDaemon/Controller.cpp
+++ b/Source/StateDaemon/Controller.cpp
@@ -50,6 +50,7 @@
 Controller::Controller(Network::EventLoop &Loop, ControllerSettings Settings)
     : Loop(Loop), Settings(std::move(Settings)),
       ServerEnds(this->State, this->serverEndHandlers()),
+      Orders(this->State, this->Settings.AckTime, this->rolloutOrderHandlers()),
       Tokens(this->Settings.Tolerance),
       Resources(Loop.resources(), this->Metrics) {}
 
@@ -193,16 +194,17 @@
   return 0;
 }
 
-absl::Status Controller::apply(const Consensus::LogEntry &Entry) {
+absl::StatusOr<State::CommandEffect>
+Controller::apply(const Consensus::LogEntry &Entry) {
   auto Command = Network::decode<State::ControlCommand>(Entry.Payload);
   if (!Command.ok())
     return Command.status();
-  this->State.apply(*Command);
+  const State::CommandEffect Effect = this->State.apply(*Command);
   if (const auto *Recorded =
           std::get_if<State::RecordServerEndsCommand>(&*Command))
     this->applyServerEnds(Recorded->Ends);
   this->schedulePushDeclaration();
-  return absl::OkStatus();
+  return Effect;
 }
 
 void Controller::schedulePushDeclaration() {
--- a/Source/StateDaemon/Controller.h
+++ b/Source/StateDaemon/Controller.h
@@ -14,6 +14,7 @@
 #include "StateDaemon/EntryDaemonTracker.h"
 #include "StateDaemon/ReplicaDriver.h"
 #include "StateDaemon/ReportHandler.h"
+#include "StateDaemon/RolloutOrders.h"
 #include "StateDaemon/ServerEndRecorder.h"
 #include "StateDaemon/TokenPool.h"
 #include "Telemetry/Metrics.h"
@@ -25,10 +26,6 @@
 #include <set>
 #include <vector>
 
-namespace Platform {
-struct RolloutOrder;
-}
-
 namespace StateDaemon {
 
 /// The state daemon of `sycamore-state control`. Serves the control interface
@@ -50,7 +47,7 @@
   ReplicaDriver::Handlers replicaHandlers();
 
   // Consensus group.
-  absl::Status apply(const Consensus::LogEntry &Entry);
+  absl::StatusOr<State::CommandEffect> apply(const Consensus::LogEntry &Entry);
   void handleGroupChange();
   void syncLinks();
   void sendMessage(const Consensus::Message &Message);
@@ -146,12 +143,11 @@
   void planRollouts(Common::TimePoint Now);
   void
   handleBeginRollout(const std::shared_ptr<Network::Http1Exchange> &Exchange);
-  /// Responds to an order without a new rollout where that is right. Returns
-  /// whether it did.
-  bool answerWithoutRollout(Network::Http1Exchange &Exchange,
-                            const Platform::RolloutOrder &Order);
-  void proposeRollout(const std::shared_ptr<Network::Http1Exchange> &Exchange,
-                      const Platform::RolloutOrder &Order);
+  RolloutOrders::Handlers rolloutOrderHandlers();
+  /// Responds to an order as it was decided.
+  void answerRolloutOrder(Network::Http1Exchange &Exchange,
+                          const Platform::RolloutOrder &Order,
+                          const RolloutOrders::Result &Decided);
   void handleReadRollout(Network::Http1Exchange &Exchange,
                          const Common::ServiceName &Service, bool Explain);
 
@@ -224,6 +220,7 @@
   };
   /// What the connected peers support.
   std::map<Consensus::ReplicaId, PeerLevel> PeerLevels;
+  RolloutOrders Orders;
   TokenPool Tokens;
   bool TokenDemandScheduled = false;
   Network::EventHandle ChangeFlushTimer;
--- a/Source/StateDaemon/ControllerHttp.cpp
+++ b/Source/StateDaemon/ControllerHttp.cpp
@@ -152,10 +152,14 @@
   const bool Appended = this->Driver->propose(
       Network::encode(State::ControlCommand(std::move(Command))),
       [this, Exchange, Version](ReplicaDriver::ProposalOutcome Outcome) {
-        const bool Applied = Outcome == ReplicaDriver::ProposalOutcome::Applied;
+        // In the order of the enum ProposalOutcome.
+        constexpr const char *Names[] = {"acknowledged", "not_newer",
+                                         "unknown"};
         Telemetry::log(Events::DeclarationDecided, Version.Value,
-                       Applied ? "acknowledged" : "unknown");
-        if (Applied)
+                       Names[static_cast<std::size_t>(Outcome)]);
+        // One that was not newer once it was applied is acknowledged, as one
+        // that was not newer when it arrived.
+        if (Outcome != ReplicaDriver::ProposalOutcome::Unknown)
           replyAccepted(*Exchange);
         else
           // The declaration may or may not be in force. Sending it again is
--- a/Source/StateDaemon/ControllerRollouts.cpp
+++ b/Source/StateDaemon/ControllerRollouts.cpp
@@ -16,10 +16,6 @@
 
 const Network::HttpHeaders JsonType = {{"Content-Type", "application/json"}};
 
-/// For an order that was repeated just before its time limit, and wall clocks
-/// that differ.
-constexpr Common::Duration RepeatMargin = std::chrono::seconds(2);
-
 } // namespace
 
 Common::WallTime Controller::rolloutTime(Common::TimePoint Now) const {
@@ -78,69 +74,58 @@
                           "the group; retry when all are updated");
     return;
   }
-  if (!this->answerWithoutRollout(*Exchange, *Order))
-    this->proposeRollout(Exchange, *Order);
+  this->Orders.handle(
+      *Order, [this, Exchange, Order](const RolloutOrders::Result &Decided) {
+        this->answerRolloutOrder(*Exchange, *Order, Decided);
+      });
+}
+
+RolloutOrders::Handlers Controller::rolloutOrderHandlers() {
+  RolloutOrders::Handlers Result;
+  Result.Propose = [this](const Rollout::BeginRolloutCommand &Command,
+                          ReplicaDriver::ProposalCallback OnDone) {
+    return this->Driver->propose(
+        Network::encode(State::ControlCommand(Command)), std::move(OnDone));
+  };
+  Result.Time = [this] { return this->rolloutTime(this->Loop.now()); };
+  return Result;
 }
 
-bool Controller::answerWithoutRollout(Network::Http1Exchange &Exchange,
-                                      const Platform::RolloutOrder &Order) {
-  const Rollout::ServiceRollout *Known =
-      this->State.rollouts().find(Order.Service);
-  if (!Known)
-    return false;
-  const std::uint64_t Wall = this->rolloutTime(this->Loop.now()).Milliseconds;
-  const auto RepeatMilliseconds = static_cast<std::uint64_t>(
-      Common::toMilliseconds(this->Settings.AckTime + RepeatMargin));
-  const bool IsRepeat = Known->Target == Order.Target &&
-                        Wall < Known->BegunAt.Milliseconds + RepeatMilliseconds;
-  if (IsRepeat || (Known->isRunning() && Known->Target == Order.Target)) {
+void Controller::answerRolloutOrder(Network::Http1Exchange &Exchange,
+                                    const Platform::RolloutOrder &Order,
+                                    const RolloutOrders::Result &Decided) {
+  const auto Log = [&](const char *Outcome) {
     Telemetry::log(Events::RolloutOrdered, Order.Service.str(),
-                   Known->Number.Value, Order.Target.str(),
-                   Order.DurationMilliseconds, "repeated");
+                   Decided.Recorded ? Decided.Recorded->Number.Value : 0,
+                   Order.Target.str(), Order.DurationMilliseconds, Outcome);
+  };
+  switch (Decided.Outcome) {
+  case RolloutOrders::Decision::Begun:
+    Log("acknowledged");
+    this->Metrics.incrementCounter("rollout_orders_total");
+    replyAccepted(Exchange);
+    return;
+  case RolloutOrders::Decision::Repeated:
+    Log("repeated");
     replyAccepted(Exchange);
-    return true;
+    return;
+  case RolloutOrders::Decision::Conflicting:
+    this->Metrics.incrementCounter("rollout_orders_conflicting_total");
+    Telemetry::log(Events::RolloutRefused, "another rollout is running");
+    replyError(Exchange, 409,
+               absl::StrCat("a rollout of this service to ",
+                            Decided.Recorded->Target.str(),
+                            " is running; wait until read returns completed or "
+                            "rolled_back, then send the order again"));
+    return;
+  case RolloutOrders::Decision::Unknown:
+    Log("unknown");
+    replyRetry(Exchange, "outcome unknown; send the order again");
+    return;
+  case RolloutOrders::Decision::NotLeading:
+    this->redirectToLeader(Exchange, Exchange.head().Target);
+    return;
   }
-  if (!Known->isRunning())
-    return false;
-  this->Metrics.incrementCounter("rollout_orders_conflicting_total");
-  Telemetry::log(Events::RolloutRefused, "another rollout is running");
-  replyError(Exchange, 409,
-             absl::StrCat("a rollout of this service to ", Known->Target.str(),
-                          " is running; wait until read returns completed or "
-                          "rolled_back, then send the order again"));
-  return true;
-}
-
-void Controller::proposeRollout(
-    const std::shared_ptr<Network::Http1Exchange> &Exchange,
-    const Platform::RolloutOrder &Order) {
-  Rollout::BeginRolloutCommand Command;
-  Command.Service = Order.Service;
-  Command.Number = this->State.rollouts().nextNumber();
-  Command.Target = Order.Target;
-  Command.DurationMilliseconds = Order.DurationMilliseconds;
-  Command.BegunAt = this->rolloutTime(this->Loop.now());
-  const bool Appended = this->Driver->propose(
-      Network::encode(State::ControlCommand(Command)),
-      [this, Exchange, Order](ReplicaDriver::ProposalOutcome Outcome) {
-        const bool Applied = Outcome == ReplicaDriver::ProposalOutcome::Applied;
-        const Rollout::ServiceRollout *Known =
-            this->State.rollouts().find(Order.Service);
-        // Another order may have been applied first.
-        const bool InForce = Applied && Known && Known->Target == Order.Target;
-        Telemetry::log(Events::RolloutOrdered, Order.Service.str(),
-                       Known ? Known->Number.Value : 0, Order.Target.str(),
-                       Order.DurationMilliseconds,
-                       InForce ? "acknowledged" : "unknown");
-        if (InForce) {
-          this->Metrics.incrementCounter("rollout_orders_total");
-          replyAccepted(*Exchange);
-        } else {
-          replyRetry(*Exchange, "outcome unknown; send the order again");
-        }
-      });
-  if (!Appended)
-    this->redirectToLeader(*Exchange, Exchange->head().Target);
 }
 
 void Controller::handleReadRollout(Network::Http1Exchange &Exchange,
--- a/Source/StateDaemon/ControllerServerEnds.cpp
+++ b/Source/StateDaemon/ControllerServerEnds.cpp
@@ -25,7 +25,8 @@
     this->Driver->propose(
         Network::encode(State::ControlCommand(std::move(Command))),
         [OnApplied](ReplicaDriver::ProposalOutcome Outcome) {
-          if (Outcome == ReplicaDriver::ProposalOutcome::Applied)
+          // Ignored if they were recorded meanwhile.
+          if (Outcome != ReplicaDriver::ProposalOutcome::Unknown)
             OnApplied();
         });
   };
--- a/Source/StateDaemon/ReplicaDriver.cpp
+++ b/Source/StateDaemon/ReplicaDriver.cpp
@@ -219,14 +219,16 @@
 }
 
 bool ReplicaDriver::apply(const Consensus::LogEntry &Entry) {
+  State::CommandEffect Effect = State::CommandEffect::Applied;
   if (Entry.Kind == Consensus::EntryKind::Command) {
     // Skipping an entry would make this replica's state diverge from the
     // others'.
-    if (absl::Status Applied = this->OwnerHandlers.Apply(Entry);
-        !Applied.ok()) {
-      this->closeOnFailure(Applied);
+    const auto Applied = this->OwnerHandlers.Apply(Entry);
+    if (!Applied.ok()) {
+      this->closeOnFailure(Applied.status());
       return false;
     }
+    Effect = *Applied;
   } else if (Entry.Kind == Consensus::EntryKind::MembershipChange) {
     this->OwnerHandlers.OnChange();
   }
@@ -236,8 +238,10 @@
   const Proposal Completed = std::move(Waiting->second);
   this->Proposals.erase(Waiting);
   if (Completed.OnDone)
-    Completed.OnDone(Completed.Term == Entry.Term ? ProposalOutcome::Applied
-                                                  : ProposalOutcome::Unknown);
+    Completed.OnDone(Completed.Term != Entry.Term ? ProposalOutcome::Unknown
+                     : Effect == State::CommandEffect::Applied
+                         ? ProposalOutcome::Applied
+                         : ProposalOutcome::Ignored);
   return this->Replica.has_value();
 }
 
--- a/Source/StateDaemon/ReplicaDriver.h
+++ b/Source/StateDaemon/ReplicaDriver.h
@@ -3,6 +3,7 @@
 
 #include "Consensus/Replica.h"
 #include "Network/EventLoop.h"
+#include "State/ControlState.h"
 #include "Storage/DataFolder.h"
 #include "Telemetry/Metrics.h"
 
@@ -21,8 +22,10 @@
 class ReplicaDriver {
 public:
   enum class ProposalOutcome {
-    /// Committed and applied.
+    /// Committed, and it took effect.
     Applied,
+    /// Committed, and it changed nothing; see State::CommandEffect.
+    Ignored,
     /// Leadership was lost before the entry was confirmed; it may still be
     /// committed by another leader.
     Unknown,
@@ -47,7 +50,9 @@
     std::function<absl::Status(const std::string &Data)> Restore;
     /// Applies a committed command. An error closes the replica, which is then
     /// opened again.
-    std::function<absl::Status(const Consensus::LogEntry &Entry)> Apply;
+    std::function<absl::StatusOr<State::CommandEffect>(
+        const Consensus::LogEntry &Entry)>
+        Apply;
     std::function<std::string()> TakeSnapshot;
     std::function<void(const Consensus::Message &)> Send;
     /// Called when leadership was gained or lost, the members changed, or the
--- a/Source/UnitTests/State/ControlStateTest.cpp
+++ b/Source/UnitTests/State/ControlStateTest.cpp
@@ -61,6 +61,32 @@
   BOOST_TEST(Restored->declarationVersion().Value == 9u);
 }
 
+// Guards against a command that changed nothing and counts as carried out.
+BOOST_AUTO_TEST_CASE(ARepeatedCommandIsIgnored) {
+  const Common::ServiceName Service("chat");
+  const std::vector<ControlCommand> Commands = {
+      DeclareCommand{{4}, "four"},
+      CorrectVersionCommand{{4}, {3}},
+      RecordUsageCommand{{7}, {}},
+      MarkUsageReportedCommand{{7}},
+      RefuseCommand{{1}},
+      ProbeRefusalCommand{{1}, 0},
+      EndRefusalCommand{{1}},
+      RaiseProtocolLevelCommand{SupportedProtocolLevel},
+      RecordServerEndsCommand{{{Common::BackendServerId("a"), 5}}},
+      Rollout::BeginRolloutCommand{
+          Service, {1}, Common::SoftwareVersion("v2"), 12'000, {1'000}},
+      Rollout::AdvanceRolloutCommand{Service, {1}, Rollout::Phase::Shift},
+      Rollout::EndRolloutCommand{Service, {1}, true, "good", ""}};
+  ControlState Current;
+  for (const ControlCommand &Each : Commands) {
+    BOOST_CHECK(Current.apply(Each) == CommandEffect::Applied);
+    const std::string Before = Current.snapshot();
+    BOOST_CHECK(Current.apply(Each) == CommandEffect::Ignored);
+    BOOST_TEST(Current.snapshot() == Before);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(TheFirstCountsOfAWindowAreFinal) {
   ControlState Current;
   const Configuration::TeamName Mill("mill");
--- a/Source/UnitTests/StateDaemon/DutyRunnerTest.cpp
+++ b/Source/UnitTests/StateDaemon/DutyRunnerTest.cpp
@@ -60,12 +60,13 @@
   StateDaemon::ReplicaDriver::Handlers handlers() {
     StateDaemon::ReplicaDriver::Handlers Result;
     Result.Restore = [](const std::string &) { return absl::OkStatus(); };
-    Result.Apply = [this](const Consensus::LogEntry &Entry) {
+    Result.Apply = [this](const Consensus::LogEntry &Entry)
+        -> absl::StatusOr<State::CommandEffect> {
       const auto Command =
           Network::decode<State::ControlCommand>(Entry.Payload);
-      if (Command.ok())
-        this->State.apply(*Command);
-      return Command.status();
+      if (!Command.ok())
+        return Command.status();
+      return this->State.apply(*Command);
     };
     Result.TakeSnapshot = [this] { return this->State.snapshot(); };
     Result.Send = [](const Consensus::Message &) {};
--- a/Source/UnitTests/StateDaemon/ReplicaDriverTest.cpp
+++ b/Source/UnitTests/StateDaemon/ReplicaDriverTest.cpp
@@ -39,7 +39,9 @@
   bool Replied = false;
   StateDaemon::ReplicaDriver::Handlers Handlers;
   Handlers.Restore = [](const std::string &) { return absl::OkStatus(); };
-  Handlers.Apply = [](const Consensus::LogEntry &) { return absl::OkStatus(); };
+  Handlers.Apply = [](const Consensus::LogEntry &) {
+    return State::CommandEffect::Applied;
+  };
   Handlers.TakeSnapshot = [] { return std::string(); };
   Handlers.Send = [&Replied](const Consensus::Message &) { Replied = true; };
   Handlers.OnChange = [&] {
