StateDaemon: A new rollout order is not taken for a late repeat

Operators saw: an order was acknowledged and nothing began, if it came up to 2 s later than ack-ms after an order of the same target, also where that rollout had ended or the durations differed.

Cause: repeats were recognised by the target alone, and the margin for clocks was added to the time in which an ended rollout answers for an order.

Change: an order repeats another one if service, target and duration are equal and the rollout runs, or began less than ack-ms ago. Within the margin after that, an equal order of an ended rollout gets 503 with Retry-After.

Ruled out: telling an equal order from a repeat within ack-ms; nothing in it does.

--- a/Source/StateDaemon/Controller.h
+++ b/Source/StateDaemon/Controller.h
@@ -156,7 +156,10 @@
                          std::string_view Detail);
   /// Replies with 503 and `Retry-After`: the call may be sent again soon.
   static void replyRetry(Network::Http1Exchange &Exchange,
-                         std::string_view Detail);
+                         std::string_view Detail,
+                         Common::Duration RetryAfter = ShortRetryDelay);
+  static constexpr Common::Duration ShortRetryDelay =
+      std::chrono::milliseconds(300);
   static void replyAccepted(Network::Http1Exchange &Exchange);
   static void replyUnavailable(Network::Http1Exchange &Exchange,
                                std::string_view Detail);
--- a/Source/StateDaemon/ControllerHttp.cpp
+++ b/Source/StateDaemon/ControllerHttp.cpp
@@ -7,6 +7,7 @@
 #include "platform/Heartbeat.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
 
 // HTTP requests from operators and backend servers.
 
@@ -46,8 +47,12 @@
 }
 
 void Controller::replyRetry(Network::Http1Exchange &Exchange,
-                            std::string_view Detail) {
-  Exchange.reply(503, {{"Retry-After", "0.3"}}, errorBody(Detail));
+                            std::string_view Detail,
+                            Common::Duration RetryAfter) {
+  Exchange.reply(
+      503,
+      {{"Retry-After", absl::StrFormat("%.3f", Common::toSeconds(RetryAfter))}},
+      errorBody(Detail));
 }
 
 void Controller::handleHttp(
--- a/Source/StateDaemon/ControllerRollouts.cpp
+++ b/Source/StateDaemon/ControllerRollouts.cpp
@@ -112,11 +112,21 @@
   case RolloutOrders::Decision::Conflicting:
     this->Metrics.incrementCounter("rollout_orders_conflicting_total");
     Telemetry::log(Events::RolloutRefused, "another rollout is running");
-    replyError(Exchange, 409,
-               absl::StrCat("a rollout of this service to ",
-                            Decided.Recorded->Target.str(),
-                            " is running; wait until read returns completed or "
-                            "rolled_back, then send the order again"));
+    replyError(
+        Exchange, 409,
+        absl::StrCat("a rollout of this service to ",
+                     Decided.Recorded->Target.str(), " in ",
+                     Decided.Recorded->DurationMilliseconds,
+                     " ms is running; wait until read returns completed or "
+                     "rolled_back, then send the order again"));
+    return;
+  case RolloutOrders::Decision::Ambiguous:
+    Log("ambiguous");
+    replyRetry(
+        Exchange,
+        "an equal order was acknowledged shortly before, and its rollout "
+        "has ended; send the order again after Retry-After",
+        Decided.RetryAfter);
     return;
   case RolloutOrders::Decision::Unknown:
     Log("unknown");
--- a/Source/StateDaemon/RolloutOrders.cpp
+++ b/Source/StateDaemon/RolloutOrders.cpp
@@ -1,11 +1,13 @@
 #include "StateDaemon/RolloutOrders.h"
 
+#include <algorithm>
+
 namespace StateDaemon {
 
 namespace {
 
-/// For an order that was repeated just before its time limit, and wall clocks
-/// that differ.
+/// For an order that was repeated just before its time limit and took long to
+/// arrive, and wall clocks that differ.
 constexpr Common::Duration RepeatMargin = std::chrono::seconds(2);
 
 } // namespace
@@ -16,16 +18,23 @@
       this->State.rollouts().find(Order.Service);
   if (!Known)
     return std::nullopt;
-  const std::uint64_t Wall = this->OwnerHandlers.Time().Milliseconds;
-  const auto RepeatMilliseconds = static_cast<std::uint64_t>(
-      Common::toMilliseconds(this->AckTime + RepeatMargin));
-  const bool HasTarget = Known->Target == Order.Target;
-  const bool IsRepeat =
-      HasTarget && Wall < Known->BegunAt.Milliseconds + RepeatMilliseconds;
-  if (IsRepeat || (Known->isRunning() && HasTarget))
+  const bool IsEqual =
+      Known->Target == Order.Target &&
+      Known->DurationMilliseconds == Order.DurationMilliseconds;
+  if (IsEqual && Known->isRunning())
     return Result{Decision::Repeated, Known};
   if (Known->isRunning())
     return Result{Decision::Conflicting, Known};
+  // Clocks may differ, so that the time of the order may be still to come.
+  const std::uint64_t Now = std::max(this->OwnerHandlers.Time().Milliseconds,
+                                     Known->BegunAt.Milliseconds);
+  const Common::Duration Age =
+      std::chrono::milliseconds(Now - Known->BegunAt.Milliseconds);
+  if (IsEqual && Age < this->AckTime)
+    return Result{Decision::Repeated, Known};
+  if (IsEqual && Age < this->AckTime + RepeatMargin)
+    return Result{Decision::Ambiguous, Known,
+                  this->AckTime + RepeatMargin - Age};
   return std::nullopt;
 }
 
--- a/Source/StateDaemon/RolloutOrders.h
+++ b/Source/StateDaemon/RolloutOrders.h
@@ -22,6 +22,9 @@
     Repeated,
     /// Another rollout of the service is running.
     Conflicting,
+    /// It cannot be told whether the order repeats an equal one whose rollout
+    /// has ended. It can be told after RetryAfter.
+    Ambiguous,
     /// Leadership was lost before the outcome was known.
     Unknown,
     /// This daemon does not lead.
@@ -31,6 +34,7 @@
     Decision Outcome = Decision::Unknown;
     /// The service's recorded rollout; null if there is none.
     const Rollout::ServiceRollout *Recorded = nullptr;
+    Common::Duration RetryAfter{};
   };
   /// Called once, possibly before handle returns.
   using Callback = std::function<void(const Result &)>;
--- a/Source/UnitTests/StateDaemon/RolloutOrdersTest.cpp
+++ b/Source/UnitTests/StateDaemon/RolloutOrdersTest.cpp
@@ -123,6 +123,34 @@
   BOOST_CHECK(Test.handle(order("chat")) == Decision::NotLeading);
 }
 
+// Guards against LOST: a new order that equals one which has ended was taken
+// for a late repeat of it, or an order with another duration for the same
+// order.
+BOOST_AUTO_TEST_CASE(OnlyARepeatIsAnsweredForTheRolloutBefore) {
+  Leader Test;
+  BOOST_CHECK(Test.handle(order("chat")) == Decision::Begun);
+  BOOST_CHECK(Test.handle(order("chat", "v2", 30'000)) ==
+              Decision::Conflicting);
+  Test.rollBack("chat");
+  const Rollout::RolloutNumber First = Test.rollout("chat").Number;
+  // Operators repeat an order for AckTime at most.
+  Test.Now.Milliseconds += 4'900;
+  BOOST_CHECK(Test.handle(order("chat")) == Decision::Repeated);
+  Test.Now.Milliseconds += 200;
+  std::optional<RolloutOrders::Result> Decided;
+  Test.Orders.handle(order("chat"), [&](const RolloutOrders::Result &Each) {
+    Decided = Each;
+  });
+  BOOST_REQUIRE(Decided.has_value());
+  BOOST_CHECK(Decided->Outcome == Decision::Ambiguous);
+  BOOST_CHECK(Test.rollout("chat").Number == First);
+  Test.Now.Milliseconds += Common::toMilliseconds(Decided->RetryAfter);
+  BOOST_CHECK(Test.handle(order("chat")) == Decision::Begun);
+  BOOST_TEST(Test.rollout("chat").isRunning());
+  Test.rollBack("chat");
+  BOOST_CHECK(Test.handle(order("chat", "v2", 30'000)) == Decision::Begun);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace UnitTests
