Membership: A daemon asks for the record of a server that it does not know

Cause: a daemon that connects gets no record of a server that was silent for over 5 s. When the server is heard again, the state daemon passes on a refresh only, as nothing has changed for itself, and the receiver dropped it.

Change: a refresh of an incarnation whose record is missing is answered with a ServerRecordRequest, by entry daemons and by state daemons. Counter server_records_missing_total, log line server_record_missing. Earlier releases ignore the new frame; the registry is not replicated through the log.

--- a/Source/Core/Membership/ServerRegistry.cpp
+++ b/Source/Core/Membership/ServerRegistry.cpp
@@ -82,21 +82,23 @@
   return true;
 }
 
-bool ServerRegistry::refresh(const Common::BackendServerId &Id,
-                             std::uint64_t StartedAt, std::uint64_t Sequence,
-                             ServerPhase Phase, Common::TimePoint Now) {
+ServerRegistry::RefreshOutcome
+ServerRegistry::refresh(const Common::BackendServerId &Id,
+                        std::uint64_t StartedAt, std::uint64_t Sequence,
+                        ServerPhase Phase, Common::TimePoint Now) {
   const auto Found = this->Entries.find(Id);
-  if (Found == this->Entries.end())
-    return false;
+  if (Found == this->Entries.end() ||
+      Found->second.Record.StartedAt < StartedAt)
+    return RefreshOutcome::RecordMissing;
   ServerRecord &Stored = Found->second.Record;
   if (Stored.StartedAt != StartedAt || Sequence <= Stored.Sequence)
-    return false;
+    return RefreshOutcome::Stale;
   Stored.Sequence = Sequence;
   Found->second.HeardAt = Now;
   if (Phase <= Stored.Phase)
-    return false;
+    return RefreshOutcome::Live;
   Stored.Phase = Phase;
-  return true;
+  return RefreshOutcome::PhaseChanged;
 }
 
 void ServerRegistry::removeExpired(Common::TimePoint Now,
--- a/Source/Core/Membership/ServerRegistry.h
+++ b/Source/Core/Membership/ServerRegistry.h
@@ -28,6 +28,18 @@
     /// Older than the stored record, or a duplicate.
     Stale,
   };
+  /// Effect of a refresh on the registry.
+  enum class RefreshOutcome {
+    /// Confirms that the server is live.
+    Live,
+    /// The phase changed, as the message that changed it was missed.
+    PhaseChanged,
+    /// Older than the stored record, or a duplicate.
+    Stale,
+    /// There is no record of this incarnation, and a refresh does not describe
+    /// it: the record has to be requested from the sender.
+    RecordMissing,
+  };
   struct Entry {
     ServerRecord Record;
     Common::TimePoint HeardAt;
@@ -41,11 +53,10 @@
   /// one.
   bool applyEnd(const ServerEnd &End, Common::TimePoint Now);
   /// Applies a refresh from another daemon that received message Sequence of
-  /// this incarnation, in which the server was in Phase. Returns whether the
-  /// phase changed, as the message that changed it was missed.
-  bool refresh(const Common::BackendServerId &Id, std::uint64_t StartedAt,
-               std::uint64_t Sequence, ServerPhase Phase,
-               Common::TimePoint Now);
+  /// this incarnation, in which the server was in Phase.
+  RefreshOutcome refresh(const Common::BackendServerId &Id,
+                         std::uint64_t StartedAt, std::uint64_t Sequence,
+                         ServerPhase Phase, Common::TimePoint Now);
   /// Removes records of servers that have been gone or silent for longer than
   /// RetentionTime. Until then they reject delayed messages of that
   /// incarnation.
--- a/Source/Core/Routing/ServerTable.cpp
+++ b/Source/Core/Routing/ServerTable.cpp
@@ -137,12 +137,15 @@
   return true;
 }
 
-void ServerTable::refresh(const Common::BackendServerId &Id,
-                          std::uint64_t StartedAt, std::uint64_t Sequence,
-                          Membership::ServerPhase Phase,
-                          Common::TimePoint Now) {
-  if (this->Registry.refresh(Id, StartedAt, Sequence, Phase, Now))
+Membership::ServerRegistry::RefreshOutcome
+ServerTable::refresh(const Common::BackendServerId &Id, std::uint64_t StartedAt,
+                     std::uint64_t Sequence, Membership::ServerPhase Phase,
+                     Common::TimePoint Now) {
+  const auto Outcome =
+      this->Registry.refresh(Id, StartedAt, Sequence, Phase, Now);
+  if (Outcome == Membership::ServerRegistry::RefreshOutcome::PhaseChanged)
     this->updateRing(Id);
+  return Outcome;
 }
 
 void ServerTable::removeExpired(Common::TimePoint Now) {
--- a/Source/Core/Routing/ServerTable.h
+++ b/Source/Core/Routing/ServerTable.h
@@ -105,9 +105,10 @@
   bool apply(const Membership::ServerRecord &Announced, Common::TimePoint Now);
   /// Applies a report that another daemon received message Sequence of the
   /// server process started at StartedAt, so that it counts as heard from.
-  void refresh(const Common::BackendServerId &Id, std::uint64_t StartedAt,
-               std::uint64_t Sequence, Membership::ServerPhase Phase,
-               Common::TimePoint Now);
+  Membership::ServerRegistry::RefreshOutcome
+  refresh(const Common::BackendServerId &Id, std::uint64_t StartedAt,
+          std::uint64_t Sequence, Membership::ServerPhase Phase,
+          Common::TimePoint Now);
   void removeExpired(Common::TimePoint Now);
   /// Keeps the software version of an incarnation, which may not be known yet.
   void setVersion(const Common::BackendServerId &Id, std::uint64_t StartedAt,
--- a/Source/Core/State/ControlProtocol.h
+++ b/Source/Core/State/ControlProtocol.h
@@ -87,8 +87,8 @@
   }
 };
 
-/// Changed records of the server registry. A new connection first receives all
-/// records.
+/// Changed records of the server registry. A new connection first receives the
+/// records of all servers but those that were silent for seconds.
 struct RegistryDelta {
   std::vector<Membership::ServerRecord> Changed;
   std::vector<ServerRefresh> Refreshed;
@@ -97,6 +97,17 @@
   }
 };
 
+/// Asks the sender of a RegistryDelta for the records of servers that it has
+/// refreshed and the receiver does not know: they were silent when the
+/// connection was opened, the message with the record was lost, or the receiver
+/// has forgotten them. Answered with a RegistryDelta. A daemon of a release
+/// before it ignores the request.
+struct ServerRecordRequest {
+  std::vector<Common::BackendServerId> Servers;
+
+  template <class Archive> void serialize(Archive &Ar) { Ar(this->Servers); }
+};
+
 /// First message of an entry daemon on a connection.
 struct EntryHello {
   Common::DaemonId Entry;
@@ -479,7 +490,7 @@
                  ServerLoads, LeaveRequest, LeaveConfirmation, PeerHello,
                  ServerEndRequest, ServerEndConfirmation, EntryReport,
                  EntryDirectives, ServerSpeeds, ServerVersions,
-                 DeclarationRequest, RequestedDeclaration>;
+                 DeclarationRequest, RequestedDeclaration, ServerRecordRequest>;
 
 } // namespace State
 
--- a/Source/Core/Telemetry/LogEvents.h
+++ b/Source/Core/Telemetry/LogEvents.h
@@ -146,6 +146,10 @@
 // A daemon's knowledge of backend servers, contents and allowances.
 inline constexpr LogEvent<4> ServerKnown{
     LogLevel::Info, "server_known", {"server", "phase", "started", "sequence"}};
+inline constexpr LogEvent<3> ServerRecordMissing{
+    LogLevel::Warning,
+    "server_record_missing",
+    {"server", "started", "sequence"}};
 inline constexpr LogEvent<8> ServerChanged{LogLevel::Info,
                                            "server_changed",
                                            {"server", "service", "datacentre",
--- a/Source/EntryDaemon/ControlLink.cpp
+++ b/Source/EntryDaemon/ControlLink.cpp
@@ -281,6 +281,16 @@
   this->EventHandlers.OnDirectives(Directives, SentAt);
 }
 
+void ControlLink::handleRegistryDelta(LinkNumber From,
+                                      const State::RegistryDelta &Delta) {
+  State::ServerRecordRequest Request{
+      this->EventHandlers.OnRegistryDelta(Delta)};
+  if (Request.Servers.empty())
+    return;
+  if (Network::FrameClient *Link = this->find(From))
+    Link->send(Network::encode(State::ControlFrame(std::move(Request))));
+}
+
 void ControlLink::handleFrame(LinkNumber From, const std::string &Payload) {
   const auto Frame = Network::decode<State::ControlFrame>(Payload);
   if (!Frame.ok()) {
@@ -288,7 +298,7 @@
     return;
   }
   if (const auto *Delta = std::get_if<State::RegistryDelta>(&*Frame)) {
-    this->EventHandlers.OnRegistryDelta(*Delta);
+    this->handleRegistryDelta(From, *Delta);
   } else if (const auto *Push = std::get_if<State::DeclarationPush>(&*Frame)) {
     this->EventHandlers.OnDeclaration(*Push, "push");
   } else if (const auto *Requested =
--- a/Source/EntryDaemon/ControlLink.h
+++ b/Source/EntryDaemon/ControlLink.h
@@ -28,7 +28,10 @@
     std::uint64_t RandomSeed = 1;
   };
   struct Handlers {
-    std::function<void(const State::RegistryDelta &)> OnRegistryDelta;
+    /// Returns the servers whose records are to be requested from the sender.
+    std::function<std::vector<Common::BackendServerId>(
+        const State::RegistryDelta &)>
+        OnRegistryDelta;
     /// Gets a declaration and the name of what it came with, for the log.
     std::function<void(const State::DeclarationPush &, const char *)>
         OnDeclaration;
@@ -87,6 +90,7 @@
   void requestDeclaration(Network::FrameClient &From);
   void handleRequestedDeclaration(const State::RequestedDeclaration &Received);
   void handleDirectives(const State::EntryDirectives &Directives);
+  void handleRegistryDelta(LinkNumber From, const State::RegistryDelta &Delta);
   void checkConnection();
   bool isAnswerOverdue() const;
   void closeFailedAttempts();
--- a/Source/EntryDaemon/Gateway.cpp
+++ b/Source/EntryDaemon/Gateway.cpp
@@ -137,7 +137,7 @@
   LinkOptions.RandomSeed = Common::hashBytes(this->Context.Settings.Name.str());
   ControlLink::Handlers Handlers;
   Handlers.OnRegistryDelta = [this](const State::RegistryDelta &Delta) {
-    this->applyRegistryDelta(Delta);
+    return this->applyRegistryDelta(Delta);
   };
   Handlers.OnDeclaration = [this](const State::DeclarationPush &Push,
                                   const char *Source) {
@@ -231,7 +231,8 @@
       Common::toMilliseconds(this->Context.Shutdown.elapsed(this->Loop.now())));
 }
 
-void Gateway::applyRegistryDelta(const State::RegistryDelta &Delta) {
+std::vector<Common::BackendServerId>
+Gateway::applyRegistryDelta(const State::RegistryDelta &Delta) {
   const Common::TimePoint Now = this->Loop.now();
   for (const Membership::ServerRecord &Each : Delta.Changed) {
     if (!this->Context.Servers.apply(Each, Now))
@@ -240,11 +241,21 @@
                    Membership::nameOf(Each.Phase), Each.StartedAt,
                    Each.Sequence);
   }
-  for (const State::ServerRefresh &Each : Delta.Refreshed)
-    this->Context.Servers.refresh(Each.Id, Each.StartedAt, Each.Sequence,
-                                  Each.Phase, Now);
+  using Outcome = Membership::ServerRegistry::RefreshOutcome;
+  std::vector<Common::BackendServerId> Missing;
+  for (const State::ServerRefresh &Each : Delta.Refreshed) {
+    if (this->Context.Servers.refresh(Each.Id, Each.StartedAt, Each.Sequence,
+                                      Each.Phase,
+                                      Now) != Outcome::RecordMissing)
+      continue;
+    this->Context.Metrics.incrementCounter("server_records_missing_total");
+    Telemetry::log(Events::ServerRecordMissing, Each.Id.str(), Each.StartedAt,
+                   Each.Sequence);
+    Missing.push_back(Each.Id);
+  }
   if (this->Context.Rollouts)
     this->Context.Rollouts->refresh(Now);
+  return Missing;
 }
 
 void Gateway::handleDeclaration(const State::DeclarationPush &Push,
--- a/Source/EntryDaemon/Gateway.h
+++ b/Source/EntryDaemon/Gateway.h
@@ -32,7 +32,9 @@
   void handleRequest(const std::shared_ptr<Network::Http1Exchange> &Exchange);
   void
   recordClosedConnection(const Network::Http1Server::ClosedConnection &Closed);
-  void applyRegistryDelta(const State::RegistryDelta &Delta);
+  /// Returns the servers whose records are missing here.
+  std::vector<Common::BackendServerId>
+  applyRegistryDelta(const State::RegistryDelta &Delta);
   enum class DeclarationOutcome { Installed, NotNewer, Unreadable };
   /// Source names the message that the declaration came with.
   void handleDeclaration(const State::DeclarationPush &Push,
--- a/Source/FaultTests/RoutedCluster.cpp
+++ b/Source/FaultTests/RoutedCluster.cpp
@@ -399,37 +399,39 @@
 
 void RoutedCluster::announce(const std::string &State, int Server,
                              std::uint64_t Born, const std::string &Version) {
-  this->sendHeartbeat("shop-" + std::to_string(Server),
-                      ServerIps.at(Server - 1), State, Born, Version);
+  this->announce({"shop-" + std::to_string(Server), ServerIps.at(Server - 1),
+                  "shop", State, Born, Version});
 }
 
 void RoutedCluster::announceAt(const std::string &Id, const std::string &Ip,
                                std::uint64_t Born) {
-  this->sendHeartbeat(Id, Ip, "ready", Born, "v1");
-}
-
-void RoutedCluster::sendHeartbeat(const std::string &Id, const std::string &Ip,
-                                  const std::string &State, std::uint64_t Born,
-                                  const std::string &Version) {
-  const Json Heartbeat = {{"service", "shop"},
-                          {"address", serverAddress(Ip).str()},
-                          {"zone", "dcstate1"},
-                          {"version", Version},
-                          {"slots", 8},
-                          {"state", State},
-                          {"sequence", ++this->HeartbeatSequence},
-                          {"born", Born}};
+  this->announce({Id, Ip, "shop", "ready", Born, "v1"});
+}
+
+void RoutedCluster::announce(const Heartbeat &Sent) {
   BOOST_REQUIRE(this->waitUntil([&] {
     for (int I = 1; I <= StateDaemons; ++I)
-      if (this->call(this->controlAddress(I), "POST",
-                     "/sycamorereach/replicas/" + Id + "/heartbeat",
-                     Heartbeat.dump())
-              .Status == 200)
+      if (this->announceTo(I, Sent) == 200)
         return true;
     return false;
   }));
 }
 
+int RoutedCluster::announceTo(int StateDaemon, const Heartbeat &Sent) {
+  const Json Body = {{"service", Sent.Service},
+                     {"address", serverAddress(Sent.Ip).str()},
+                     {"zone", "dcstate1"},
+                     {"version", Sent.Version},
+                     {"slots", 8},
+                     {"state", Sent.State},
+                     {"sequence", ++this->HeartbeatSequence},
+                     {"born", Sent.Born}};
+  return this
+      ->call(this->controlAddress(StateDaemon), "POST",
+             "/sycamorereach/replicas/" + Sent.Id + "/heartbeat", Body.dump())
+      .Status;
+}
+
 std::string RoutedCluster::declaration(std::uint64_t Version,
                                        const std::string &Prefix) {
   const auto Route = [](const std::string &Name, const std::string &Path,
--- a/Source/FaultTests/RoutedCluster.h
+++ b/Source/FaultTests/RoutedCluster.h
@@ -110,6 +110,20 @@
   /// the fake servers.
   void announceAt(const std::string &Id, const std::string &Ip,
                   std::uint64_t Born = 1000);
+  /// What a server with 8 slots, or another writer, says of itself.
+  struct Heartbeat {
+    std::string Id;
+    std::string Ip;
+    std::string Service = "shop";
+    std::string State = "ready";
+    std::uint64_t Born = 1000;
+    std::string Version = "v1";
+  };
+  /// Sends the heartbeat to the state daemons in turn until one responds with
+  /// 200.
+  void announce(const Heartbeat &Sent);
+  /// Sends the heartbeat to a state daemon, and returns the status.
+  int announceTo(int StateDaemon, const Heartbeat &Sent);
   /// A configuration document whose routes lie under Prefix.
   static std::string declaration(std::uint64_t Version,
                                  const std::string &Prefix);
@@ -168,9 +182,6 @@
   eventStreamHeaders(const Network::Http1Exchange &Exchange);
 
 private:
-  void sendHeartbeat(const std::string &Id, const std::string &Ip,
-                     const std::string &State, std::uint64_t Born,
-                     const std::string &Version);
   static Network::HttpHeaders
   signedHeaders(const Network::Http1Exchange &Exchange);
 
--- a/Source/StateDaemon/Controller.cpp
+++ b/Source/StateDaemon/Controller.cpp
@@ -301,7 +301,7 @@
   else if (const auto *Leave = std::get_if<State::LeaveRequest>(&*Frame))
     this->handleLeaveRequest(From, *Leave);
   else if (const auto *Delta = std::get_if<State::RegistryDelta>(&*Frame))
-    this->mergeRegistryDelta(*Delta, true);
+    this->mergeRegistryDelta(From, *Delta);
   else if (const auto *Versions = std::get_if<State::ServerVersions>(&*Frame))
     this->mergeServerVersions(*Versions);
   else if (const auto *Hello = std::get_if<State::EntryHello>(&*Frame))
@@ -318,6 +318,10 @@
     this->handlePeerHello(From, *Peer);
   else if (const auto *Wanted = std::get_if<State::DeclarationRequest>(&*Frame))
     this->handleDeclarationRequest(From, *Wanted);
+  else if (const auto *Request =
+               std::get_if<State::ServerRecordRequest>(&*Frame))
+    for (const auto &Each : this->registryFrames(this->recordsOf(*Request)))
+      this->sendTo(From, Each);
   else if (auto *Report = std::get_if<State::EntryReport>(&*Frame))
     this->handleEntryReport(From, std::move(*Report));
   else if (std::get_if<State::ServerLoads>(&*Frame) ||
@@ -327,7 +331,8 @@
     this->LinkServer->broadcast(this->entryConnections(), Payload);
 }
 
-void Controller::handleLinkFrame(const std::string &Payload) {
+void Controller::handleLinkFrame(const Network::Address &Peer,
+                                 const std::string &Payload) {
   auto Frame = Network::decode<State::ControlFrame>(Payload);
   if (!Frame.ok()) {
     this->Metrics.recordRefusal(Common::RefusalReason::UndecodableFrame);
@@ -347,6 +352,14 @@
     this->ServerEnds.confirm(Confirmed->Ends);
   else if (std::get_if<State::LeaveConfirmation>(&*Frame))
     this->LeaveConfirmed = true;
+  else if (const auto *Request =
+               std::get_if<State::ServerRecordRequest>(&*Frame)) {
+    const auto Link = this->Links.find(Peer);
+    if (Link == this->Links.end())
+      return;
+    for (const auto &Each : this->registryFrames(this->recordsOf(*Request)))
+      Link->second->send(Network::encode(Each));
+  }
 }
 
 void Controller::sendTo(Network::ConnectionId To,
@@ -388,10 +401,8 @@
   this->Entries[Hello.Entry] = From;
   Telemetry::log(Events::EntryConnected, Hello.Entry.str());
   this->sendTo(From, this->stateEndpoints());
-  const State::RegistryDelta Snapshot = this->registrySnapshot();
-  if (const auto Versions = this->versionsFor(Snapshot))
-    this->sendTo(From, *Versions);
-  this->sendTo(From, Snapshot);
+  for (const auto &Each : this->registryFrames(this->registrySnapshot()))
+    this->sendTo(From, Each);
   if (this->State.hasDeclaration() && !this->Declarations.contains(From))
     this->sendTo(From, State::DeclarationPush{this->State.declarationVersion(),
                                               this->State.document()});
@@ -578,21 +589,49 @@
   this->broadcastToEntries(Delta);
 }
 
-void Controller::mergeRegistryDelta(const State::RegistryDelta &Delta,
-                                    bool FromPeer) {
+void Controller::mergeRegistryDelta(Network::ConnectionId From,
+                                    const State::RegistryDelta &Delta) {
   const Common::TimePoint Now = this->Loop.now();
   for (const Membership::ServerRecord &Each : Delta.Changed) {
     const auto Outcome = this->Registry.update(Each, Now);
     if (Outcome == Membership::ServerRegistry::Outcome::Changed)
-      this->publishServerChange(this->Registry.find(Each.Id)->Record,
-                                !FromPeer);
+      this->publishServerChange(this->Registry.find(Each.Id)->Record, false);
   }
+  using RefreshOutcome = Membership::ServerRegistry::RefreshOutcome;
+  State::ServerRecordRequest Missing;
   for (const State::ServerRefresh &Each : Delta.Refreshed) {
-    if (this->Registry.refresh(Each.Id, Each.StartedAt, Each.Sequence,
-                               Each.Phase, Now))
+    const RefreshOutcome Outcome = this->Registry.refresh(
+        Each.Id, Each.StartedAt, Each.Sequence, Each.Phase, Now);
+    if (Outcome == RefreshOutcome::PhaseChanged)
       this->publishServerChange(this->Registry.find(Each.Id)->Record, false);
+    if (Outcome == RefreshOutcome::RecordMissing) {
+      this->Metrics.incrementCounter("server_records_missing_total");
+      Telemetry::log(Events::ServerRecordMissing, Each.Id.str(), Each.StartedAt,
+                     Each.Sequence);
+      Missing.Servers.push_back(Each.Id);
+    }
     this->EntryRefreshes[Each.Id] = Each;
   }
+  if (!Missing.Servers.empty())
+    this->sendTo(From, std::move(Missing));
+}
+
+std::vector<State::ControlFrame>
+Controller::registryFrames(const State::RegistryDelta &Delta) const {
+  std::vector<State::ControlFrame> Result;
+  if (auto Versions = this->versionsFor(Delta))
+    Result.emplace_back(std::move(*Versions));
+  Result.emplace_back(Delta);
+  return Result;
+}
+
+State::RegistryDelta
+Controller::recordsOf(const State::ServerRecordRequest &Request) const {
+  State::RegistryDelta Result;
+  for (const Common::BackendServerId &Each : Request.Servers)
+    if (const auto *Known = this->Registry.find(Each))
+      Result.Changed.push_back(Known->Record);
+  return Result;
 }
 
 State::RegistryDelta Controller::registrySnapshot() const {
--- a/Source/StateDaemon/Controller.h
+++ b/Source/StateDaemon/Controller.h
@@ -64,7 +64,8 @@
 
   // Frames between daemons.
   void handleFrame(Network::ConnectionId From, const std::string &Payload);
-  void handleLinkFrame(const std::string &Payload);
+  void handleLinkFrame(const Network::Address &Peer,
+                       const std::string &Payload);
   void handleEntryHello(Network::ConnectionId From,
                         const State::EntryHello &Hello);
   void handleEntryPoll(Network::ConnectionId From, State::EntryPoll Poll);
@@ -103,8 +104,15 @@
   void flushServerChanges();
   void flushRefreshes();
   void flushEntryRefreshes();
-  void mergeRegistryDelta(const State::RegistryDelta &Delta, bool FromPeer);
+  void mergeRegistryDelta(Network::ConnectionId From,
+                          const State::RegistryDelta &Delta);
   State::RegistryDelta registrySnapshot() const;
+  /// The frames that bring what this daemon knows of the servers of Delta.
+  std::vector<State::ControlFrame>
+  registryFrames(const State::RegistryDelta &Delta) const;
+  /// The answer to a request: those of the servers that are known here.
+  State::RegistryDelta
+  recordsOf(const State::ServerRecordRequest &Request) const;
 
   // Software versions of the servers.
   /// The known versions of the servers of Delta; nothing if there are none.
--- a/Source/StateDaemon/ControllerGroup.cpp
+++ b/Source/StateDaemon/ControllerGroup.cpp
@@ -111,8 +111,8 @@
     if (this->Links.count(Each) != 0)
       continue;
     Network::FrameClient::Handlers LinkHandlers;
-    LinkHandlers.OnPayload = [this](const std::string &Payload) {
-      this->handleLinkFrame(Payload);
+    LinkHandlers.OnPayload = [this, Each](const std::string &Payload) {
+      this->handleLinkFrame(Each, Payload);
     };
     LinkHandlers.OnConnected = [this, Each] {
       Telemetry::log(Events::PeerConnected, Each.str());
@@ -120,10 +120,8 @@
       if (Link == this->Links.end())
         return;
       this->sendPeerHello(*Link->second);
-      const State::RegistryDelta Snapshot = this->registrySnapshot();
-      if (const auto Versions = this->versionsFor(Snapshot))
-        Link->second->send(Network::encode(State::ControlFrame(*Versions)));
-      Link->second->send(Network::encode(State::ControlFrame(Snapshot)));
+      for (const auto &Frame : this->registryFrames(this->registrySnapshot()))
+        Link->second->send(Network::encode(Frame));
     };
     LinkHandlers.OnDisconnected = [Each] {
       Telemetry::log(Events::PeerLost, Each.str());
--- a/Source/UnitTests/EntryDaemon/ControlLinkTest.cpp
+++ b/Source/UnitTests/EntryDaemon/ControlLinkTest.cpp
@@ -43,6 +43,9 @@
   /// Sent one after the other, each in response to a request.
   std::vector<State::RequestedDeclaration> Declarations;
   int DeclarationRequests = 0;
+  /// Sent in response to the greeting.
+  std::optional<State::RegistryDelta> Refreshes;
+  std::vector<Common::BackendServerId> RequestedRecords;
 
 private:
   void handle(Network::ConnectionId From, const State::ControlFrame &Frame) {
@@ -50,7 +53,12 @@
       ++this->Hellos;
       this->Server->send(From, Network::encode(State::ControlFrame(
                                    State::StateEndpoints{this->Members})));
+      if (this->Refreshes)
+        this->Server->send(
+            From, Network::encode(State::ControlFrame(*this->Refreshes)));
     }
+    if (const auto *Request = std::get_if<State::ServerRecordRequest>(&Frame))
+      this->RequestedRecords = Request->Servers;
     if (std::get_if<State::DeclarationRequest>(&Frame) &&
         static_cast<std::size_t>(this->DeclarationRequests++) <
             this->Declarations.size())
@@ -104,7 +112,12 @@
     Options.Key = Key;
     Options.Seeds = std::move(Seeds);
     ControlLink::Handlers Handlers;
-    Handlers.OnRegistryDelta = [](const State::RegistryDelta &) {};
+    Handlers.OnRegistryDelta = [](const State::RegistryDelta &Delta) {
+      std::vector<Common::BackendServerId> Unknown;
+      for (const State::ServerRefresh &Each : Delta.Refreshed)
+        Unknown.push_back(Each.Id);
+      return Unknown;
+    };
     Handlers.OnDeclaration = [this](const State::DeclarationPush &Received,
                                     const char *) {
       this->Documents.push_back(Received.Document);
@@ -203,6 +216,19 @@
              boost::test_tools::per_element());
 }
 
+// Guards against STARVED: the refreshes of a server that is not known were
+// dropped, and its record was never sent.
+BOOST_FIXTURE_TEST_CASE(TheRecordsOfUnknownServersAreRequested, Fixture) {
+  const Network::Address At = allocateAddress();
+  LiveDaemon StateDaemon(*this->Loop, At, {{At, Common::DataCentreId("near")}});
+  const Common::BackendServerId Server("a");
+  StateDaemon.Refreshes = State::RegistryDelta{{}, {{Server, 1, 5}}};
+  const auto Link = this->openLink({At});
+  BOOST_REQUIRE(runUntil(
+      *this->Loop, [&] { return !StateDaemon.RequestedRecords.empty(); }));
+  BOOST_TEST((StateDaemon.RequestedRecords == std::vector{Server}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace UnitTests
--- a/Source/UnitTests/Membership/ServerRegistryTest.cpp
+++ b/Source/UnitTests/Membership/ServerRegistryTest.cpp
@@ -11,6 +11,7 @@
 
 using namespace Membership;
 using Outcome = ServerRegistry::Outcome;
+using RefreshOutcome = ServerRegistry::RefreshOutcome;
 
 ServerRecord record(const char *Id, std::uint64_t StartedAt,
                     std::uint64_t Sequence,
@@ -88,13 +89,39 @@
   ServerRegistry Registry;
   const Common::BackendServerId Id("a");
   Registry.update(record("a", 1, 1), {});
-  BOOST_TEST(!Registry.refresh(Id, 1, 2, ServerPhase::Serving, {}));
-  BOOST_TEST(Registry.refresh(Id, 1, 3, ServerPhase::Leaving, {}));
+  BOOST_CHECK(Registry.refresh(Id, 1, 2, ServerPhase::Serving, {}) ==
+              RefreshOutcome::Live);
+  BOOST_CHECK(Registry.refresh(Id, 1, 3, ServerPhase::Leaving, {}) ==
+              RefreshOutcome::PhaseChanged);
   BOOST_CHECK(phaseOf(Registry, "a") == ServerPhase::Leaving);
-  BOOST_TEST(!Registry.refresh(Id, 1, 4, ServerPhase::Serving, {}));
+  BOOST_CHECK(Registry.refresh(Id, 1, 4, ServerPhase::Serving, {}) ==
+              RefreshOutcome::Live);
   BOOST_CHECK(phaseOf(Registry, "a") == ServerPhase::Leaving);
 }
 
+// Guards against a refresh that is dropped without a word as its server, or the
+// server's incarnation, is not known.
+BOOST_AUTO_TEST_CASE(ARefreshOfAnUnknownIncarnationNeedsItsRecord) {
+  const Common::BackendServerId Id("a");
+  const Common::TimePoint Start{std::chrono::seconds(100)};
+  ServerRegistry Registry;
+  const auto Refresh = [&](std::uint64_t StartedAt, std::uint64_t Sequence) {
+    return Registry.refresh(Id, StartedAt, Sequence, ServerPhase::Serving,
+                            Start);
+  };
+  BOOST_CHECK(Refresh(1, 5) == RefreshOutcome::RecordMissing);
+  Registry.update(record("a", 1, 5), Start);
+  BOOST_CHECK(Refresh(1, 5) == RefreshOutcome::Stale);
+  BOOST_CHECK(Refresh(1, 6) == RefreshOutcome::Live);
+  BOOST_CHECK(Refresh(2, 1) == RefreshOutcome::RecordMissing);
+  Registry.update(record("a", 2, 1), Start);
+  BOOST_CHECK(Refresh(1, 7) == RefreshOutcome::Stale);
+  // It was forgotten, and its next refresh comes.
+  Registry.removeExpired(Start + std::chrono::seconds(11),
+                         std::chrono::seconds(10));
+  BOOST_CHECK(Refresh(2, 2) == RefreshOutcome::RecordMissing);
+}
+
 // A restarted state daemon acknowledges the deregistration of a server that it
 // does not know yet.
 BOOST_AUTO_TEST_CASE(UnknownServerCanBeMarkedGone) {
