Membership: Records of undeclared services replace no server

Cause: ServerRegistry takes a record of any service; a later start takes an address or an id from the server that has it, and phases never go back.

Change: records of services that are not declared are set aside until they are, by state daemons and by entry daemons, each by its own declaration. Before the first declaration all servers are known and none takes an address. An end of such a server is acknowledged by the leader only, and not recorded.

Ruled out: deregistrations without a start time or with a later one (nothing in them tells another writer); two servers of declared services (the newer one takes the address, as before).

--- a/Source/Core/Configuration/ServiceMap.cpp
+++ b/Source/Core/Configuration/ServiceMap.cpp
@@ -132,6 +132,13 @@
   return nullptr;
 }
 
+std::set<Common::ServiceName> ServiceMap::serviceNames() const {
+  std::set<Common::ServiceName> Result;
+  for (const ServiceEntry &Each : this->Parts.Services)
+    Result.insert(Each.Name);
+  return Result;
+}
+
 const ServiceEntry *ServiceMap::service(const Common::ServiceName &Name) const {
   for (const ServiceEntry &Each : this->Parts.Services)
     if (Each.Name == Name)
--- a/Source/Core/Configuration/ServiceMap.h
+++ b/Source/Core/Configuration/ServiceMap.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -159,6 +160,7 @@
   const std::vector<ServiceEntry> &services() const {
     return this->Parts.Services;
   }
+  std::set<Common::ServiceName> serviceNames() const;
   const std::vector<Team> &teams() const { return this->Parts.Teams; }
   const RequestLimits &limits() const { return this->Parts.Limits; }
 
--- a/Source/Core/Membership/ServerRegistry.cpp
+++ b/Source/Core/Membership/ServerRegistry.cpp
@@ -1,5 +1,7 @@
 #include "Membership/ServerRegistry.h"
 
+#include <algorithm>
+
 namespace Membership {
 
 namespace {
@@ -16,7 +18,8 @@
 
 bool ServerRegistry::claimAddress(const ServerRecord &Record) {
   // A record that was made of a ServerEnd has no address.
-  if (Record.Phase == ServerPhase::Gone || Record.Address.empty())
+  if (Record.Phase == ServerPhase::Gone || Record.Address.empty() ||
+      this->AwaitsServices)
     return true;
   const auto Owner = this->AddressOwners.find(Record.Address);
   if (Owner != this->AddressOwners.end() && Owner->second != Record.Id) {
@@ -32,8 +35,110 @@
   return true;
 }
 
+bool ServerRegistry::isAdmitted(const ServerRecord &Record) const {
+  if (!this->Services || this->Services->count(Record.Service) != 0)
+    return true;
+  // A record that was made of a ServerEnd states no service.
+  if (Record.Phase != ServerPhase::Serving && Record.Address.empty())
+    return true;
+  const Entry *Known = this->find(Record.Id);
+  return Known && Known->Record.StartedAt == Record.StartedAt &&
+         Known->Record.Service == Record.Service &&
+         Known->Record.Address == Record.Address;
+}
+
+const ServerRegistry::Entry *
+ServerRegistry::findSetAside(const Common::BackendServerId &Id,
+                             std::uint64_t StartedAt) const {
+  for (auto At = this->RecordsSetAside.lower_bound({Id, {}});
+       At != this->RecordsSetAside.end() && At->first.first == Id; ++At)
+    if (At->second.Record.StartedAt == StartedAt)
+      return &At->second;
+  return nullptr;
+}
+
+ServerRegistry::Entry *
+ServerRegistry::findSetAside(const Common::BackendServerId &Id,
+                             std::uint64_t StartedAt) {
+  return const_cast<Entry *>(std::as_const(*this).findSetAside(Id, StartedAt));
+}
+
+bool ServerRegistry::isSetAside(const Common::BackendServerId &Id,
+                                std::uint64_t StartedAt) const {
+  const Entry *Admitted = this->find(Id);
+  return (!Admitted || Admitted->Record.StartedAt < StartedAt) &&
+         this->findSetAside(Id, StartedAt);
+}
+
+void ServerRegistry::sortOut() {
+  std::vector<const ServerRecord *> Admitted;
+  for (auto At = this->Entries.begin(); At != this->Entries.end();) {
+    const ServerRecord &Record = At->second.Record;
+    // A record that was made of a ServerEnd has no address.
+    if (!Record.Address.empty() && this->Services->count(Record.Service) == 0) {
+      this->setAside(Record, At->second.HeardAt);
+      At = this->Entries.erase(At);
+      continue;
+    }
+    Admitted.push_back(&Record);
+    ++At;
+  }
+  std::stable_sort(Admitted.begin(), Admitted.end(),
+                   [](const ServerRecord *Left, const ServerRecord *Right) {
+                     return Left->StartedAt < Right->StartedAt;
+                   });
+  for (const ServerRecord *Each : Admitted)
+    this->claimAddress(*Each);
+}
+
+void ServerRegistry::setAside(const ServerRecord &Record,
+                              Common::TimePoint Now) {
+  const auto [At, IsNew] = this->RecordsSetAside.try_emplace(
+      {Record.Id, Record.Service}, Entry{Record, Now});
+  ServerRecord &Stored = At->second.Record;
+  if (IsNew) {
+    if (this->RecordsSetAside.size() > MaxSetAside)
+      this->RecordsSetAside.erase(std::min_element(
+          this->RecordsSetAside.begin(), this->RecordsSetAside.end(),
+          [](const auto &Left, const auto &Right) {
+            return Left.second.HeardAt < Right.second.HeardAt;
+          }));
+    return;
+  }
+  if (std::pair(Record.StartedAt, Record.Sequence) <=
+      std::pair(Stored.StartedAt, Stored.Sequence))
+    return;
+  const ServerPhase KnownPhase = Record.StartedAt == Stored.StartedAt
+                                     ? Stored.Phase
+                                     : ServerPhase::Serving;
+  Stored = Record;
+  Stored.Phase = std::max(KnownPhase, Record.Phase);
+  At->second.HeardAt = Now;
+}
+
+std::vector<ServerRecord>
+ServerRegistry::setServices(std::set<Common::ServiceName> Declared,
+                            Common::TimePoint Now) {
+  this->Services = std::move(Declared);
+  if (std::exchange(this->AwaitsServices, false))
+    this->sortOut();
+  std::vector<ServerRecord> Result;
+  std::erase_if(this->RecordsSetAside, [&](const auto &Each) {
+    if (this->Services->count(Each.first.second) == 0)
+      return false;
+    if (Now - Each.second.HeardAt <= MaxSetAsideAge)
+      Result.push_back(Each.second.Record);
+    return true;
+  });
+  return Result;
+}
+
 ServerRegistry::Outcome ServerRegistry::update(const ServerRecord &Record,
                                                Common::TimePoint Now) {
+  if (!this->isAdmitted(Record)) {
+    this->setAside(Record, Now);
+    return Outcome::SetAside;
+  }
   const auto Found = this->Entries.find(Record.Id);
   if (Found == this->Entries.end()) {
     if (!this->claimAddress(Record))
@@ -65,6 +170,12 @@
 }
 
 bool ServerRegistry::applyEnd(const ServerEnd &End, Common::TimePoint Now) {
+  if (this->isSetAside(End.Id, End.StartedAt)) {
+    ServerPhase &Phase =
+        this->findSetAside(End.Id, End.StartedAt)->Record.Phase;
+    Phase = std::max(Phase, End.Phase);
+    return false;
+  }
   Entry &Known = this->Entries[End.Id];
   ServerRecord &Stored = Known.Record;
   const bool Unknown = Stored.Id.empty();
@@ -88,8 +199,17 @@
                         ServerPhase Phase, Common::TimePoint Now) {
   const auto Found = this->Entries.find(Id);
   if (Found == this->Entries.end() ||
-      Found->second.Record.StartedAt < StartedAt)
-    return RefreshOutcome::RecordMissing;
+      Found->second.Record.StartedAt < StartedAt) {
+    Entry *Aside = this->findSetAside(Id, StartedAt);
+    if (!Aside)
+      return RefreshOutcome::RecordMissing;
+    if (Sequence > Aside->Record.Sequence) {
+      Aside->Record.Sequence = Sequence;
+      Aside->Record.Phase = std::max(Aside->Record.Phase, Phase);
+      Aside->HeardAt = Now;
+    }
+    return RefreshOutcome::SetAside;
+  }
   ServerRecord &Stored = Found->second.Record;
   if (Stored.StartedAt != StartedAt || Sequence <= Stored.Sequence)
     return RefreshOutcome::Stale;
@@ -103,9 +223,11 @@
 
 void ServerRegistry::removeExpired(Common::TimePoint Now,
                                    Common::Duration RetentionTime) {
-  std::erase_if(this->Entries, [Now, RetentionTime](const auto &Each) {
+  const auto IsExpired = [Now, RetentionTime](const auto &Each) {
     return Now - Each.second.HeardAt > RetentionTime;
-  });
+  };
+  std::erase_if(this->Entries, IsExpired);
+  std::erase_if(this->RecordsSetAside, IsExpired);
   std::erase_if(this->AddressOwners, [this](const auto &Each) {
     return this->Entries.count(Each.second) == 0;
   });
--- a/Source/Core/Membership/ServerRegistry.h
+++ b/Source/Core/Membership/ServerRegistry.h
@@ -8,7 +8,9 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Membership {
@@ -17,6 +19,9 @@
 /// of the entry daemon use BackendRegistry. Orders the servers' messages by
 /// start time and sequence number, so that the result does not depend on the
 /// order of arrival. Ages are measured on the local clock.
+///
+/// Anybody may announce a server. Records of services that are not declared are
+/// set aside, where they replace no other record and give no server an address.
 class ServerRegistry {
 public:
   /// Effect of a message on the registry.
@@ -27,6 +32,8 @@
     Refreshed,
     /// Older than the stored record, or a duplicate.
     Stale,
+    /// The service is not declared. The record has no effect until it is.
+    SetAside,
   };
   /// Effect of a refresh on the registry.
   enum class RefreshOutcome {
@@ -39,18 +46,37 @@
     /// There is no record of this incarnation, and a refresh does not describe
     /// it: the record has to be requested from the sender.
     RecordMissing,
+    /// The incarnation's record is set aside.
+    SetAside,
   };
   struct Entry {
     ServerRecord Record;
     Common::TimePoint HeardAt;
   };
 
+  /// Until setServices, the servers of all services are known and none takes
+  /// the address of another one, as it is not known which services are
+  /// declared.
+  void awaitServices() { this->AwaitsServices = true; }
+  /// Declares the services whose servers are used; by default, those of all
+  /// services are. Returns the records that were set aside and are of
+  /// these services now, for the owner to apply them. A server that was silent
+  /// for MaxSetAsideAge is left out, as it may have ended; its next heartbeat
+  /// or refresh brings it back. Servers that are known stay so when their
+  /// service is not declared any more.
+  std::vector<ServerRecord> setServices(std::set<Common::ServiceName> Declared,
+                                        Common::TimePoint Now);
+  static constexpr Common::Duration MaxSetAsideAge = std::chrono::seconds(5);
+  /// Beyond this number, the records that were set aside and silent for longest
+  /// are dropped.
+  static constexpr std::size_t MaxSetAside = 4096;
+
   /// Applies a record that a server or another daemon sent.
   Outcome update(const ServerRecord &Record, Common::TimePoint Now);
   /// Marks an incarnation as leaving or gone, also if this registry does not
   /// know it, so that a delayed heartbeat does not add it as serving. Returns
   /// whether that is news; it is none about an older incarnation than the known
-  /// one.
+  /// one, nor about one whose record is set aside.
   bool applyEnd(const ServerEnd &End, Common::TimePoint Now);
   /// Applies a refresh from another daemon that received message Sequence of
   /// this incarnation, in which the server was in Phase.
@@ -82,8 +108,22 @@
   /// The server that last announced itself at the address; empty if none did.
   Common::BackendServerId ownerOf(const Network::Address &Address) const;
   std::vector<ServerRecord> records() const;
+  /// Whether the record of this incarnation is set aside.
+  bool isSetAside(const Common::BackendServerId &Id,
+                  std::uint64_t StartedAt) const;
 
 private:
+  /// Whether the record may replace others: its service is declared, it
+  /// describes the incarnation that is known, or it was made of a ServerEnd.
+  bool isAdmitted(const ServerRecord &Record) const;
+  void setAside(const ServerRecord &Record, Common::TimePoint Now);
+  /// Sets aside what was known before the services were declared, and gives the
+  /// addresses to the others.
+  void sortOut();
+  const Entry *findSetAside(const Common::BackendServerId &Id,
+                            std::uint64_t StartedAt) const;
+  Entry *findSetAside(const Common::BackendServerId &Id,
+                      std::uint64_t StartedAt);
   /// Marks an older server at the address of Record as gone. Returns false if a
   /// newer server holds the address.
   bool claimAddress(const ServerRecord &Record);
@@ -91,6 +131,13 @@
   std::map<Common::BackendServerId, Entry> Entries;
   std::map<Network::Address, Common::BackendServerId> AddressOwners;
   VersionTable Versions;
+  bool AwaitsServices = false;
+  /// Nothing until they are declared.
+  std::optional<std::set<Common::ServiceName>> Services;
+  /// By id and service, so that what one writer says of an id does not displace
+  /// what another one does.
+  std::map<std::pair<Common::BackendServerId, Common::ServiceName>, Entry>
+      RecordsSetAside;
 };
 
 } // namespace Membership
--- a/Source/Core/Routing/ServerTable.cpp
+++ b/Source/Core/Routing/ServerTable.cpp
@@ -107,6 +107,20 @@
 ServerTable::ServerTable(ServerTableOptions Options)
     : Options(std::move(Options)), Randomness(this->Options.Seed) {}
 
+void ServerTable::setServices(std::set<Common::ServiceName> Declared,
+                              Common::TimePoint Now) {
+  for (const Membership::ServerRecord &Each :
+       this->Registry.setServices(std::move(Declared), Now))
+    this->apply(Each, Now);
+  // Those that were known before the first declaration may be set aside or
+  // replaced now.
+  std::vector<Common::BackendServerId> Listed;
+  for (const auto &Each : this->ListedIn)
+    Listed.push_back(Each.first);
+  for (const Common::BackendServerId &Each : Listed)
+    this->updateRing(Each);
+}
+
 bool ServerTable::apply(const Membership::ServerRecord &Announced,
                         Common::TimePoint Now) {
   const Membership::ServerRegistry::Entry *Previous =
--- a/Source/Core/Routing/ServerTable.h
+++ b/Source/Core/Routing/ServerTable.h
@@ -101,6 +101,13 @@
 public:
   explicit ServerTable(ServerTableOptions Options);
 
+  /// See ServerRegistry::awaitServices.
+  void awaitServices() { this->Registry.awaitServices(); }
+  /// Declares the services whose servers may be used; by default, those of all
+  /// services may. Servers that announced themselves before their
+  /// service was declared are applied. See ServerRegistry::setServices.
+  void setServices(std::set<Common::ServiceName> Declared,
+                   Common::TimePoint Now);
   /// Applies a server's announcement. Returns whether it changed the table.
   bool apply(const Membership::ServerRecord &Announced, Common::TimePoint Now);
   /// Applies a report that another daemon received message Sequence of the
--- a/Source/Core/Telemetry/LogEvents.h
+++ b/Source/Core/Telemetry/LogEvents.h
@@ -150,6 +150,10 @@
     LogLevel::Warning,
     "server_record_missing",
     {"server", "started", "sequence"}};
+inline constexpr LogEvent<4> ServerSetAside{
+    LogLevel::Warning,
+    "server_set_aside",
+    {"server", "service", "address", "started"}};
 inline constexpr LogEvent<8> ServerChanged{LogLevel::Info,
                                            "server_changed",
                                            {"server", "service", "datacentre",
--- a/Source/EntryDaemon/Gateway.cpp
+++ b/Source/EntryDaemon/Gateway.cpp
@@ -52,6 +52,7 @@
   std::unique_ptr<Gateway> Result(new Gateway(Loop, std::move(Settings)));
   Result->ReloadSettings = std::move(ReloadSettings);
   Result->Context.Settings.Host.apply(Loop);
+  Result->Context.Servers.awaitServices();
   if (absl::Status ListenStatus = Result->listen(); !ListenStatus.ok())
     return ListenStatus;
   Result->openControlLink();
@@ -294,6 +295,10 @@
     return DeclarationOutcome::NotNewer;
   this->Context.Declaration =
       std::make_shared<const Configuration::ServiceMap>(std::move(*Decoded));
+  this->Context.Servers.setServices(this->Context.Declaration->serviceNames(),
+                                    this->Loop.now());
+  if (this->Context.Rollouts)
+    this->Context.Rollouts->refresh(this->Loop.now());
   const Configuration::RequestLimits &Declared =
       this->Context.Declaration->limits();
   Network::Http1Server::Limits Limits;
--- a/Source/FaultTests/RoutedAnnouncementTest.cpp
+++ b/Source/FaultTests/RoutedAnnouncementTest.cpp
@@ -8,9 +8,11 @@
 
 using namespace std::chrono_literals;
 
+constexpr const char *ReplacePath = "/sycamorereach/config/replace";
 /// A server that was silent for longer is not sent to daemons that connect.
 constexpr Common::Duration SilentTime = 5500ms;
 constexpr const char *ServerIp = "127.0.8.20";
+constexpr const char *OtherServerIp = "127.0.8.21";
 
 struct Fixture : RoutedCluster {
   Fixture() { this->startAll(); }
@@ -47,6 +49,22 @@
     return Result;
   }
 
+  /// Sends what another writer says a few times, and announces shop-1 beside
+  /// it. Expects that shop-1 is used all the while.
+  void expectNoHarm(const Heartbeat &Foreign) {
+    for (int I = 1; I <= StateDaemons; ++I) {
+      this->announceTo(I, Foreign);
+      this->announce("ready");
+    }
+    const Common::TimePoint End = this->loop().now() + 2s;
+    BOOST_TEST(this->waitUntil([&] {
+      const int Status = this->request("/a/x").Status;
+      if (Status != 200)
+        BOOST_TEST(Status == 200, Foreign.Id << " in " << Foreign.State);
+      return Status != 200 || this->loop().now() >= End;
+    }));
+  }
+
 private:
   int LastId = 0;
 };
@@ -84,6 +102,46 @@
   }));
 }
 
+// Guards against STARVED: a heartbeat for a service that is not declared, at
+// the address or under the id of a sound server, took the server out of use.
+BOOST_AUTO_TEST_CASE(AnotherWriterTakesNoServerOutOfUse) {
+  Fixture Test;
+  constexpr std::uint64_t Later = 2000;
+  for (const char *State : {"ready", "draining"}) {
+    Test.expectNoHarm({"monitor", ServerIp, "host-monitor", State, Later});
+    Test.expectNoHarm({"shop-1", ServerIp, "host-monitor", State, Later + 1});
+    Test.expectNoHarm({"shop-1", OtherServerIp, "host-monitor", State});
+  }
+}
+
+// A server may announce itself before its service is declared, and the service
+// may be taken away and declared again.
+BOOST_AUTO_TEST_CASE(AServerIsUsedOnceItsServiceIsDeclared) {
+  Fixture Test;
+  const RoutedCluster::Heartbeat Mill = {"mill-1", OtherServerIp, "mill"};
+  nlohmann::json Document =
+      nlohmann::json::parse(RoutedCluster::declaration(4, "/a/"));
+  Document["services"].push_back({{"name", "mill"}});
+  nlohmann::json Route = Document["routes"][0];
+  Route["path-prefix"] = "/mill/";
+  Route["service"] = "mill";
+  Document["routes"].push_back(Route);
+  for (int I = 1; I <= RoutedCluster::StateDaemons; ++I)
+    BOOST_TEST(Test.announceTo(I, Mill) == 200);
+  for (const std::uint64_t Version : {4, 6}) {
+    Document["version"] = Version;
+    BOOST_REQUIRE(Test.operatorCall("POST", ReplacePath, Document.dump(), 200));
+    BOOST_TEST(
+        Test.waitUntil([&] { return Test.request("/mill/x").Status == 200; }));
+    BOOST_REQUIRE(
+        Test.operatorCall("POST", ReplacePath,
+                          RoutedCluster::declaration(Version + 1, "/a/"), 200));
+    BOOST_TEST(
+        Test.waitUntil([&] { return Test.request("/mill/x").Status == 404; }));
+    Test.announce(Mill);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace FaultTests
--- a/Source/StateDaemon/Controller.cpp
+++ b/Source/StateDaemon/Controller.cpp
@@ -58,6 +58,7 @@
 Controller::create(Network::EventLoop &Loop, ControllerSettings Settings) {
   std::unique_ptr<Controller> Result(new Controller(Loop, std::move(Settings)));
   Result->Settings.Host.apply(Loop);
+  Result->Registry.awaitServices();
   if (absl::Status Listening = Result->listen(); !Listening.ok())
     return Listening;
   return Result;
@@ -247,6 +248,9 @@
   this->Declaration =
       std::make_shared<const Configuration::ServiceMap>(std::move(*Map));
   this->Tokens.setDeclaration(this->Declaration);
+  for (const Membership::ServerRecord &Each : this->Registry.setServices(
+           this->Declaration->serviceNames(), this->Loop.now()))
+    this->updateServer(Each);
 }
 
 Common::ConfigurationVersion Controller::declaredVersion() const {
@@ -520,20 +524,28 @@
     this->sendTo(Entry->second, Answer);
 }
 
-void Controller::updateServer(const Membership::ServerRecord &Record) {
+Membership::ServerRegistry::Outcome
+Controller::updateServer(const Membership::ServerRecord &Record) {
   const auto Outcome = this->Registry.update(Record, this->Loop.now());
   switch (Outcome) {
   case Membership::ServerRegistry::Outcome::Changed:
     this->publishServerChange(this->Registry.find(Record.Id)->Record, true);
-    return;
+    break;
   case Membership::ServerRegistry::Outcome::Refreshed:
     this->PendingRefreshes.push_back(
         {Record.Id, Record.StartedAt, Record.Sequence, Record.Phase});
-    return;
+    break;
   case Membership::ServerRegistry::Outcome::Stale:
     this->Metrics.incrementCounter("heartbeats_stale_total");
-    return;
+    break;
+  case Membership::ServerRegistry::Outcome::SetAside:
+    this->Metrics.incrementCounter("heartbeats_undeclared_total");
+    Telemetry::log(Events::ServerSetAside, Record.Id.str(),
+                   Record.Service.str(), Record.Address.str(),
+                   Record.StartedAt);
+    break;
   }
+  return Outcome;
 }
 
 void Controller::publishServerChange(const Membership::ServerRecord &Changed,
@@ -610,7 +622,8 @@
                      Each.Sequence);
       Missing.Servers.push_back(Each.Id);
     }
-    this->EntryRefreshes[Each.Id] = Each;
+    if (Outcome != RefreshOutcome::SetAside)
+      this->EntryRefreshes[Each.Id] = Each;
   }
   if (!Missing.Servers.empty())
     this->sendTo(From, std::move(Missing));
--- a/Source/StateDaemon/Controller.h
+++ b/Source/StateDaemon/Controller.h
@@ -98,7 +98,8 @@
   State::StateEndpoints stateEndpoints() const;
 
   // Server registry.
-  void updateServer(const Membership::ServerRecord &Record);
+  Membership::ServerRegistry::Outcome
+  updateServer(const Membership::ServerRecord &Record);
   void publishServerChange(const Membership::ServerRecord &Changed,
                            bool ToPeers);
   void flushServerChanges();
@@ -174,6 +175,10 @@
   void handleHttp(const std::shared_ptr<Network::Http1Exchange> &Exchange);
   void handleHeartbeat(const std::shared_ptr<Network::Http1Exchange> &Exchange,
                        const Common::BackendServerId &Id);
+  /// Responds to a server whose service is not declared, as far as this daemon
+  /// knows.
+  void answerUndeclared(Network::Http1Exchange &Exchange,
+                        Membership::ServerPhase Phase);
   void
   handleDeregistration(const std::shared_ptr<Network::Http1Exchange> &Exchange,
                        const Common::BackendServerId &Id);
--- a/Source/StateDaemon/ControllerHttp.cpp
+++ b/Source/StateDaemon/ControllerHttp.cpp
@@ -92,8 +92,16 @@
     return;
   }
   this->Metrics.incrementCounter("heartbeats_total");
-  this->updateServer(*Record);
-  this->noteVersion(*Record, Record->Version);
+  // Decodes what has just been applied.
+  this->pushDeclaration();
+  const bool IsSetAside = this->updateServer(*Record) ==
+                          Membership::ServerRegistry::Outcome::SetAside;
+  if (!IsSetAside)
+    this->noteVersion(*Record, Record->Version);
+  if (IsSetAside || !this->Declaration) {
+    this->answerUndeclared(*Exchange, Record->Phase);
+    return;
+  }
   if (Record->Phase == Membership::ServerPhase::Serving)
     replyAccepted(*Exchange);
   else
@@ -101,6 +109,17 @@
                                {Id, Record->StartedAt, Record->Phase});
 }
 
+void Controller::answerUndeclared(Network::Http1Exchange &Exchange,
+                                  Membership::ServerPhase Phase) {
+  // An end is acknowledged at once only where no newer declaration can exist
+  // by which the server is in use.
+  if (Phase == Membership::ServerPhase::Serving ||
+      this->Driver->holdsLeadership())
+    replyAccepted(Exchange);
+  else
+    this->redirectToLeader(Exchange, Exchange.head().Target);
+}
+
 void Controller::handleDeregistration(
     const std::shared_ptr<Network::Http1Exchange> &Exchange,
     const Common::BackendServerId &Id) {
@@ -121,6 +140,10 @@
   }
   if (this->Registry.applyEnd(End, this->Loop.now()))
     this->publishServerChange(this->Registry.find(Id)->Record, true);
+  if (this->Registry.isSetAside(Id, End.StartedAt)) {
+    this->answerUndeclared(*Exchange, End.Phase);
+    return;
+  }
   this->acknowledgeServerEnd(Exchange, End);
 }
 
--- a/Source/UnitTests/Membership/ServerRegistryTest.cpp
+++ b/Source/UnitTests/Membership/ServerRegistryTest.cpp
@@ -244,6 +244,129 @@
   BOOST_TEST(!Registry.versionOf(Id, 5).has_value());
 }
 
+// Guards against STARVED: a record of a service that is not declared took the
+// address or the id of a sound server.
+BOOST_AUTO_TEST_CASE(ServersOfUndeclaredServicesReplaceNoOther) {
+  const Common::ServiceName Shop("shop");
+  const Common::ServiceName Monitor("host-monitor");
+  for (const ServerPhase Phase : {ServerPhase::Serving, ServerPhase::Leaving})
+    for (const char *Id : {"a", "b"})
+      for (const std::uint64_t StartedAt : {1, 2})
+        for (const bool IsFirst : {true, false}) {
+          ServerRegistry Registry;
+          Registry.setServices({Shop}, {});
+          ServerRecord Foreign = record(Id, StartedAt, 9, Phase);
+          Foreign.Service = Monitor;
+          if (IsFirst)
+            BOOST_CHECK(Registry.update(Foreign, {}) == Outcome::SetAside);
+          Registry.update(record("a", 1, 5), {});
+          BOOST_CHECK(Registry.update(Foreign, {}) == Outcome::SetAside);
+          BOOST_CHECK(Registry.update(record("a", 1, 6), {}) ==
+                      Outcome::Refreshed);
+          BOOST_CHECK(phaseOf(Registry, "a") == ServerPhase::Serving);
+          BOOST_TEST(Registry.entries().size() == 1u);
+          // It is known here, so its record need not be requested.
+          if (StartedAt == 2)
+            BOOST_CHECK(Registry.refresh(Foreign.Id, 2, 10, Phase, {}) ==
+                        RefreshOutcome::SetAside);
+        }
+}
+
+// The end of an incarnation that is set aside is none of the sound server's.
+BOOST_AUTO_TEST_CASE(TheEndOfARecordThatIsSetAsideEndsNoOther) {
+  const Common::ServiceName Shop("shop");
+  const Common::ServiceName Monitor("host-monitor");
+  ServerRegistry Registry;
+  Registry.setServices({Shop}, {});
+  Registry.update(record("a", 1, 5), {});
+  ServerRecord Foreign = record("a", 2, 1);
+  Foreign.Service = Monitor;
+  Registry.update(Foreign, {});
+  BOOST_TEST(Registry.isSetAside(Foreign.Id, 2));
+  BOOST_TEST(!Registry.applyEnd(gone("a", 2), {}));
+  BOOST_CHECK(phaseOf(Registry, "a") == ServerPhase::Serving);
+  // Declared meanwhile, it takes the id, and stays ended.
+  const auto Admitted = Registry.setServices({Shop, Monitor}, {});
+  BOOST_REQUIRE(Admitted.size() == 1u);
+  BOOST_CHECK(Admitted[0].Phase == ServerPhase::Gone);
+  BOOST_CHECK(Registry.update(Admitted[0], {}) == Outcome::Changed);
+  // The known server's end is applied although its incarnation is also said to
+  // be one of an undeclared service.
+  ServerRegistry Other;
+  Other.setServices({Shop}, {});
+  Other.update(record("a", 1, 5), {});
+  Foreign.StartedAt = 1;
+  Foreign.Sequence = 6;
+  Other.update(Foreign, {});
+  BOOST_TEST(!Other.isSetAside(Foreign.Id, 1));
+  BOOST_TEST(Other.applyEnd(gone("a", 1), {}));
+}
+
+BOOST_AUTO_TEST_CASE(AServerOutlivesTheDeclarationsOfItsService) {
+  const Common::ServiceName Shop("shop");
+  const Common::TimePoint Start{std::chrono::seconds(100)};
+  ServerRegistry Registry;
+  Registry.setServices({}, Start);
+  BOOST_CHECK(Registry.update(record("a", 1, 1), Start) == Outcome::SetAside);
+  for (const ServerRecord &Each : Registry.setServices({Shop}, Start))
+    BOOST_CHECK(Registry.update(Each, Start) == Outcome::Changed);
+  BOOST_CHECK(Registry.update(record("a", 1, 2), Start) == Outcome::Refreshed);
+  // Taken away: it goes on, and a later incarnation waits.
+  Registry.setServices({}, Start);
+  BOOST_CHECK(Registry.update(record("a", 1, 3), Start) == Outcome::Refreshed);
+  BOOST_CHECK(Registry.update(record("a", 2, 1), Start) == Outcome::SetAside);
+  const auto Admitted = Registry.setServices({Shop}, Start);
+  BOOST_REQUIRE(Admitted.size() == 1u);
+  BOOST_CHECK(Registry.update(Admitted[0], Start) == Outcome::Changed);
+  // One that was silent for long may have ended, and its next message counts.
+  Registry.setServices({}, Start);
+  Registry.update(record("b", 1, 1, ServerPhase::Serving, 81), Start);
+  const Common::TimePoint Later =
+      Start + ServerRegistry::MaxSetAsideAge + std::chrono::seconds(1);
+  BOOST_TEST(Registry.setServices({Shop}, Later).empty());
+  BOOST_CHECK(Registry.update(record("b", 1, 2, ServerPhase::Serving, 81),
+                              Later) == Outcome::Changed);
+}
+
+// Guards against a daemon without a declaration, as after a start behind a cut,
+// that keeps servers to itself or lets another writer take their addresses.
+BOOST_AUTO_TEST_CASE(BeforeTheFirstDeclarationAllServersAreKnown) {
+  const Common::ServiceName Shop("shop");
+  for (const bool IsFirst : {true, false}) {
+    ServerRegistry Registry;
+    Registry.awaitServices();
+    ServerRecord Foreign = record("monitor", 9, 1);
+    Foreign.Service = Common::ServiceName("host-monitor");
+    if (IsFirst)
+      Registry.update(Foreign, {});
+    BOOST_CHECK(Registry.update(record("a", 1, 1), {}) == Outcome::Changed);
+    Registry.update(record("b", 2, 1), {});
+    Registry.update(Foreign, {});
+    BOOST_CHECK(phaseOf(Registry, "a") == ServerPhase::Serving);
+    Registry.setServices({Shop}, {});
+    BOOST_TEST(!Registry.find(Foreign.Id));
+    BOOST_TEST(Registry.isSetAside(Foreign.Id, 9));
+    // Of the servers of declared services, the newer one holds the address.
+    BOOST_CHECK(phaseOf(Registry, "a") == ServerPhase::Gone);
+    BOOST_CHECK(phaseOf(Registry, "b") == ServerPhase::Serving);
+    BOOST_TEST(Registry.ownerOf(Foreign.Address).str() == "b");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(RecordsThatAreSetAsideAreBounded) {
+  const Common::TimePoint Start{std::chrono::seconds(100)};
+  ServerRegistry Registry;
+  Registry.setServices({}, Start);
+  for (std::size_t I = 0; I <= ServerRegistry::MaxSetAside; ++I)
+    Registry.update(record(std::to_string(I).c_str(), 1, 1),
+                    Start + std::chrono::microseconds(I));
+  BOOST_TEST(!Registry.isSetAside(Common::BackendServerId("0"), 1));
+  BOOST_TEST(Registry.isSetAside(Common::BackendServerId("1"), 1));
+  Registry.removeExpired(Start + std::chrono::seconds(11),
+                         std::chrono::seconds(10));
+  BOOST_TEST(!Registry.isSetAside(Common::BackendServerId("1"), 1));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace UnitTests
--- a/Source/UnitTests/Routing/ServerTableTest.cpp
+++ b/Source/UnitTests/Routing/ServerTableTest.cpp
@@ -481,6 +481,40 @@
   }
 }
 
+// Guards against STARVED: a record of an undeclared service at the address of a
+// sound server took that one off its ring, or came before it.
+BOOST_AUTO_TEST_CASE(ServersAreListedByTheDeclaredServices) {
+  const Common::ServiceName Shop("shop");
+  const Common::ServiceName Monitor("host-monitor");
+  for (const bool IsBeforeDeclaration : {true, false}) {
+    ServerTable Servers({});
+    Servers.awaitServices();
+    if (!IsBeforeDeclaration)
+      Servers.setServices({Shop}, {});
+    Membership::ServerRecord Sound;
+    Sound.Id = Common::BackendServerId("a");
+    Sound.Service = Shop;
+    Sound.Address = {"10.0.0.1", 80};
+    Sound.Slots = 4;
+    Sound.StartedAt = 1;
+    Sound.Sequence = 1;
+    Membership::ServerRecord Foreign = Sound;
+    Foreign.Id = Common::BackendServerId("monitor");
+    Foreign.Service = Monitor;
+    Foreign.StartedAt = 2;
+    Servers.apply(Foreign, {});
+    Servers.apply(Sound, {});
+    Servers.apply(Foreign, {});
+    Servers.setServices({Shop}, {});
+    BOOST_TEST(Servers.hasServing(Shop));
+    BOOST_TEST(!Servers.hasServing(Monitor));
+    // Declared, the later one has the address.
+    Servers.setServices({Shop, Monitor}, {});
+    BOOST_TEST(!Servers.hasServing(Shop));
+    BOOST_TEST(Servers.hasServing(Monitor));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace UnitTests
