platform: A deregistration that cannot be read ends no server

Callers saw: after a deregistration whose body could not be read, or whose start time was of another type, the sound server of that id got no requests.

Cause: such a body was taken for one without a start time, which ends the known incarnation.

Change: it is refused with 400, counted and logged with the reason. An empty body, and one without a start time, are read as before.

RoutedDeregistration/ADeregistrationThatCannotBeRecorded* expected 503 for a body that is no JSON, as for one without a start time. It expects 400 now, as such a body names no server at all, and 503 for an empty one besides.

--- a/Source/Core/Telemetry/LogEvents.h
+++ b/Source/Core/Telemetry/LogEvents.h
@@ -163,8 +163,8 @@
     LogLevel::Info,
     "server_end_decided",
     {"server", "started", "phase", "outcome", "waited_ms"}};
-inline constexpr LogEvent<1> DeregistrationRefused{
-    LogLevel::Warning, "deregistration_refused", {"server"}};
+inline constexpr LogEvent<2> DeregistrationRefused{
+    LogLevel::Warning, "deregistration_refused", {"server", "detail"}};
 inline constexpr LogEvent<2> HeartbeatRefused{
     LogLevel::Warning, "heartbeat_refused", {"server", "detail"}};
 inline constexpr LogEvent<2> ReclaimNotice{
--- a/Source/FaultTests/RoutedAnnouncementTest.cpp
+++ b/Source/FaultTests/RoutedAnnouncementTest.cpp
@@ -114,6 +114,20 @@
   }
 }
 
+// Guards against a deregistration by another writer, which cannot be read, that
+// ends a sound server.
+BOOST_AUTO_TEST_CASE(ADeregistrationThatCannotBeReadEndsNoServer) {
+  Fixture Test;
+  for (const char *Body : {"{", "[]", R"({"born":"1000"})", R"({"born":-1})"}) {
+    BOOST_TEST(Test.call(Test.controlAddress(1), "POST",
+                         "/sycamorereach/replicas/shop-1/deregister", Body)
+                       .Status == 400,
+               Body);
+    Test.announce("ready");
+    BOOST_TEST(Test.request("/a/x").Status == 200, Body);
+  }
+}
+
 // A server may announce itself before its service is declared, and the service
 // may be taken away and declared again.
 BOOST_AUTO_TEST_CASE(AServerIsUsedOnceItsServiceIsDeclared) {
--- a/Source/FaultTests/RoutedDeregistrationTest.cpp
+++ b/Source/FaultTests/RoutedDeregistrationTest.cpp
@@ -167,7 +167,8 @@
         .Status;
   };
   BOOST_TEST(Deregister("shop-7", "{}") == 503);
-  BOOST_TEST(Deregister("shop-7", "not JSON") == 503);
+  BOOST_TEST(Deregister("shop-7", "") == 503);
+  BOOST_TEST(Deregister("shop-7", "not JSON") == 400);
   BOOST_TEST(Deregister("shop-7", deregistration(5)) == 200);
   // The start time of a known server is known too.
   BOOST_TEST(Deregister("shop-7", "{}") == 200);
--- a/Source/StateDaemon/ControllerHttp.cpp
+++ b/Source/StateDaemon/ControllerHttp.cpp
@@ -123,14 +123,21 @@
 void Controller::handleDeregistration(
     const std::shared_ptr<Network::Http1Exchange> &Exchange,
     const Common::BackendServerId &Id) {
-  Membership::ServerEnd End{Id,
-                            Platform::decodeDeregistration(Exchange->body()),
-                            Membership::ServerPhase::Gone};
+  const auto StartedAt = Platform::decodeDeregistration(Exchange->body());
+  if (!StartedAt.ok()) {
+    this->Metrics.incrementCounter("deregistrations_bad_total");
+    Telemetry::log(Events::DeregistrationRefused, Id.str(),
+                   StartedAt.status().message());
+    replyError(*Exchange, 400, std::string(StartedAt.status().message()));
+    return;
+  }
+  Membership::ServerEnd End{Id, *StartedAt, Membership::ServerPhase::Gone};
   if (End.StartedAt == 0) {
     const auto *Known = this->Registry.find(Id);
     if (!Known) {
       this->Metrics.incrementCounter("deregistrations_unknown_total");
-      Telemetry::log(Events::DeregistrationRefused, Id.str());
+      Telemetry::log(Events::DeregistrationRefused, Id.str(),
+                     "unknown here, without a start time");
       replyUnavailable(*Exchange, "the server is not known here and states no "
                                   "start time; send born, or call another "
                                   "daemon");
--- a/Source/UnitTests/Platform/PlatformTest.cpp
+++ b/Source/UnitTests/Platform/PlatformTest.cpp
@@ -607,6 +607,17 @@
   BOOST_TEST(Decode({}).RequestId.empty());
 }
 
+// Guards against a deregistration of another writer that ends a server.
+BOOST_AUTO_TEST_CASE(ReadsDeregistrationsWithAndWithoutAStartTime) {
+  for (const char *Body : {"", "{}", R"({"sequence":4})"})
+    BOOST_TEST(Platform::decodeDeregistration(Body).value() == 0u, Body);
+  BOOST_TEST(Platform::decodeDeregistration(R"({"born":1000})").value() ==
+             1000u);
+  for (const char *Body : {"{", "[]", "null", "born", R"({"born":"1000"})",
+                           R"({"born":-1})", R"({"born":1.5})"})
+    BOOST_TEST(!Platform::decodeDeregistration(Body).ok(), Body);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace UnitTests
