--- a/Source/StateDaemon/RolloutOrders.cpp
+++ b/Source/StateDaemon/RolloutOrders.cpp
@@ -39,7 +39,7 @@
 }
 
 void RolloutOrders::handle(const Platform::RolloutOrder &Order,
-                           Callback OnDecided) {
+                           const Callback &OnDecided) {
   if (const auto Decided = this->decideByState(Order)) {
     OnDecided(*Decided);
     return;
--- a/Source/StateDaemon/RolloutOrders.h
+++ b/Source/StateDaemon/RolloutOrders.h
@@ -54,7 +54,7 @@
       : State(State), AckTime(AckTime),
         OwnerHandlers(std::move(OwnerHandlers)) {}
 
-  void handle(const Platform::RolloutOrder &Order, Callback OnDecided);
+  void handle(const Platform::RolloutOrder &Order, const Callback &OnDecided);
 
 private:
   /// Nothing if a rollout is to be begun.
