FaultTests: The soak has another writer

It announces an undeclared service at the addresses and under the ids of the soak's servers, as ready and as draining, and sends deregistrations that cannot be read, beside the other disturbances.

--- a/Source/FaultTests/RoutedSoakTest.cpp
+++ b/Source/FaultTests/RoutedSoakTest.cpp
@@ -67,6 +67,8 @@
     this->repeat([this] { this->changeConfiguration(); });
     this->repeat([this] { this->sendInvalidConfiguration(); });
     this->repeat([this] { this->replaceServer(); });
+    this->repeat([this] { this->announceAsAnotherWriter(); });
+    this->repeat([this] { this->deregisterUnreadably(); });
     this->repeat([this] {
       this->Fixture.blockLinks();
       this->endAfter(this->Random.between(300ms, 1500ms),
@@ -309,11 +311,52 @@
     });
   }
 
+  int anyServer() {
+    return static_cast<int>(this->Random.below(this->Servers.size()));
+  }
+
+  int anyStateDaemon() {
+    return 1 +
+           static_cast<int>(this->Random.below(RoutedCluster::StateDaemons));
+  }
+
+  /// A heartbeat for a service that is not declared, at the address of a server
+  /// or under its id, which names no server to use.
+  void announceAsAnotherWriter() {
+    const int Number = this->anyServer();
+    const std::uint64_t StartedAt = this->Servers[Number]->startedAt();
+    const std::string Id = "soak-" + std::to_string(Number);
+    this->Fixture.startCall(
+        this->Fixture.controlAddress(this->anyStateDaemon()), "POST",
+        "/sycamorereach/replicas/" +
+            (this->Random.chance(0.5) ? Id : "monitor-" + Id) + "/heartbeat",
+        nlohmann::json{
+            {"service", "host-monitor"},
+            {"address", RoutedCluster::serverAddress(serverIp(Number)).str()},
+            {"zone", "dcstate1"},
+            {"version", "v9"},
+            {"slots", 8},
+            {"state", this->Random.chance(0.5) ? "ready" : "draining"},
+            {"sequence", 1'000'000},
+            {"born", StartedAt + this->Random.below(2)}}
+            .dump(),
+        {});
+  }
+
+  /// A deregistration of another writer, which cannot be read and ends nothing.
+  void deregisterUnreadably() {
+    static constexpr std::array Bodies = {"{", "[]", R"({"born":"1"})"};
+    this->Fixture.startCall(
+        this->Fixture.controlAddress(this->anyStateDaemon()), "POST",
+        "/sycamorereach/replicas/soak-" + std::to_string(this->anyServer()) +
+            "/deregister",
+        Bodies.at(this->Random.below(Bodies.size())), {});
+  }
+
   void restartStateDaemon() {
     if (std::exchange(this->StateDaemonDown, true))
       return;
-    const int Number =
-        1 + static_cast<int>(this->Random.below(RoutedCluster::StateDaemons));
+    const int Number = this->anyStateDaemon();
     const std::string Name = "state" + std::to_string(Number);
     this->Fixture.process(Name).signal(this->Random.chance(0.5) ? SIGTERM
                                                                 : SIGKILL);
@@ -341,8 +384,7 @@
         nlohmann::json{{"routes", nullptr}},
         nlohmann::json{{"tenants", nlohmann::json::object()}}};
     Invalid.update(Variants.at(this->Random.below(Variants.size())));
-    const int Daemon =
-        1 + static_cast<int>(this->Random.below(RoutedCluster::StateDaemons));
+    const int Daemon = this->anyStateDaemon();
     this->InvalidConfigurations.push_back(this->Fixture.startCall(
         this->Fixture.controlAddress(Daemon), "POST",
         "/sycamorereach/config/replace", Invalid.dump(), {}));
